LibGateway: Read the store anew after a broken watch

Ruled out: a peer's incomplete view (the view's revision was right), the silent watch timeout. A watch that does not report a revision which a peer knows is given up as well.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -372,10 +372,14 @@
 
 void Gateway::followPeers(TimePoint now)
 {
+    const auto links = network_.openLinks(now);
+    for (const auto &link : links) {
+        storeLink_.expectRevision(link->revision(), now);
+    }
     if (now - viewRequestedAt_ < ViewRequestInterval) {
         return;
     }
-    for (const auto &link : network_.openLinks(now)) {
+    for (const auto &link : links) {
         if (link->revision() > view_.at() || !storeLink_.isCurrent(now)) {
             viewRequestedAt_ = now;
             link->send(ViewRequestMessage {view_.at()});
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -18,6 +18,8 @@
 constexpr Duration LapseGrace = 2200ms;
 // Shorter interruptions make no entries lapse.
 constexpr Duration MinOutage = 500ms;
+// A watch that does not report within this time what is known to be there is given up.
+constexpr Duration OutdatedTime = 600ms;
 constexpr Duration MinBackoff = 60ms;
 constexpr Duration MaxBackoff = 700ms;
 constexpr std::uint32_t MaxBackoffDoublings = 4;
@@ -103,7 +105,8 @@
             isLoaded_ = true;
             failures = 0;
         }
-        const auto changes = co_await store_.watch("", view_.at(), WatchWait);
+        watchHandle_ = std::make_shared<ExchangeHandle>();
+        const auto changes = co_await store_.watch("", view_.at(), WatchWait, watchHandle_);
         const TimePoint now = bootNow();
         if (changes.outcome_ == StoreOutcome::Done) {
             failures = 0;
@@ -116,7 +119,14 @@
             }
             continue;
         }
-        isLoaded_ = isLoaded_ && changes.outcome_ != StoreOutcome::HistoryGone;
+        // A watch that was cut may have missed changes that a new watch does not report either while the store discards its
+        // history. Only a new reading shows what lies there.
+        isLoaded_ = false;
+        if (isWatchOutdated_) {
+            isWatchOutdated_ = false;
+            log_.write(LogLine("store-watch-outdated").add("revision", view_.at()).add("expected", expectedRevision_), LogImportance::Kept, now);
+            continue;
+        }
         if (changes.outcome_ == StoreOutcome::HistoryGone) {
             log_.write(LogLine("store-history-gone").add("revision", view_.at()), LogImportance::Kept, now);
             continue;
@@ -127,6 +137,23 @@
     }
 }
 
+void StoreLink::expectRevision(Platform::Revision revision, TimePoint now)
+{
+    if (revision <= view_.at()) {
+        return;
+    }
+    if (expectedRevision_ <= view_.at()) {
+        expectedRevision_ = revision;
+        expectedSince_ = now;
+        return;
+    }
+    if (now - expectedSince_ >= OutdatedTime && isLoaded_ && watchHandle_) {
+        expectedSince_ = now;
+        isWatchOutdated_ = true;
+        watchHandle_->cancel();
+    }
+}
+
 Task<bool> StoreLink::load()
 {
     std::vector<Platform::StoreItem> items;
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -34,6 +34,8 @@
     {
         return lease_;
     }
+    // Others know of this revision: a watch that does not report it soon has missed something.
+    void expectRevision(Platform::Revision revision, TimePoint now);
     // The process stood still: what was believed before needs a new answer.
     void distrust();
 
@@ -54,6 +56,10 @@
     Handlers handlers_;
     std::mt19937_64 random_;
     bool isLoaded_ = false;
+    std::shared_ptr<ExchangeHandle> watchHandle_;
+    bool isWatchOutdated_ = false;
+    Platform::Revision expectedRevision_ = 0;
+    TimePoint expectedSince_;
     bool isWatchFailing_ = true;
     bool isReachable_ = false;
     bool isStopping_ = false;
