--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -68,6 +68,7 @@
     message.attempt_ = static_cast<std::uint8_t>(request.attempt_);
     message.key_ = request.key_ ? static_cast<std::int32_t>(*request.key_) : -1;
     message.avoid_ = request.avoid_;
+    message.isReturn_ = request.isReturn_;
     return message;
 }
 
@@ -85,6 +86,7 @@
         request.key_ = static_cast<ShardKey>(message.key_);
     }
     request.avoid_ = message.avoid_;
+    request.isReturn_ = message.isReturn_;
     return request;
 }
 
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -35,8 +35,9 @@
     // -1 when there is none.
     std::int32_t key_ = -1;
     std::vector<std::string> avoid_;
+    bool isReturn_ = false;
 
-    MSGPACK_DEFINE(service_, number_, workKind_, priority_, aimLeft_, timeLeft_, assumedWork_, attempt_, key_, avoid_)
+    MSGPACK_DEFINE(service_, number_, workKind_, priority_, aimLeft_, timeLeft_, assumedWork_, attempt_, key_, avoid_, isReturn_)
 };
 
 // The request is waiting; a decision follows.
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -21,6 +21,8 @@
 constexpr double AimPart = 0.93;
 // Work assumed for a route until some of its requests have ended, as a part of its objective.
 constexpr double AssumedWorkPart = 0.3;
+// A caller whose patience is shorter than the longest of its route by more than this has asked before.
+constexpr Duration MinReturnAge = 20ms;
 constexpr Duration StartupRetryAfter = 300ms;
 constexpr Duration MisdirectedDelay = 30ms;
 
@@ -90,6 +92,7 @@
     TimePoint arrivedAt_;
     TimePoint deadline_;
     TimePoint aimAt_;
+    bool isReturn_ = false;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     const Route *route_ = nullptr;
     std::string service_;
@@ -161,11 +164,23 @@
     }
     const auto &route = *progress.route_;
     progress.deadline_ = progress.arrivedAt_ + std::min(route.timeout_, progress.terms_.patience_.value_or(route.timeout_));
-    progress.aimAt_ = progress.arrivedAt_ + scale(route.aim_, AimPart);
+    const Duration age = estimateAge(route.name_, progress.terms_.patience_);
+    progress.isReturn_ = age > MinReturnAge;
+    progress.aimAt_ = progress.arrivedAt_ + scale(route.aim_, AimPart) - age;
     progress.service_ = rotations_[route.name_].next(route.services_);
     return std::nullopt;
 }
 
+Duration RequestFlow::estimateAge(const std::string &route, std::optional<Duration> patience)
+{
+    if (!patience) {
+        return Duration::zero();
+    }
+    auto &longest = longestPatience_[route];
+    longest = std::max(longest, *patience);
+    return longest - *patience;
+}
+
 Task<std::optional<HttpResponse>> RequestFlow::run(const HttpRequest &request, std::shared_ptr<RequestControl> control, TimePoint arrivedAt)
 {
     // 1. Find the route; what has none is answered at once.
@@ -186,6 +201,7 @@
         ask.deadline_ = progress.deadline_;
         ask.assumedWork_ = scale(progress.route_->aim_, AssumedWorkPart);
         ask.attempt_ = progress.nextAttempt_;
+        ask.isReturn_ = progress.isReturn_;
         ask.key_ = progress.terms_.key_;
         ask.avoid_ = progress.servers_;
         const auto place = co_await placement_.acquire(progress.service_, std::move(ask), control);
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -33,6 +33,8 @@
     std::optional<HttpResponse> checkRoute(const HttpRequest &request, Progress &progress, TimePoint now);
     Task<NextStep> attempt(const HttpRequest &request, Progress &progress, const PlaceResult &place);
     NextStep judge(Progress &progress, const ExchangeResult &result, Platform::AnswerKind kind) const;
+    // How long ago the caller asked for the first time: callers that come back have less patience left than others of the route.
+    Duration estimateAge(const std::string &route, std::optional<Duration> patience);
     HttpResponse refuse(Progress &progress, const PlaceResult &place);
     HttpResponse giveUp(Progress &progress, TimePoint now);
     HttpResponse makeAnswer(const Progress &progress, unsigned status, std::optional<Duration> retryAfter) const;
@@ -47,6 +49,7 @@
     MetricRegistry &metrics_;
     // By route.
     std::map<std::string, WeightedRotation> rotations_;
+    std::map<std::string, Duration> longestPatience_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -336,10 +336,11 @@
 
 void ServicePool::sortWaiting(TimePoint now)
 {
-    // Requests that can still meet their aim go first, then the more urgent, then those with the least time.
+    // Requests that can still meet their aim go first, then the more urgent, then those whose callers have come back, then those
+    // with the least time.
     const auto rank = [this, now](const PlaceRequest &request) {
         const bool isLate = now + scale(usualWork(request), InTimePart) > request.aimAt_;
-        return std::make_tuple(isLate, request.priority_, request.aimAt_);
+        return std::make_tuple(isLate, request.priority_, !request.isReturn_, request.aimAt_);
     };
     std::ranges::sort(waiting_, [&rank](const PlaceRequest &left, const PlaceRequest &right) {
         return rank(left) < rank(right);
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -46,6 +46,8 @@
     // Work expected while nothing has been learned about the kind.
     Duration assumedWork_ = 50ms;
     AttemptKind attempt_ = AttemptKind::First;
+    // Its caller was turned away before and has come back.
+    bool isReturn_ = false;
     std::optional<ShardKey> key_;
     // Servers that are passed over where there are others.
     std::vector<std::string> avoid_;
