--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -176,6 +176,8 @@
 {
     if (const auto *queued = std::get_if<QueuedMessage>(&message)) {
         placement_.handleQueued(*queued);
+    } else if (const auto *declined = std::get_if<DeclinedMessage>(&message)) {
+        placement_.handleDeclined(*declined);
     } else if (const auto *placed = std::get_if<PlacedMessage>(&message)) {
         placement_.handlePlaced(link, *placed);
     } else if (const auto *rejected = std::get_if<RejectedMessage>(&message)) {
@@ -256,7 +258,7 @@
 {
     std::set<std::string> coordinated;
     const auto configuration = view_.configuration();
-    if (configuration && !isStopping_) {
+    if (configuration && !hasLeft_) {
         for (const auto &service : configuration->services_) {
             const auto *leader = view_.leader(service.name_);
             if (leader != nullptr && leader->member_ == self_) {
@@ -499,6 +501,17 @@
     refreshPeers(now);
 }
 
+Task<void> Gateway::leave()
+{
+    // While the store is away nobody else can take over the duties of this instance: it keeps them to its end.
+    while (!storeLink_.isCurrent(bootNow())) {
+        co_await sleepFor(loop_, TickInterval);
+    }
+    hasLeft_ = true;
+    refreshDuties(bootNow());
+    co_await storeLink_.leave();
+}
+
 Task<void> Gateway::stop()
 {
     // 1. Say that the instance is not ready, end connections with their next answer, give up all duties.
@@ -507,8 +520,7 @@
     const TimePoint startedAt = bootNow();
     log_.write(LogLine("stopping").add("requests", front_.requestsInProgress()), LogImportance::Kept, startedAt);
     front_.beginStop();
-    refreshDuties(startedAt);
-    asio::co_spawn(loop_, storeLink_.leave(), asio::detached);
+    asio::co_spawn(loop_, leave(), asio::detached);
     co_await sleepFor(loop_, RotationTime);
     front_.closeIdle();
     const TimePoint endsAt = startedAt + settings_.gracePeriod_ - StopMargin;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -57,6 +57,8 @@
     Task<void> awaitSignals();
     void reloadSettings(const char *cause);
     void checkSettingsFile(TimePoint now);
+    // Gives up the duties of this instance.
+    Task<void> leave();
     Task<void> stop();
 
     GatewayOptions options_;
@@ -83,6 +85,7 @@
     std::set<std::string> claiming_;
     std::map<std::string, TimePoint> healthCheckedAt_;
     bool isStopping_ = false;
+    bool hasLeft_ = false;
     bool hasBeenReady_ = false;
     TimePoint tickedAt_;
     TimePoint viewRequestedAt_;
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -146,9 +146,17 @@
     MSGPACK_DEFINE(at_, isWhole_, items_, removedKeys_)
 };
 
+// The sender does not coordinate the service of the request.
+struct DeclinedMessage
+{
+    std::uint64_t number_ = 0;
+
+    MSGPACK_DEFINE(number_)
+};
+
 // The order of the alternatives is the type on the wire: new ones go to the end.
 using PeerMessage = std::variant<HelloMessage, AskMessage, QueuedMessage, PlacedMessage, RejectedMessage, CancelMessage, FinishMessage, HeldMessage, PingMessage,
-                                 PongMessage, ViewRequestMessage, ViewUpdateMessage>;
+                                 PongMessage, ViewRequestMessage, ViewUpdateMessage, DeclinedMessage>;
 
 // A message with its length in front.
 std::string encodeFrame(const PeerMessage &message);
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -171,11 +171,11 @@
             link->send(CancelMessage {service, request.id_.number_});
             co_return true;
         }
-        const bool isSilent = !pending->isQueued_ && later - startedAt >= FirstAnswerTimeout;
+        const bool isSilent = pending->isDeclined_ || (!pending->isQueued_ && later - startedAt >= FirstAnswerTimeout);
         if (isSilent || network_.link(link->address(), later) != link) {
             link->send(CancelMessage {service, request.id_.number_});
             services_[service].distrustedUntil_ = later + DistrustTime;
-            log_.write(LogLine("coordinator-silent").add("service", service).add("address", link->address()).addAge("waitedMs", later - startedAt),
+            log_.write(LogLine("coordinator-passed-over").add("service", service).add("declined", pending->isDeclined_).add("address", link->address()).addAge("waitedMs", later - startedAt),
                        LogImportance::Kept,
                        later);
             co_return false;
@@ -238,7 +238,7 @@
 {
     const auto found = services_.find(message.service_);
     if (found == services_.end() || !isCoordinating(message.service_)) {
-        link->send(RejectedMessage {message.number_, static_cast<std::uint8_t>(RejectReason::NoServer), RejectionDelay.count()});
+        link->send(DeclinedMessage {message.number_});
         return;
     }
     auto &state = found->second;
@@ -295,6 +295,14 @@
     }
 }
 
+void PlacementService::handleDeclined(const DeclinedMessage &message)
+{
+    if (const auto found = pending_.find(message.number_); found != pending_.end()) {
+        found->second->isDeclined_ = true;
+        found->second->timer_.cancel();
+    }
+}
+
 void PlacementService::handlePlaced(const std::shared_ptr<PeerLink> &link, const PlacedMessage &message)
 {
     const auto found = pending_.find(message.number_);
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -85,6 +85,7 @@
     void forgetPeer(const std::shared_ptr<PeerLink> &link);
     // Messages of coordinators.
     void handleQueued(const QueuedMessage &message);
+    void handleDeclined(const DeclinedMessage &message);
     void handlePlaced(const std::shared_ptr<PeerLink> &link, const PlacedMessage &message);
     void handleRejected(const RejectedMessage &message);
     // A connection to a coordinator was opened: it is told what is held.
@@ -107,6 +108,7 @@
         asio::steady_timer timer_;
         std::optional<PlaceResult> result_;
         bool isQueued_ = false;
+        bool isDeclined_ = false;
     };
 
     // A place that this instance holds.
