--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -9,7 +9,7 @@
 // How long the store may leave a watch unanswered.
 constexpr Duration WatchWait = 8s;
 // Changes that come close together are taken in one answer.
-constexpr Duration WatchPause = 20ms;
+constexpr Duration WatchPause = 150ms;
 constexpr Duration LeaseLifetime = 1500ms;
 constexpr Duration KeepInterval = 500ms;
 // The view is current while the store has answered within this time.
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -11,6 +11,8 @@
 // Time for which a grant may be delayed on its way beyond what its sender can see.
 constexpr Duration DeliverySlack = 500ms;
 constexpr Duration BalanceInterval = 1s;
+// How long the store may still name holders that have released their keys.
+constexpr Duration TidyInterval = 3s;
 
 Duration longestHold(const GrantTerms &terms)
 {
@@ -41,7 +43,9 @@
     if (!isTakenOver_) {
         return planEvictions(renewTokens(assignment_), servers, load, now);
     }
-    auto next = planEvictions(withoutFreed(assignment_, now), servers, load, now);
+    const auto freed = withoutFreed(assignment_, now);
+    auto next = planEvictions(freed, servers, load, now);
+    const bool isEvicting = next != freed;
     const bool isSettled = std::ranges::all_of(next.ranges_, [](const ShardRange &range) {
         return range.previous_.empty();
     });
@@ -49,6 +53,11 @@
         plannedAt_ = now;
         next = planBalance(std::move(next), servers, load, now);
     }
+    // That earlier holders are gone matters only to a successor: it is written with the next move, or after a while.
+    const bool isMoving = isEvicting || next != freed;
+    if (!isMoving && now - storedAt_ < TidyInterval) {
+        return std::nullopt;
+    }
     return next == assignment_ ? std::nullopt : std::make_optional(std::move(next));
 }
 
@@ -92,6 +101,7 @@
     }
     states_ = std::move(states);
     assignment_ = std::move(assignment);
+    storedAt_ = now;
     isTakenOver_ = true;
 }
 
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -130,6 +130,7 @@
     // Until then grants of an earlier granter may be in force.
     TimePoint earlierGrantsEndAt_;
     TimePoint plannedAt_;
+    TimePoint storedAt_;
     std::vector<RangeState> states_;
     std::vector<SentGrant> sent_;
 };
