--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -191,7 +191,7 @@
     const TimePoint askedAt = bootNow();
     auto &state = services_[service];
     if (request.key_) {
-        state.keyLoad_.record(*request.key_, request.assumedWork_, askedAt);
+        state.keyLoad_.record(*request.key_, state.pool_->usualWork(request), askedAt);
     }
     state.pool_->ask(std::move(request), askedAt);
     scheduleDecision(service);
@@ -245,7 +245,7 @@
     state.askers_[link->instance()] = link;
     auto request = toPlaceRequest(message, link->instance(), now);
     if (request.key_) {
-        state.keyLoad_.record(*request.key_, request.assumedWork_, now);
+        state.keyLoad_.record(*request.key_, state.pool_->usualWork(request), now);
     }
     state.pool_->ask(std::move(request), now);
     decide(message.service_);
--- a/Libraries/LibPlacement/KeyLoad.cpp
+++ b/Libraries/LibPlacement/KeyLoad.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr double MemorySeconds = 3;
+constexpr double MemorySeconds = 2;
 constexpr Duration DecayInterval = 250ms;
 
 } // namespace
--- a/Libraries/LibPlacement/KeyLoad.h
+++ b/Libraries/LibPlacement/KeyLoad.h
@@ -11,7 +11,7 @@
 class KeyLoad
 {
 public:
-    static constexpr std::uint32_t GroupCount = 2048;
+    static constexpr std::uint32_t GroupCount = 4096;
     static constexpr std::uint32_t KeysPerGroup = ShardKeyCount / GroupCount;
 
     void record(ShardKey key, Duration work, TimePoint now);
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -189,6 +189,9 @@
     std::vector<ServerLoadView> serverLoads(TimePoint now) const;
     bool isServing(const std::string &server) const;
 
+    // The usual work of a request on an average server.
+    Duration usualWork(const PlaceRequest &request) const;
+
 private:
     struct Running
     {
@@ -237,7 +240,6 @@
     static bool isCold(const PoolServer &server, TimePoint now);
     double coldShare() const;
     Duration expectedWork(const PlaceRequest &request, const PoolServer &server, TimePoint now) const;
-    Duration usualWork(const PlaceRequest &request) const;
     void learn(PoolServer &server, const std::string &workKind, const PlaceReport &report, TimePoint now);
     void noteFailure(PoolServer &server, PlaceOutcome outcome, TimePoint now);
     std::vector<Outlook> foresee(TimePoint now);
--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -12,7 +12,7 @@
 constexpr double MinRelativeDifference = 0.3;
 // Part of the difference by which a single move must lower the load of the busiest server.
 constexpr double MinGainPart = 0.1;
-constexpr int MaxMovesAtOnce = 3;
+constexpr int MaxMovesAtOnce = 6;
 constexpr std::size_t MaxRangesPerServer = 12;
 // A cold server bears little.
 constexpr double ColdSlowness = 3;
