LibPlacement: Give keys first to all servers, and take them from those that cannot be reached

Cause: the first assignment was made when one server had registered, so that it held all keys for seconds; keys of a server that the granter could not reach stayed there until its entry lapsed.

--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -185,6 +185,9 @@
     const TimePoint now = bootNow();
     const auto outcome = Platform::readOrderOutcome(result);
     if (outcome != OrderOutcome::Accepted) {
+        if (auto *pool = placement_.pool(service_); pool != nullptr && outcome != OrderOutcome::Refused) {
+            pool->noteOrderFailure(call.holder_.server_, now);
+        }
         log_.write(LogLine("grant-failed")
                        .add("service", service_)
                        .add("server", call.holder_.server_)
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -29,6 +29,10 @@
 constexpr Duration ForeignLifetime = 300ms;
 // How long a range takes to change hands once that has begun.
 constexpr Duration HandoverTime = 150ms;
+// How long a suspicion holds without a further failure.
+constexpr Duration SuspectLifetime = 2500ms;
+// A server that was suspect for longer, without one good health answer, may hold no keys.
+constexpr Duration MaxSuspicion = 1s;
 // Within this time of an urgent request a place is kept free for the next one.
 constexpr Duration UrgentMemory = 1s;
 constexpr std::size_t MinServersForReserve = 4;
@@ -94,7 +98,7 @@
         const bool isSameLife = known != servers_.end() && known->second.input_.description_.born_ == input.description_.born_;
         PoolServer server = isSameLife ? std::move(known->second) : PoolServer();
         if (isSameLife && server.input_.isEvacuated_ && !input.isEvacuated_) {
-            server.isSuspect_ = true;
+            setSuspect(server, now);
         }
         if (!isSameLife && known != servers_.end()) {
             server.speed_.slowness_ = known->second.speed_.slowness_;
@@ -227,7 +231,7 @@
         const std::uint32_t doublings = std::min(server.unreachableCount_, MaxRestDoublings);
         server.restsUntil_ = now + FirstUnreachableRest * (1U << doublings);
         ++server.unreachableCount_;
-        server.isSuspect_ = true;
+        setSuspect(server, now);
         return;
     }
     server.failureShare_ += FailureLearningRate * (1 - server.failureShare_);
@@ -235,7 +239,7 @@
     if (outcome == PlaceOutcome::Shed) {
         server.restsUntil_ = std::max(server.restsUntil_, now + ShedRest);
     } else {
-        server.isSuspect_ = true;
+        setSuspect(server, now);
     }
 }
 
@@ -246,7 +250,7 @@
         return;
     }
     auto &known = found->second;
-    known.isSuspect_ = false;
+    known.suspectUntil_ = TimePoint();
     known.unreachableCount_ = 0;
     known.restsUntil_ = TimePoint();
     known.coldUntil_ = warmupLeft > Duration::zero() ? now + warmupLeft : TimePoint();
@@ -263,13 +267,24 @@
     }
 }
 
-void ServicePool::setSuspectDomain(const std::string &domain)
+void ServicePool::noteOrderFailure(const std::string &server, TimePoint now)
 {
-    for (auto &[id, server] : servers_) {
-        if (server.input_.description_.domain_ == domain) {
-            server.isSuspect_ = true;
-        }
+    if (const auto found = servers_.find(server); found != servers_.end()) {
+        setSuspect(found->second, now);
+    }
+}
+
+bool ServicePool::isSuspect(const PoolServer &server, TimePoint now)
+{
+    return now < server.suspectUntil_;
+}
+
+void ServicePool::setSuspect(PoolServer &server, TimePoint now)
+{
+    if (!isSuspect(server, now)) {
+        server.suspectSince_ = now;
     }
+    server.suspectUntil_ = now + SuspectLifetime;
 }
 
 bool ServicePool::isUsable(const PoolServer &server, TimePoint)
@@ -279,7 +294,7 @@
 
 bool ServicePool::isCold(const PoolServer &server, TimePoint now)
 {
-    return server.isSuspect_ || now < server.coldUntil_;
+    return isSuspect(server, now) || now < server.coldUntil_;
 }
 
 bool ServicePool::isServing(const std::string &server) const
@@ -482,7 +497,7 @@
 {
     std::vector<std::string> ids;
     for (const auto &[id, server] : servers_) {
-        if (server.isSuspect_ && isUsable(server, now)) {
+        if (isSuspect(server, now) && isUsable(server, now)) {
             ids.push_back(id);
         }
     }
@@ -494,7 +509,8 @@
     std::vector<ServerLoadView> views;
     for (const auto &[id, server] : servers_) {
         const auto &description = server.input_.description_;
-        views.push_back({id, description.born_, description.slots_, server.speed_.slowness_, isCold(server, now), isUsable(server, now)});
+        const bool isLongSuspect = isSuspect(server, now) && now - server.suspectSince_ > MaxSuspicion;
+        views.push_back({id, description.born_, description.slots_, server.speed_.slowness_, isCold(server, now), isUsable(server, now) && !isLongSuspect});
     }
     return views;
 }
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -170,8 +170,8 @@
     // A server answered a health request.
     void noteHealth(const std::string &server, Duration warmupLeft, const std::optional<ReportedLoad> &load, TimePoint now);
     void noteHealthFailure(const std::string &server, TimePoint now);
-    // What is known of the servers of a failure domain that comes back is out of date.
-    void setSuspectDomain(const std::string &domain);
+    // An order about keys did not reach the server or was not answered.
+    void noteOrderFailure(const std::string &server, TimePoint now);
 
     PlaceDecisions decide(TimePoint now);
 
@@ -207,7 +207,9 @@
         ServerSpeed speed_;
         ColdRate coldRate_;
         TimePoint coldUntil_;
-        bool isSuspect_ = false;
+        // Since when and until when it must be feared that the server has failed or started anew.
+        TimePoint suspectSince_;
+        TimePoint suspectUntil_;
         // Smoothed share of requests that failed.
         double failureShare_ = 0;
         TimePoint failedAt_;
@@ -237,6 +239,8 @@
     };
 
     static bool isUsable(const PoolServer &server, TimePoint now);
+    static bool isSuspect(const PoolServer &server, TimePoint now);
+    static void setSuspect(PoolServer &server, TimePoint now);
     static bool isCold(const PoolServer &server, TimePoint now);
     double coldShare() const;
     Duration expectedWork(const PlaceRequest &request, const PoolServer &server, TimePoint now) const;
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -9,7 +9,9 @@
 // The clock at a server that measures a grant may run slow by 2%.
 constexpr int ClockSlack = 50;
 // Time for which a grant may be delayed on its way beyond what its sender can see.
-constexpr Duration DeliverySlack = 500ms;
+constexpr Duration DeliverySlack = 200ms;
+// Before keys are given out for the first time, no server may have come or gone for so long.
+constexpr Duration FirstSettleTime = 700ms;
 constexpr Duration BalanceInterval = 1s;
 // How long the store may still name holders that have released their keys.
 constexpr Duration TidyInterval = 3s;
@@ -36,6 +38,9 @@
 std::optional<ShardAssignment> ShardGranter::plan(const std::vector<ServerLoadView> &servers, const KeyLoad &load, TimePoint now)
 {
     if (assignment_.ranges_.empty()) {
+        if (!isSettledForFirst(servers, now)) {
+            return std::nullopt;
+        }
         auto first = planFirst(servers);
         first.nextToken_ = std::max(first.nextToken_, assignment_.nextToken_);
         return first.ranges_.empty() ? std::nullopt : std::make_optional(std::move(first));
@@ -61,6 +66,15 @@
     return next == assignment_ ? std::nullopt : std::make_optional(std::move(next));
 }
 
+bool ShardGranter::isSettledForFirst(const std::vector<ServerLoadView> &servers, TimePoint now)
+{
+    if (servers.size() != firstServerCount_) {
+        firstServerCount_ = servers.size();
+        firstServersSince_ = now;
+    }
+    return now - firstServersSince_ >= FirstSettleTime;
+}
+
 ShardAssignment ShardGranter::withoutFreed(ShardAssignment assignment, TimePoint now) const
 {
     for (auto &range : assignment.ranges_) {
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -12,8 +12,8 @@
 // How long grants hold and how often they are renewed.
 struct GrantTerms
 {
-    Duration holdTime_ = 4s;
-    Duration renewInterval_ = 1s;
+    Duration holdTime_ = 3200ms;
+    Duration renewInterval_ = 800ms;
     Duration retryInterval_ = 300ms;
 
     auto operator<=>(const GrantTerms &) const = default;
@@ -118,6 +118,7 @@
         std::vector<PreviousState> previous_;
     };
 
+    bool isSettledForFirst(const std::vector<ServerLoadView> &servers, TimePoint now);
     bool isFree(const RangeState &state, const PreviousState &previous, TimePoint now) const;
     bool mayGrant(const RangeState &state, TimePoint now) const;
     ShardAssignment withoutFreed(ShardAssignment assignment, TimePoint now) const;
@@ -131,6 +132,8 @@
     TimePoint earlierGrantsEndAt_;
     TimePoint plannedAt_;
     TimePoint storedAt_;
+    std::size_t firstServerCount_ = 0;
+    TimePoint firstServersSince_;
     std::vector<RangeState> states_;
     std::vector<SentGrant> sent_;
 };
--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -214,13 +214,25 @@
         if ((!isWorthIt && !isUnheld) || assignment.ranges_.size() >= MaxRangesPerServer * planned.size()) {
             break;
         }
-        const auto cut = findCut(assignment, *busiest, *idlest, load, now);
+        // A group of keys that is busy by itself is best held by a fast server, even if that is not the idlest.
+        const auto fastest = std::ranges::min_element(planned, {}, [](const PlannedServer &server) {
+            return server.costOf(1);
+        });
+        auto target = idlest;
+        auto cut = findCut(assignment, *busiest, *idlest, load, now);
+        if (!isUnheld && fastest != busiest && fastest != idlest) {
+            const auto other = findCut(assignment, *busiest, *fastest, load, now);
+            if (other && (!cut || other->peak_ < cut->peak_)) {
+                cut = other;
+                target = fastest;
+            }
+        }
         if (!cut || (!isUnheld && cut->peak_ > busiest->utilization_ - MinGainPart * difference)) {
             break;
         }
         busiest->utilization_ -= busiest->costOf(cut->load_);
-        idlest->utilization_ += idlest->costOf(cut->load_);
-        applyCut(assignment, *cut, *idlest->view_);
+        target->utilization_ += target->costOf(cut->load_);
+        applyCut(assignment, *cut, *target->view_);
     }
     return assignment;
 }
