--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -23,6 +23,7 @@
 constexpr double AssumedWorkPart = 0.3;
 // A caller whose patience is shorter than the longest of its route by more than this has asked before.
 constexpr Duration MinReturnAge = 20ms;
+constexpr unsigned GatewayTimeout = 504;
 constexpr Duration StartupRetryAfter = 300ms;
 constexpr Duration MisdirectedDelay = 30ms;
 
@@ -258,8 +259,9 @@
     const auto kind = result.outcome_ == ExchangeOutcome::Answered ? Platform::classifyAnswer(result.response_) : AnswerKind::Unusable;
     PlaceReport report;
     report.outcome_ = toPlaceOutcome(result, kind);
-    if (report.outcome_ == PlaceOutcome::Lost && now >= progress.deadline_) {
-        report.outcome_ = PlaceOutcome::Abandoned;
+    const bool isTimeout = result.outcome_ == ExchangeOutcome::Answered && result.response_.result_int() == GatewayTimeout;
+    if (isTimeout || (report.outcome_ == PlaceOutcome::Lost && now >= progress.deadline_)) {
+        report.outcome_ = PlaceOutcome::TimedOut;
     }
     report.duration_ = now - startedAt;
     if (result.outcome_ == ExchangeOutcome::Answered) {
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -210,7 +210,12 @@
         server.foreign_ = others > own ? others - own : 0;
         server.foreignAt_ = now;
     }
-    if (report.outcome_ == PlaceOutcome::Abandoned) {
+    if (report.outcome_ == PlaceOutcome::TimedOut || report.outcome_ == PlaceOutcome::Abandoned) {
+        // The work takes at least as long as was waited for it; a shorter wait says nothing.
+        const Duration expected = scale(estimator_.usualWork(workKind, report.duration_), server.speed_.factor(now));
+        if (report.duration_ > expected) {
+            estimator_.learn(workKind, server.speed_, report.duration_, now);
+        }
         return;
     }
     if (report.outcome_ != PlaceOutcome::Answered) {
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -105,7 +105,9 @@
     Unreachable,
     // It was sent and no valid answer came.
     Lost,
-    // The caller left or its deadline passed.
+    // The deadline passed while the server was at work: it took at least so long.
+    TimedOut,
+    // The caller left, or the server was not needed after all.
     Abandoned,
 };
 
