--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -13,7 +13,7 @@
 // Part of the time that work usually takes, by which an expected end may lie past the deadline: work time varies.
 constexpr double OptimismPart = 0.3;
 // Part of the time that work usually takes, which must be left until the aim for a request to count as in time.
-constexpr double InTimePart = 1.6;
+constexpr double InTimePart = 1.1;
 // How much later a server that fails all its requests is taken to end one.
 constexpr Duration FailurePenalty = 300ms;
 constexpr double FailureLearningRate = 0.2;
@@ -354,12 +354,30 @@
     return outlooks;
 }
 
+const ServicePool::PoolServer *ServicePool::holderOf(const PlaceRequest &request) const
+{
+    const ShardRange *range = service_.isSharded_ && request.key_ ? assignment_.rangeOf(*request.key_) : nullptr;
+    const auto found = range == nullptr ? servers_.end() : servers_.find(range->holder_.server_);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
 void ServicePool::sortWaiting(TimePoint now)
 {
     // Requests that can still meet their aim go first, then the more urgent, then those whose callers have come back, then those
     // with the least time.
-    const auto rank = [this, now](const PlaceRequest &request) {
-        const bool isLate = now + scale(usualWork(request), InTimePart) > request.aimAt_;
+    double factors = 0;
+    std::size_t usable = 0;
+    for (const auto &[id, server] : servers_) {
+        if (isUsable(server, now)) {
+            factors += server.speed_.factor(now);
+            ++usable;
+        }
+    }
+    const double meanFactor = usable == 0 ? 1 : factors / static_cast<double>(usable);
+    const auto rank = [this, now, meanFactor](const PlaceRequest &request) {
+        const auto *holder = holderOf(request);
+        const double factor = holder == nullptr ? meanFactor : holder->speed_.factor(now);
+        const bool isLate = now + scale(usualWork(request), InTimePart * factor) > request.aimAt_;
         return std::make_tuple(isLate, request.priority_, !request.isReturn_, request.aimAt_);
     };
     std::ranges::sort(waiting_, [&rank](const PlaceRequest &left, const PlaceRequest &right) {
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -249,6 +249,8 @@
     void learn(PoolServer &server, const std::string &workKind, const PlaceReport &report, TimePoint now);
     void noteFailure(PoolServer &server, PlaceOutcome outcome, TimePoint now);
     std::vector<Outlook> foresee(TimePoint now);
+    // The server that the assignment names for the request's key, if there is one.
+    const PoolServer *holderOf(const PlaceRequest &request) const;
     void sortWaiting(TimePoint now);
     std::optional<Choice> choose(const PlaceRequest &request, std::vector<Outlook> &outlooks, TimePoint now);
     bool mustLeaveRoom(const PlaceRequest &request, const std::vector<Outlook> &outlooks, TimePoint now) const;
