LibPlacement: Learn speeds from more samples

Cause: estimates of a server's speed swung between 0.5 and 1.4 of the truth with single requests, so that keys moved to servers that only seemed fast.

--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -102,6 +102,7 @@
         }
         if (!isSameLife && known != servers_.end()) {
             server.speed_.slowness_ = known->second.speed_.slowness_;
+            server.speed_.samples_ = 0;
         }
         if (!isSameLife || server.input_.description_ != input.description_) {
             server.coldUntil_ = std::max(server.coldUntil_, input.describedAt_ + input.description_.warmupLeft_);
--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -11,7 +11,7 @@
 constexpr double MinDifference = 0.15;
 constexpr double MinRelativeDifference = 0.3;
 // Part of the difference by which a single move must lower the load of the busiest server.
-constexpr double MinGainPart = 0.1;
+constexpr double MinGainPart = 0.04;
 constexpr int MaxMovesAtOnce = 6;
 constexpr std::size_t MaxRangesPerServer = 12;
 // A cold server bears little.
--- a/Libraries/LibPlacement/WorkEstimator.cpp
+++ b/Libraries/LibPlacement/WorkEstimator.cpp
@@ -11,7 +11,9 @@
 constexpr Duration ReportLifetime = 400ms;
 // The expected factor of a server that has not reported lately.
 constexpr double UnreportedFactor = 1.2;
-constexpr double SpeedLearningRate = 0.12;
+constexpr double SpeedLearningRate = 0.04;
+// How many samples the assumption that a server is as fast as the others counts for.
+constexpr std::uint32_t FirstSampleWeight = 4;
 constexpr double WorkLearningRate = 0.03;
 constexpr std::uint32_t FastSamples = 20;
 constexpr double MinSlowness = 0.2;
@@ -43,7 +45,9 @@
         return;
     }
     const double ratio = std::clamp(observed / (work.microseconds_ * factor), 1 / MaxRatio, MaxRatio);
-    speed.slowness_ = std::clamp(speed.slowness_ * (1 + SpeedLearningRate * (ratio - 1)), MinSlowness, MaxSlowness);
+    ++speed.samples_;
+    const double speedRate = std::max(SpeedLearningRate, 1.0 / (speed.samples_ + FirstSampleWeight));
+    speed.slowness_ = std::clamp(speed.slowness_ * (1 + speedRate * (ratio - 1)), MinSlowness, MaxSlowness);
     const double rate = std::max(WorkLearningRate, work.samples_ < FastSamples ? 1.0 / work.samples_ : 0);
     work.microseconds_ *= 1 + rate * (ratio - 1);
 }
--- a/Libraries/LibPlacement/WorkEstimator.h
+++ b/Libraries/LibPlacement/WorkEstimator.h
@@ -28,6 +28,8 @@
     // The factor last reported, which holds for a fraction of a second.
     double delayFactor_ = 1;
     TimePoint reportedAt_;
+    // Requests that it was learned from.
+    std::uint32_t samples_ = 0;
 
     // The expected factor over the usual work time.
     double factor(TimePoint now) const;
