--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -76,8 +76,8 @@
                   [this] {
                       refreshDuties(bootNow());
                   }})
-    , network_(loop_, HelloMessage {self_.name_, self_.incarnation_}, log_, makePeerHandlers())
-    , placement_(loop_, self_.name_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, log_)
+    , network_(loop_, HelloMessage {self_.name_, self_.incarnation_, settings_.domain_}, log_, makePeerHandlers())
+    , placement_(loop_, self_.name_, settings_.domain_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, log_)
     , client_(loop_)
     , orderClient_(loop_)
     , flow_(loop_, view_, storeLink_, placement_, client_, log_, metrics_)
@@ -154,7 +154,7 @@
 {
     const TimePoint now = bootNow();
     if (const auto *hello = std::get_if<HelloMessage>(&message)) {
-        link->setInstance(hello->instance_);
+        link->setInstance(hello->instance_, hello->domain_);
     } else if (const auto *ask = std::get_if<AskMessage>(&message)) {
         placement_.handleAsk(link, *ask, now);
     } else if (const auto *cancel = std::get_if<CancelMessage>(&message)) {
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -40,9 +40,15 @@
     {
         return instance_;
     }
-    void setInstance(std::string instance)
+    void setInstance(std::string instance, std::string domain)
     {
         instance_ = std::move(instance);
+        domain_ = std::move(domain);
+    }
+    // Its failure domain.
+    const std::string &domain() const
+    {
+        return domain_;
     }
     // The address that this instance connected to; empty for connections that the other one opened.
     const std::string &address() const
@@ -73,6 +79,7 @@
     std::string outgoing_;
     std::string incoming_;
     std::string instance_;
+    std::string domain_;
     std::string address_;
     TimePoint heardAt_;
     bool isOpen_ = true;
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -17,8 +17,9 @@
 {
     std::string instance_;
     std::string incarnation_;
+    std::string domain_;
 
-    MSGPACK_DEFINE(instance_, incarnation_)
+    MSGPACK_DEFINE(instance_, incarnation_, domain_)
 };
 
 // A request needs a place. Times are what is left at sending, in microseconds.
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -30,9 +30,10 @@
     return "unknown";
 }
 
-PlacementService::PlacementService(asio::io_context &loop, std::string instance, const StoreView &view, PeerNetwork &network, RepeatTerms terms, EventLog &log)
+PlacementService::PlacementService(asio::io_context &loop, std::string instance, std::string domain, const StoreView &view, PeerNetwork &network, RepeatTerms terms, EventLog &log)
     : loop_(loop)
     , instance_(std::move(instance))
+    , domain_(std::move(domain))
     , view_(view)
     , network_(network)
     , terms_(terms)
@@ -115,6 +116,7 @@
     const TimePoint startedAt = bootNow();
     const std::uint64_t number = nextNumber_++;
     request.id_ = {instance_, number};
+    request.domain_ = domain_;
     PlaceResult result;
     result.number_ = number;
     if (!services_.contains(service)) {
@@ -244,6 +246,7 @@
     auto &state = found->second;
     state.askers_[link->instance()] = link;
     auto request = toPlaceRequest(message, link->instance(), now);
+    request.domain_ = link->domain();
     if (request.key_) {
         state.keyLoad_.record(*request.key_, state.pool_->usualWork(request), now);
     }
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -62,7 +62,7 @@
 class PlacementService
 {
 public:
-    PlacementService(asio::io_context &loop, std::string instance, const StoreView &view, PeerNetwork &network, RepeatTerms terms, EventLog &log);
+    PlacementService(asio::io_context &loop, std::string instance, std::string domain, const StoreView &view, PeerNetwork &network, RepeatTerms terms, EventLog &log);
 
     // Takes over services, servers, assignments and coordinators from the view.
     void refresh(TimePoint now);
@@ -142,6 +142,7 @@
 
     asio::io_context &loop_;
     std::string instance_;
+    std::string domain_;
     const StoreView &view_;
     PeerNetwork &network_;
     RepeatTerms terms_;
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -14,6 +14,9 @@
 constexpr double OptimismPart = 0.3;
 // Part of the time that work usually takes, which must be left until the aim for a request to count as in time.
 constexpr double InTimePart = 1.1;
+// A server in another failure domain is taken to end a request later by this part of its usual work: what crosses between failure
+// domains costs bytes there.
+constexpr double DistancePart = 0.2;
 // How much later a server that fails all its requests is taken to end one.
 constexpr Duration FailurePenalty = 300ms;
 constexpr double FailureLearningRate = 0.2;
@@ -418,7 +421,9 @@
         }
         choice.endAt_ = choice.startAt_ + expectedWork(request, server, now);
         const double age = std::chrono::duration<double>(now - server.failedAt_).count();
-        choice.cost_ = choice.endAt_ + scale(FailurePenalty, server.failureShare_ * std::exp2(-age / FailureHalfLifeSeconds));
+        const bool isNear = request.domain_.empty() || request.domain_ == server.input_.description_.domain_;
+        const Duration distance = isNear ? Duration::zero() : scale(usualWork(request), DistancePart);
+        choice.cost_ = choice.endAt_ + distance + scale(FailurePenalty, server.failureShare_ * std::exp2(-age / FailureHalfLifeSeconds));
         const bool isAvoided = std::ranges::find(request.avoid_, id) != request.avoid_.end();
         if (!best || std::make_pair(isAvoided, choice.cost_) < std::make_pair(isBestAvoided, best->cost_)) {
             best = choice;
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -49,6 +49,8 @@
     // Its caller was turned away before and has come back.
     bool isReturn_ = false;
     std::optional<ShardKey> key_;
+    // The failure domain of the instance that holds the request.
+    std::string domain_;
     // Servers that are passed over where there are others.
     std::vector<std::string> avoid_;
 
@@ -236,7 +238,7 @@
         Outlook *outlook_ = nullptr;
         TimePoint startAt_;
         TimePoint endAt_;
-        // The end, worsened by the server's recent failures.
+        // The end, worsened by the server's recent failures and its distance.
         TimePoint cost_;
     };
 
