--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -1,6 +1,7 @@
 #include "ShardPlanner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace Goldcrestwall::Gateway {
@@ -14,6 +15,8 @@
 constexpr double MinGainPart = 0.04;
 constexpr int MaxMovesAtOnce = 6;
 constexpr std::size_t MaxRangesPerServer = 12;
+// Above 1: a slow server gets less than its part, because on it even a request that need not wait takes longer.
+constexpr double SlownessWeight = 1.5;
 // A cold server bears little.
 constexpr double ColdSlowness = 3;
 // Keys without traffic count a little, so that ranges without any are spread evenly too.
@@ -27,7 +30,7 @@
 
     double costOf(double load) const
     {
-        return load * view_->slowness_ * (view_->isCold_ ? ColdSlowness : 1) / view_->slots_;
+        return load * std::pow(view_->slowness_, SlownessWeight) * (view_->isCold_ ? ColdSlowness : 1) / view_->slots_;
     }
 };
 
