--- /dev/null
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -0,0 +1,391 @@
+#include "PlatformServerStandIn.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Goldcrestwall {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int MaxThreads = 300;
+constexpr auto LateGrantDelay = std::chrono::milliseconds(1500);
+// The bound on requests to a cold server within a second: a multiple of its rate, and a number besides.
+constexpr double ColdOver = 1.5;
+constexpr double ColdSlack = 5;
+
+class Handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit Handler(PlatformServerStandIn &server)
+        : server_(server)
+    {
+    }
+    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
+    {
+        server_.handle(request, response);
+    }
+
+private:
+    PlatformServerStandIn &server_;
+};
+
+class Factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit Factory(PlatformServerStandIn &server)
+        : server_(server)
+    {
+    }
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+    {
+        return new Handler(server_);
+    }
+
+private:
+    PlatformServerStandIn &server_;
+};
+
+Poco::ThreadPool &threadPool()
+{
+    static Poco::ThreadPool threads(4, MaxThreads);
+    return threads;
+}
+
+std::string answerText(const std::string &requestId, const std::string &body, std::size_t announced)
+{
+    return "HTTP/1.1 200 OK\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nGoldcrestwall-Server-Signature: s\r\nContent-Length: " + std::to_string(announced)
+        + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+void PlatformWitness::noteRun(PlatformRun run)
+{
+    const std::lock_guard lock(mutex_);
+    runs_.push_back(std::move(run));
+}
+
+void PlatformWitness::noteViolation(std::string what)
+{
+    const std::lock_guard lock(mutex_);
+    violations_.push_back(std::move(what));
+}
+
+std::vector<PlatformRun> PlatformWitness::runs() const
+{
+    const std::lock_guard lock(mutex_);
+    return runs_;
+}
+
+std::size_t PlatformWitness::runsOf(const std::string &requestId) const
+{
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::ranges::count(runs_, requestId, &PlatformRun::requestId_));
+}
+
+std::vector<std::string> PlatformWitness::violations() const
+{
+    const std::lock_guard lock(mutex_);
+    return violations_;
+}
+
+PlatformServerStandIn::PlatformServerStandIn(std::string id, PlatformServerBehaviour behaviour, PlatformStoreStandIn &store, PlatformWitness &witness)
+    : id_(std::move(id))
+    , behaviour_(std::move(behaviour))
+    , store_(store)
+    , witness_(witness)
+    , born_(unixNow())
+{
+    auto *parameters = new Poco::Net::HTTPServerParams;
+    parameters->setMaxThreads(MaxThreads);
+    parameters->setMaxQueued(MaxThreads);
+    parameters->setKeepAliveTimeout(Poco::Timespan(5, 0));
+    Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), threadPool(), socket, parameters);
+    server_->start();
+}
+
+PlatformServerStandIn::~PlatformServerStandIn()
+{
+    setFault(PlatformServerFault::None);
+    server_->stopAll(true);
+}
+
+std::string PlatformServerStandIn::address() const
+{
+    return "127.0.0.1:" + std::to_string(server_->port());
+}
+
+void PlatformServerStandIn::registerEntry(const std::string &state)
+{
+    Json entry;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto left = std::max(0.0, std::chrono::duration<double>(coldUntil_ - monotonicNow()).count());
+        entry = {{"service", behaviour_.service_}, {"address", address()}, {"zone", behaviour_.domain_}, {"version", "v1"}, {"capacity", behaviour_.slots_},
+                 {"state", state},                 {"warmupLeftS", left},  {"sequence", ++sequence_},    {"born", born_}};
+    }
+    store_.put("servers/" + id_, entry.dump());
+}
+
+void PlatformServerStandIn::removeEntry()
+{
+    store_.remove("servers/" + id_);
+}
+
+void PlatformServerStandIn::setFault(PlatformServerFault fault)
+{
+    const std::lock_guard lock(mutex_);
+    fault_ = fault;
+    freed_.notify_all();
+}
+
+void PlatformServerStandIn::restart()
+{
+    const std::lock_guard lock(mutex_);
+    holds_.clear();
+    highestToken_ = 0;
+    born_ = unixNow() + 1;
+    sequence_ = 0;
+    coldUntil_ = monotonicNow() + behaviour_.coldTime_;
+}
+
+void PlatformServerStandIn::setSiblings(std::vector<PlatformServerStandIn *> siblings)
+{
+    siblings_ = std::move(siblings);
+}
+
+bool PlatformServerStandIn::holdsLocked(std::uint32_t key) const
+{
+    const TimePoint now = monotonicNow();
+    return std::ranges::any_of(holds_, [&](const Hold &hold) {
+        return hold.first_ <= key && key <= hold.last_ && now < hold.until_;
+    });
+}
+
+bool PlatformServerStandIn::holds(std::uint32_t key) const
+{
+    const std::lock_guard lock(mutex_);
+    return holdsLocked(key);
+}
+
+std::string PlatformServerStandIn::load() const
+{
+    return std::to_string(running_) + "," + std::to_string(waiting_) + "," + std::to_string(behaviour_.slots_) + ",100";
+}
+
+void PlatformServerStandIn::reject(Poco::Net::HTTPServerResponse &response, int status) const
+{
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.set("Goldcrestwall-Not-Executed", "1");
+    response.set("Goldcrestwall-Instance-Id", id_);
+    response.setContentLength(0);
+    response.send();
+}
+
+void PlatformServerStandIn::handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    std::string body;
+    Poco::StreamCopier::copyToString(request.stream(), body);
+    const auto &path = request.getURI();
+    const std::string meant = request.get("Goldcrestwall-Target-Instance", id_);
+    if (meant != id_) {
+        reject(response, 421);
+    } else if (path == "/-/grant") {
+        grant(body, response);
+    } else if (path == "/-/release") {
+        release(body, response);
+    } else if (path == "/health") {
+        ++healthCount_;
+        const std::lock_guard lock(mutex_);
+        const auto left = std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(coldUntil_ - monotonicNow()).count());
+        response.set("Goldcrestwall-Instance-Id", id_);
+        response.set("Goldcrestwall-Warmup-Ms", std::to_string(left));
+        response.set("Goldcrestwall-Server-Load", load());
+        response.setContentLength(0);
+        response.send();
+    } else if (!isRefused(request, response)) {
+        run(request, response, body);
+    }
+}
+
+void PlatformServerStandIn::grant(const std::string &body, Poco::Net::HTTPServerResponse &response)
+{
+    const TimePoint arrivedAt = monotonicNow();
+    const auto order = Json::parse(body);
+    Hold hold;
+    hold.first_ = order.at("from").get<std::uint32_t>();
+    hold.last_ = order.at("to").get<std::uint32_t>();
+    hold.token_ = order.at("fence").get<std::uint64_t>();
+    hold.until_ = arrivedAt + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(order.at("holdS").get<double>()));
+    bool isLate = false;
+    {
+        const std::lock_guard lock(mutex_);
+        isLate = fault_ == PlatformServerFault::GrantsLate;
+    }
+    if (isLate) {
+        std::this_thread::sleep_for(LateGrantDelay);
+    }
+    const std::lock_guard lock(mutex_);
+    const bool isOld = std::ranges::any_of(holds_, [&hold](const Hold &held) {
+        return held.first_ <= hold.last_ && hold.first_ <= held.last_ && held.token_ > hold.token_;
+    });
+    if (!isOld) {
+        std::erase_if(holds_, [&hold](const Hold &held) {
+            return held.first_ == hold.first_ && held.last_ == hold.last_;
+        });
+        holds_.push_back(hold);
+    }
+    response.setStatus(isOld ? Poco::Net::HTTPResponse::HTTP_CONFLICT : Poco::Net::HTTPResponse::HTTP_OK);
+    response.setContentLength(0);
+    response.send();
+}
+
+void PlatformServerStandIn::release(const std::string &body, Poco::Net::HTTPServerResponse &response)
+{
+    const auto order = Json::parse(body);
+    const auto first = order.at("from").get<std::uint32_t>();
+    const auto last = order.at("to").get<std::uint32_t>();
+    std::unique_lock lock(mutex_);
+    std::vector<Hold> kept;
+    for (const auto &hold : holds_) {
+        if (hold.last_ < first || hold.first_ > last) {
+            kept.push_back(hold);
+            continue;
+        }
+        if (hold.first_ < first) {
+            kept.push_back({hold.first_, first - 1, hold.token_, hold.until_});
+        }
+        if (hold.last_ > last) {
+            kept.push_back({last + 1, hold.last_, hold.token_, hold.until_});
+        }
+    }
+    holds_ = std::move(kept);
+    freed_.wait(lock, [this] {
+        return running_ == 0 || fault_ == PlatformServerFault::Silent;
+    });
+    response.set("Goldcrestwall-Handover", "handover-" + id_);
+    response.setContentLength(0);
+    response.send();
+}
+
+bool PlatformServerStandIn::isRefused(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    std::unique_lock lock(mutex_);
+    if (request.get("Goldcrestwall-Request-Id", "").empty()) {
+        reject(response, 400);
+        return true;
+    }
+    if (fault_ == PlatformServerFault::Sheds || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
+        reject(response, 503);
+        return true;
+    }
+    if (behaviour_.isSharded_) {
+        const auto key = static_cast<std::uint32_t>(std::stoul(request.get("Goldcrestwall-Shard-Key", "0")));
+        if (!holdsLocked(key)) {
+            reject(response, 421);
+            return true;
+        }
+        lock.unlock();
+        for (const auto *sibling : siblings_) {
+            if (sibling != this && sibling->holds(key)) {
+                witness_.noteViolation("key " + std::to_string(key) + " is held by " + id_ + " and " + sibling->id());
+            }
+        }
+    }
+    return false;
+}
+
+void PlatformServerStandIn::run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body)
+{
+    const std::string requestId = request.get("Goldcrestwall-Request-Id");
+    PlatformServerFault fault = PlatformServerFault::None;
+    {
+        std::unique_lock lock(mutex_);
+        const TimePoint now = monotonicNow();
+        if (behaviour_.coldRate_ > 0 && now < coldUntil_) {
+            coldArrivals_.push_back(now);
+            while (coldArrivals_.front() + 1s < now) {
+                coldArrivals_.pop_front();
+            }
+            if (static_cast<double>(coldArrivals_.size()) > ColdOver * behaviour_.coldRate_ + ColdSlack) {
+                witness_.noteViolation(id_ + " is cold and got " + std::to_string(coldArrivals_.size()) + " requests in a second");
+            }
+        }
+        ++waiting_;
+        freed_.wait(lock, [this] {
+            return running_ < behaviour_.slots_;
+        });
+        --waiting_;
+        ++running_;
+        fault = fault_;
+    }
+    witness_.noteRun({requestId, id_, request.getMethod(), request.getURI(), body});
+    std::this_thread::sleep_for(std::chrono::microseconds(behaviour_.work_));
+    {
+        std::unique_lock lock(mutex_);
+        if (fault == PlatformServerFault::Silent) {
+            freed_.wait(lock, [this] {
+                return fault_ != PlatformServerFault::Silent;
+            });
+        }
+        --running_;
+        freed_.notify_all();
+    }
+    const std::string text = id_ + " ran " + request.getURI() + "\n";
+    switch (fault) {
+    case PlatformServerFault::LosesAnswers:
+    case PlatformServerFault::Silent:
+        sendRaw(request, "", true);
+        return;
+    case PlatformServerFault::Truncates:
+        sendRaw(request, answerText(requestId, text, text.size() + 100), false);
+        return;
+    case PlatformServerFault::Garbles:
+        sendRaw(request, "\x01\x02 this is no answer\r\n\r\n", false);
+        return;
+    case PlatformServerFault::AnswersTwice:
+        sendRaw(request, answerText(requestId, text, text.size()) + answerText(requestId, "again\n", 6), false);
+        return;
+    case PlatformServerFault::AnswersAnother:
+        sendRaw(request, answerText("another", "another\n", 8) + answerText(requestId, text, text.size()), false);
+        return;
+    case PlatformServerFault::ForgetsConnections:
+        sendRaw(request, answerText(requestId, text, text.size()), false);
+        return;
+    default:
+        break;
+    }
+    response.set("Goldcrestwall-Request-Id", requestId);
+    if (fault != PlatformServerFault::OmitsSignature) {
+        response.set("Goldcrestwall-Server-Signature", "s");
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        response.set("Goldcrestwall-Server-Load", load());
+    }
+    response.sendBuffer(text.data(), text.size());
+}
+
+void PlatformServerStandIn::sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset)
+{
+    auto socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket();
+    if (isReset) {
+        socket.setLinger(true, 0);
+    } else {
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
+    socket.close();
+}
+
+} // namespace Goldcrestwall
--- /dev/null
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -0,0 +1,459 @@
+#include "PlatformStoreStandIn.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+
+namespace Goldcrestwall {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::size_t PageSize = 500;
+constexpr int MaxThreads = 200;
+
+std::string encode(const std::string &bytes)
+{
+    std::ostringstream text;
+    Poco::Base64Encoder encoder(text);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return text.str();
+}
+
+std::string decode(const std::string &text)
+{
+    std::istringstream input(text);
+    Poco::Base64Decoder decoder(input);
+    std::string bytes;
+    Poco::StreamCopier::copyToString(decoder, bytes);
+    return bytes;
+}
+
+class Handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit Handler(PlatformStoreStandIn &store)
+        : store_(store)
+    {
+    }
+    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
+    {
+        store_.handle(request, response);
+    }
+
+private:
+    PlatformStoreStandIn &store_;
+};
+
+class Factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit Factory(PlatformStoreStandIn &store)
+        : store_(store)
+    {
+    }
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+    {
+        return new Handler(store_);
+    }
+
+private:
+    PlatformStoreStandIn &store_;
+};
+
+} // namespace
+
+PlatformStoreStandIn::PlatformStoreStandIn(std::uint16_t port)
+{
+    auto *parameters = new Poco::Net::HTTPServerParams;
+    parameters->setMaxThreads(MaxThreads);
+    parameters->setMaxQueued(MaxThreads);
+    static Poco::ThreadPool threads(4, MaxThreads);
+    Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), threads, socket, parameters);
+    server_->start();
+    expirer_ = std::make_unique<std::thread>([this] {
+        expireLoop();
+    });
+}
+
+PlatformStoreStandIn::~PlatformStoreStandIn()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        isStopping_ = true;
+        changed_.notify_all();
+    }
+    expirer_->join();
+    server_->stopAll(true);
+}
+
+std::string PlatformStoreStandIn::address() const
+{
+    return "127.0.0.1:" + std::to_string(server_->port());
+}
+
+void PlatformStoreStandIn::setFault(PlatformStoreFault fault)
+{
+    const std::lock_guard lock(mutex_);
+    fault_ = fault;
+    ++watchCuts_;
+    changed_.notify_all();
+}
+
+void PlatformStoreStandIn::makeWatchesDeaf()
+{
+    const std::lock_guard lock(mutex_);
+    areWatchesDeaf_ = true;
+}
+
+void PlatformStoreStandIn::cutWatches()
+{
+    const std::lock_guard lock(mutex_);
+    ++watchCuts_;
+    changed_.notify_all();
+}
+
+void PlatformStoreStandIn::discardHistory()
+{
+    const std::lock_guard lock(mutex_);
+    discardedUntil_ = revision_;
+    ++discards_;
+    history_.clear();
+    areWatchesDeaf_ = false;
+}
+
+void PlatformStoreStandIn::endAllLeases()
+{
+    const std::lock_guard lock(mutex_);
+    for (auto &[id, lease] : leases_) {
+        lease.endsAt_ = TimePoint();
+    }
+    expireLeases();
+}
+
+std::uint64_t PlatformStoreStandIn::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(mutex_);
+    ++revision_;
+    write(key, value, 0);
+    return revision_;
+}
+
+void PlatformStoreStandIn::remove(const std::string &key)
+{
+    const std::lock_guard lock(mutex_);
+    ++revision_;
+    erase(key);
+}
+
+std::string PlatformStoreStandIn::get(const std::string &key) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = items_.find(key);
+    return found == items_.end() ? std::string() : found->second.value_;
+}
+
+std::uint64_t PlatformStoreStandIn::revision() const
+{
+    const std::lock_guard lock(mutex_);
+    return revision_;
+}
+
+void PlatformStoreStandIn::write(const std::string &key, const std::string &value, std::uint64_t lease)
+{
+    auto &item = items_[key];
+    item.value_ = value;
+    item.revision_ = revision_;
+    item.created_ = item.created_ == 0 ? revision_ : item.created_;
+    item.lease_ = lease;
+    history_.push_back({key, item, false, areWatchesDeaf_});
+    changed_.notify_all();
+}
+
+void PlatformStoreStandIn::erase(const std::string &key)
+{
+    if (items_.erase(key) == 0) {
+        return;
+    }
+    Item item;
+    item.revision_ = revision_;
+    history_.push_back({key, item, true, areWatchesDeaf_});
+    changed_.notify_all();
+}
+
+void PlatformStoreStandIn::expireLeases()
+{
+    const TimePoint now = monotonicNow();
+    std::vector<std::uint64_t> ended;
+    for (const auto &[id, lease] : leases_) {
+        if (lease.endsAt_ <= now) {
+            ended.push_back(id);
+        }
+    }
+    for (const auto id : ended) {
+        leases_.erase(id);
+        std::vector<std::string> keys;
+        for (const auto &[key, item] : items_) {
+            if (item.lease_ == id) {
+                keys.push_back(key);
+            }
+        }
+        for (const auto &key : keys) {
+            ++revision_;
+            erase(key);
+        }
+    }
+}
+
+void PlatformStoreStandIn::expireLoop()
+{
+    std::unique_lock lock(mutex_);
+    while (!isStopping_) {
+        expireLeases();
+        changed_.wait_for(lock, std::chrono::milliseconds(20));
+    }
+}
+
+void PlatformStoreStandIn::handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    ++calls_;
+    std::string body;
+    Poco::StreamCopier::copyToString(request.stream(), body);
+    const auto cut = [&request] {
+        static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().shutdown();
+    };
+    PlatformStoreFault fault = PlatformStoreFault::None;
+    {
+        const std::lock_guard lock(mutex_);
+        fault = fault_;
+    }
+    if (fault == PlatformStoreFault::Down) {
+        cut();
+        return;
+    }
+    if (fault == PlatformStoreFault::Silent) {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, std::chrono::seconds(5), [this] {
+            return isStopping_ || fault_ != PlatformStoreFault::Silent;
+        });
+        cut();
+        return;
+    }
+    Reply reply;
+    if (fault == PlatformStoreFault::Busy || fault == PlatformStoreFault::Limited) {
+        reply.status_ = fault == PlatformStoreFault::Busy ? 503 : 429;
+    } else {
+        const Poco::URI uri(request.getURI());
+        std::map<std::string, std::string> query;
+        for (const auto &[name, value] : uri.getQueryParameters()) {
+            query[name] = value;
+        }
+        reply = answer(request.getMethod(), uri.getPath(), query, body);
+    }
+    if (fault == PlatformStoreFault::LosesAnswers || reply.status_ == 0) {
+        cut();
+        return;
+    }
+    if (fault == PlatformStoreFault::Garbles) {
+        reply.body_ = "{\"items\": [";
+    }
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status_));
+    response.setContentType("application/json");
+    response.sendBuffer(reply.body_.data(), reply.body_.size());
+}
+
+PlatformStoreStandIn::Reply PlatformStoreStandIn::answer(const std::string &method, const std::string &path, const std::map<std::string, std::string> &query,
+                                                         const std::string &body)
+{
+    const auto text = [&query](const char *name) {
+        const auto found = query.find(name);
+        return found == query.end() ? std::string() : found->second;
+    };
+    const auto idAfter = [&path](std::string_view prefix) {
+        return path.starts_with(prefix) ? std::stoull(path.substr(prefix.size())) : 0;
+    };
+    if (method == "GET" && path == "/-/kv-key") {
+        return readKey(text("key"));
+    }
+    if (method == "GET" && path == "/-/kv-range") {
+        return readRange(text("prefix"), text("after"));
+    }
+    if (method == "GET" && path == "/-/kv-watch") {
+        return watch(text("prefix"), std::stoull(text("after")), std::chrono::milliseconds(std::stoll(text("waitMs"))));
+    }
+    if (method == "POST" && path == "/-/kv-txn") {
+        return transact(body);
+    }
+    if (method == "POST" && path == "/-/kv-lease") {
+        return grantLease(body);
+    }
+    if (const auto id = idAfter("/-/kv-keep/"); method == "POST" && id != 0) {
+        return keepLease(id);
+    }
+    if (const auto id = idAfter("/-/kv-lease-end/"); method == "DELETE" && id != 0) {
+        return endLease(id);
+    }
+    return {404, "{}"};
+}
+
+namespace {
+
+Json describe(const std::string &key, const std::string &value, std::uint64_t revision, std::uint64_t created, std::uint64_t lease)
+{
+    return {{"key", key}, {"value", encode(value)}, {"revision", revision}, {"created", created}, {"leaseId", lease}};
+}
+
+} // namespace
+
+PlatformStoreStandIn::Reply PlatformStoreStandIn::readKey(const std::string &key)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = items_.find(key);
+    if (found == items_.end()) {
+        return {404, "{}"};
+    }
+    auto document = describe(key, found->second.value_, found->second.revision_, found->second.created_, found->second.lease_);
+    document["at"] = revision_;
+    return {200, document.dump()};
+}
+
+PlatformStoreStandIn::Reply PlatformStoreStandIn::readRange(const std::string &prefix, const std::string &after)
+{
+    const std::lock_guard lock(mutex_);
+    Json document {{"items", Json::array()}, {"hasMore", false}, {"at", revision_}};
+    for (auto item = items_.upper_bound(after); item != items_.end(); ++item) {
+        if (!item->first.starts_with(prefix)) {
+            continue;
+        }
+        if (document["items"].size() == PageSize) {
+            document["hasMore"] = true;
+            break;
+        }
+        document["items"].push_back(describe(item->first, item->second.value_, item->second.revision_, item->second.created_, item->second.lease_));
+    }
+    return {200, document.dump()};
+}
+
+PlatformStoreStandIn::Reply PlatformStoreStandIn::watch(const std::string &prefix, std::uint64_t after, Duration wait)
+{
+    std::unique_lock lock(mutex_);
+    const auto until = std::chrono::steady_clock::now() + std::chrono::microseconds(wait);
+    const auto cutsBefore = watchCuts_;
+    const auto discardsBefore = discards_;
+    for (;;) {
+        // A watch that was opened before the history was discarded learns of it only with the next change.
+        const bool isOpenedLater = discards_ == discardsBefore;
+        if (after < discardedUntil_ && (isOpenedLater || !history_.empty())) {
+            return {410, "{}"};
+        }
+        Json document {{"events", Json::array()}, {"at", revision_}};
+        for (const auto &change : history_) {
+            if (change.item_.revision_ <= after || change.isHidden_ || !change.key_.starts_with(prefix)) {
+                continue;
+            }
+            if (change.isRemoved_) {
+                document["events"].push_back({{"key", change.key_}, {"revision", change.item_.revision_}, {"removed", true}});
+            } else {
+                document["events"].push_back(describe(change.key_, change.item_.value_, change.item_.revision_, change.item_.created_, change.item_.lease_));
+            }
+        }
+        if (!document["events"].empty()) {
+            return {200, document.dump()};
+        }
+        if (changed_.wait_until(lock, until) == std::cv_status::timeout) {
+            document["at"] = areWatchesDeaf_ ? after : revision_;
+            return {200, document.dump()};
+        }
+        if (watchCuts_ != cutsBefore || isStopping_) {
+            return {0, {}};
+        }
+    }
+}
+
+PlatformStoreStandIn::Reply PlatformStoreStandIn::transact(const std::string &body)
+{
+    const auto request = Json::parse(body);
+    const std::lock_guard lock(mutex_);
+    bool isMet = true;
+    Json current {{"items", Json::array()}};
+    for (const auto &condition : request.at("expect")) {
+        const auto key = condition.at("key").get<std::string>();
+        const auto found = items_.find(key);
+        const std::uint64_t revision = found == items_.end() ? 0 : found->second.revision_;
+        isMet = isMet && revision == condition.at("revision").get<std::uint64_t>();
+        if (found != items_.end()) {
+            current["items"].push_back(describe(key, found->second.value_, revision, found->second.created_, found->second.lease_));
+        }
+    }
+    if (!isMet) {
+        return {412, current.dump()};
+    }
+    for (const auto &entry : request.at("writes")) {
+        const auto lease = entry.value("leaseId", std::uint64_t(0));
+        if (lease != 0 && !leases_.contains(lease)) {
+            return {404, "{}"};
+        }
+        const auto key = entry.at("key").get<std::string>();
+        if (key.starts_with("op/") || key.starts_with("servers/")) {
+            return {403, "{}"};
+        }
+    }
+    ++revision_;
+    for (const auto &entry : request.at("writes")) {
+        write(entry.at("key").get<std::string>(), decode(entry.at("value").get<std::string>()), entry.value("leaseId", std::uint64_t(0)));
+    }
+    for (const auto &key : request.at("deletes")) {
+        erase(key.get<std::string>());
+    }
+    return {200, Json {{"revision", revision_}}.dump()};
+}
+
+PlatformStoreStandIn::Reply PlatformStoreStandIn::grantLease(const std::string &body)
+{
+    const auto lifetime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Json::parse(body).at("ttlS_time").get<double>()));
+    const std::lock_guard lock(mutex_);
+    const auto id = ++lastLease_;
+    leases_[id] = {monotonicNow() + lifetime, lifetime};
+    return {200, Json {{"leaseId", id}, {"ttlS_time", std::chrono::duration<double>(lifetime).count()}}.dump()};
+}
+
+PlatformStoreStandIn::Reply PlatformStoreStandIn::keepLease(std::uint64_t id)
+{
+    const std::lock_guard lock(mutex_);
+    expireLeases();
+    const auto found = leases_.find(id);
+    if (found == leases_.end()) {
+        return {404, "{}"};
+    }
+    found->second.endsAt_ = monotonicNow() + found->second.lifetime_;
+    return {200, Json {{"ttlS_time", std::chrono::duration<double>(found->second.lifetime_).count()}}.dump()};
+}
+
+PlatformStoreStandIn::Reply PlatformStoreStandIn::endLease(std::uint64_t id)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = leases_.find(id);
+    if (found != leases_.end()) {
+        found->second.endsAt_ = TimePoint();
+        expireLeases();
+    }
+    return {200, "{}"};
+}
+
+} // namespace Goldcrestwall
--- /dev/null
+++ b/StandIns/PlatformStoreStandIn.h
@@ -0,0 +1,132 @@
+// A stand-in for the platform's key-value store, by its published protocol, with faults.
+#pragma once
+
+#include <LibBase/LibBase.h>
+
+#include <Poco/Net/HTTPServer.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace Goldcrestwall {
+
+// What is wrong with the platform's store.
+enum class PlatformStoreFault {
+    None,
+    // Closes each connection without an answer.
+    Down,
+    // Refuses each call with 503.
+    Busy,
+    // Refuses each call with 429.
+    Limited,
+    // Does what it is asked and closes the connection without an answer.
+    LosesAnswers,
+    // Answers, but not with JSON.
+    Garbles,
+    // Leaves each call without an answer.
+    Silent,
+};
+
+// Keeps items in memory with one revision counter, leases and a history for watches. Thread-safe.
+class PlatformStoreStandIn
+{
+public:
+    // Listens on 127.0.0.1; port 0 takes any free one.
+    explicit PlatformStoreStandIn(std::uint16_t port);
+    ~PlatformStoreStandIn();
+    PlatformStoreStandIn(const PlatformStoreStandIn &) = delete;
+    PlatformStoreStandIn &operator=(const PlatformStoreStandIn &) = delete;
+
+    std::string address() const;
+    void setFault(PlatformStoreFault fault);
+    // Watches report nothing of what changes from now on until the history is discarded.
+    void makeWatchesDeaf();
+    // Cuts all waiting watches. The history stays until discardHistory().
+    void cutWatches();
+    void discardHistory();
+    // Ends all leases at once, as if they had run out.
+    void endAllLeases();
+
+    // Writes as the operator or a backend server would.
+    std::uint64_t put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    // The value, or an empty text.
+    std::string get(const std::string &key) const;
+    std::uint64_t revision() const;
+    std::uint64_t callCount() const
+    {
+        return calls_;
+    }
+
+    // Exposed for the handler.
+    void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+
+private:
+    struct Item
+    {
+        std::string value_;
+        std::uint64_t revision_ = 0;
+        std::uint64_t created_ = 0;
+        std::uint64_t lease_ = 0;
+    };
+
+    struct Change
+    {
+        std::string key_;
+        Item item_;
+        bool isRemoved_ = false;
+        // Happened while watches were deaf.
+        bool isHidden_ = false;
+    };
+
+    struct Lease
+    {
+        TimePoint endsAt_;
+        Duration lifetime_ = Duration::zero();
+    };
+
+    struct Reply
+    {
+        int status_ = 200;
+        std::string body_;
+    };
+
+    Reply answer(const std::string &method, const std::string &path, const std::map<std::string, std::string> &query, const std::string &body);
+    Reply readKey(const std::string &key);
+    Reply readRange(const std::string &prefix, const std::string &after);
+    Reply watch(const std::string &prefix, std::uint64_t after, Duration wait);
+    Reply transact(const std::string &body);
+    Reply grantLease(const std::string &body);
+    Reply keepLease(std::uint64_t id);
+    Reply endLease(std::uint64_t id);
+    void write(const std::string &key, const std::string &value, std::uint64_t lease);
+    void erase(const std::string &key);
+    void expireLeases();
+    void expireLoop();
+
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, Item> items_;
+    std::deque<Change> history_;
+    // Changes up to this revision are no longer in the history.
+    std::uint64_t discardedUntil_ = 0;
+    std::uint64_t revision_ = 10;
+    std::map<std::uint64_t, Lease> leases_;
+    std::uint64_t lastLease_ = 100;
+    std::uint64_t watchCuts_ = 0;
+    std::uint64_t discards_ = 0;
+    bool areWatchesDeaf_ = false;
+    bool isStopping_ = false;
+    PlatformStoreFault fault_ = PlatformStoreFault::None;
+    std::atomic<std::uint64_t> calls_ = 0;
+    std::unique_ptr<Poco::Net::HTTPServer> server_;
+    std::unique_ptr<std::thread> expirer_;
+};
+
+} // namespace Goldcrestwall
--- /dev/null
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -0,0 +1,153 @@
+#include <platform/Platform.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Goldcrestwall;
+using namespace Goldcrestwall::Platform;
+using Gateway::HttpRequest;
+using Gateway::HttpResponse;
+namespace http = Gateway::http;
+
+namespace {
+
+HttpResponse makeResponse(unsigned status, const std::vector<std::pair<std::string, std::string>> &headers)
+{
+    HttpResponse response;
+    response.result(status);
+    for (const auto &[name, value] : headers) {
+        response.set(name, value);
+    }
+    return response;
+}
+
+} // namespace
+
+class TestBackendProtocol : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestBackendProtocol);
+    CPPUNIT_TEST(answersAreClassified);
+    CPPUNIT_TEST(loadIsRead);
+    CPPUNIT_TEST(requestIsPassedOnUnchanged);
+    CPPUNIT_TEST(callerTermsAreRead);
+    CPPUNIT_TEST(healthIsRead);
+    CPPUNIT_TEST(orderOutcomesAreTold);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void answersAreClassified()
+    {
+        const std::pair<std::string, std::string> signature {"Goldcrestwall-Server-Signature", "s"};
+        const std::pair<std::string, std::string> notRun {"Goldcrestwall-Not-Executed", "1"};
+        struct Case
+        {
+            unsigned status_;
+            std::vector<std::pair<std::string, std::string>> headers_;
+            AnswerKind kind_;
+        };
+        const std::vector<Case> cases {
+            {200, {signature}, AnswerKind::Complete},
+            {204, {signature}, AnswerKind::Complete},
+            {200, {}, AnswerKind::Unusable},
+            {200, {signature, {"Content-Encoding", "gzip"}}, AnswerKind::Unusable},
+            {500, {signature}, AnswerKind::Complete},
+            {500, {}, AnswerKind::Complete},
+            {404, {}, AnswerKind::Complete},
+            {503, {notRun}, AnswerKind::NotRun},
+            {429, {notRun}, AnswerKind::NotRun},
+            {400, {notRun}, AnswerKind::NotRun},
+            {503, {}, AnswerKind::Unusable},
+            {429, {signature}, AnswerKind::Unusable},
+            {408, {}, AnswerKind::Unusable},
+            {421, {}, AnswerKind::Misdirected},
+            {421, {notRun}, AnswerKind::Misdirected},
+            {504, {signature}, AnswerKind::Complete},
+        };
+        for (const auto &each : cases) {
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(each.status_), classifyAnswer(makeResponse(each.status_, each.headers_)) == each.kind_);
+        }
+    }
+
+    void loadIsRead()
+    {
+        const auto read = [](const std::string &text) {
+            return readLoad(makeResponse(200, {{"Goldcrestwall-Server-Load", text}}));
+        };
+        CPPUNIT_ASSERT(read("3,1,8") == (Gateway::ReportedLoad {3, 1, 8, 1}));
+        CPPUNIT_ASSERT(read("3,1,8,250") == (Gateway::ReportedLoad {3, 1, 8, 2.5}));
+        for (const char *text : {"3,1", "a,b,c", "3,1,8,x", "-1,0,2", "3;1;8", "99999999999999999999,1,2"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !read(text));
+        }
+        CPPUNIT_ASSERT(!readLoad(makeResponse(200, {})));
+    }
+
+    void requestIsPassedOnUnchanged()
+    {
+        HttpRequest request(http::verb::post, "/a/b?c=d&e=%20f", 11);
+        request.set(http::field::host, "h.example");
+        request.set("Goldcrestwall-Request-Id", "77");
+        request.set("Goldcrestwall-Request-Deadline", "900");
+        request.set("X-Custom", "kept");
+        request.set(http::field::connection, "keep-alive, X-Hop");
+        request.set("X-Hop", "dropped");
+        request.set(http::field::expect, "100-continue");
+        request.set(http::field::transfer_encoding, "chunked");
+        request.body() = "the body";
+        const auto forwarded = makeServerRequest(request, "i-1", 250ms);
+        CPPUNIT_ASSERT(forwarded.method() == http::verb::post);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d&e=%20f"), std::string(forwarded.target()));
+        CPPUNIT_ASSERT_EQUAL(std::string("77"), std::string(forwarded["Goldcrestwall-Request-Id"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("250"), std::string(forwarded["Goldcrestwall-Request-Deadline"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), std::string(forwarded["Goldcrestwall-Target-Instance"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("kept"), std::string(forwarded["X-Custom"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("8"), std::string(forwarded[http::field::content_length]));
+        for (const char *name : {"X-Hop", "Expect", "Transfer-Encoding", "Connection"}) {
+            CPPUNIT_ASSERT_MESSAGE(name, forwarded[name].empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("the body"), forwarded.body());
+    }
+
+    void callerTermsAreRead()
+    {
+        HttpRequest request;
+        request.set("Goldcrestwall-Request-Id", "9");
+        request.set("Goldcrestwall-Request-Deadline", "1500");
+        request.set("Goldcrestwall-Shard-Key", "65535");
+        auto terms = readCallerTerms(request);
+        CPPUNIT_ASSERT(terms.patience_ == std::optional<Duration>(1500ms));
+        CPPUNIT_ASSERT(terms.key_ == std::optional<Gateway::ShardKey>(65535));
+        for (const char *wrong : {"65536", "-1", "x", ""}) {
+            request.set("Goldcrestwall-Shard-Key", wrong);
+            request.set("Goldcrestwall-Request-Deadline", wrong == std::string("65536") ? "1e3" : wrong);
+            terms = readCallerTerms(request);
+            CPPUNIT_ASSERT(!terms.key_);
+            CPPUNIT_ASSERT(!terms.patience_);
+        }
+    }
+
+    void healthIsRead()
+    {
+        const auto report = readHealth(makeResponse(200, {{"Goldcrestwall-Instance-Id", "i-1"}, {"Goldcrestwall-Warmup-Ms", "1200"}}));
+        CPPUNIT_ASSERT(report.isHealthy_);
+        CPPUNIT_ASSERT(report.warmupLeft_ == 1200ms);
+        CPPUNIT_ASSERT(!readHealth(makeResponse(503, {})).isHealthy_);
+    }
+
+    void orderOutcomesAreTold()
+    {
+        using Gateway::ExchangeOutcome;
+        using Gateway::OrderOutcome;
+        const auto answered = [](unsigned status) {
+            return Gateway::ExchangeResult {ExchangeOutcome::Answered, makeResponse(status, {}), false};
+        };
+        CPPUNIT_ASSERT(readOrderOutcome(answered(200)) == OrderOutcome::Accepted);
+        CPPUNIT_ASSERT(readOrderOutcome(answered(409)) == OrderOutcome::Refused);
+        CPPUNIT_ASSERT(readOrderOutcome(answered(421)) == OrderOutcome::NotSent);
+        // An answer that says nothing of the order leaves it open.
+        CPPUNIT_ASSERT(readOrderOutcome(answered(500)) == OrderOutcome::Unanswered);
+        CPPUNIT_ASSERT(readOrderOutcome({ExchangeOutcome::Lost, {}, false}) == OrderOutcome::Unanswered);
+        CPPUNIT_ASSERT(readOrderOutcome({ExchangeOutcome::Malformed, {}, false}) == OrderOutcome::Unanswered);
+        CPPUNIT_ASSERT(readOrderOutcome({ExchangeOutcome::NotSent, {}, false}) == OrderOutcome::NotSent);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestBackendProtocol);
--- /dev/null
+++ b/Tests/Platform/TestDocuments.cpp
@@ -0,0 +1,186 @@
+#include <platform/Platform.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Goldcrestwall;
+using namespace Goldcrestwall::Platform;
+
+namespace {
+
+const std::string GoodConfiguration = R"({"version":7,"resources":[
+    {"resourceType":"routes","metadata":{"name":"r-1"},"spec":{"host":"a.example","prefix":"/x/","kind":"non_idempotent","timeoutS":1,"aimS":0.4,
+     "priority":1,"service":"one","maxAttempts":2}},
+    {"resourceType":"routes","metadata":{"name":"r-2"},"spec":{"host":"b.example","prefix":"/","kind":"idempotent","timeoutS":0.8,
+     "weightedServices":[{"service":"one","weight":90},{"service":"two","weight":10}]}},
+    {"resourceType":"services","metadata":{"name":"one"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":3.0,"warmupPerS":5.3,"useShards":true}},
+    {"resourceType":"services","metadata":{"name":"two"},"spec":{"healthPath":"/health","maxConns":50}},
+    {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutS":3,"idleTimeoutS":15}},
+    {"resourceType":"news","metadata":{},"spec":{"anything":1}}]})";
+
+const std::string GoodSettings = R"(
+nodeName = "edge-1"
+zone = "north"
+ip = "10.0.0.1"
+heartbeatS = 0.87
+seedNodes = ["10.0.0.1:8382", "10.0.0.2:8382"]
+unknown = { field = 1 }
+[listen]
+front = "10.0.0.1:8381"
+ready = "10.0.0.1:8388"
+control = "10.0.0.1:8382"
+[parameters]
+graceS = 6
+holdMaxS = 10
+retryBudgetRatio = 0.25
+budgetWindowS = 12
+budgetExtra = 60
+[platform]
+address = "10.200.1.7:8384"
+)";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto position = text.find(from);
+    CPPUNIT_ASSERT(position != std::string::npos);
+    return text.replace(position, from.size(), to);
+}
+
+} // namespace
+
+class TestDocuments : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestDocuments);
+    CPPUNIT_TEST(configurationIsDecoded);
+    CPPUNIT_TEST(unusableConfigurationsAreRefusedWithAReason);
+    CPPUNIT_TEST(serverEntriesAreDecoded);
+    CPPUNIT_TEST(unusableServerEntriesAreRefused);
+    CPPUNIT_TEST(settingsAreRead);
+    CPPUNIT_TEST(wrongSettingsAreNamed);
+    CPPUNIT_TEST(changedBytesNeverCrash);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void configurationIsDecoded()
+    {
+        const auto decoded = decodeConfiguration(GoodConfiguration);
+        CPPUNIT_ASSERT(decoded.value_);
+        const auto &configuration = *decoded.value_;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), configuration.version_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), configuration.routes_.size());
+        CPPUNIT_ASSERT(configuration.routes_[0].kind_ == Gateway::RequestKind::NonIdempotent);
+        CPPUNIT_ASSERT(configuration.routes_[0].aim_ == 400ms);
+        CPPUNIT_ASSERT(configuration.routes_[1].kind_ == Gateway::RequestKind::Idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(10), configuration.routes_[1].services_[1].weight_);
+        CPPUNIT_ASSERT(configuration.service("one")->isSharded_);
+        CPPUNIT_ASSERT(!configuration.service("two")->isSharded_);
+        CPPUNIT_ASSERT(configuration.limits_.idleTimeout_ == 15s);
+    }
+
+    void unusableConfigurationsAreRefusedWithAReason()
+    {
+        const std::vector<std::string> broken {
+            "",
+            "[]",
+            GoodConfiguration.substr(0, 300),
+            replaced(GoodConfiguration, "\"version\":7,", ""),
+            replaced(GoodConfiguration, "\"timeoutS\":1,", ""),
+            replaced(GoodConfiguration, "\"timeoutS\":1,", "\"timeoutS\":\"long\","),
+            replaced(GoodConfiguration, "\"timeoutS\":1,", "\"timeoutS\":-1,"),
+            replaced(GoodConfiguration, "\"service\":\"one\",", ""),
+            replaced(GoodConfiguration, "\"weight\":90", "\"heavy\":90"),
+            replaced(GoodConfiguration, "\"resources\":[", "\"resources\":["
+                                                           "5,"),
+        };
+        for (const auto &text : broken) {
+            const auto decoded = decodeConfiguration(text);
+            CPPUNIT_ASSERT_MESSAGE(text, !decoded.value_);
+            CPPUNIT_ASSERT(!decoded.problem_.reason_.empty());
+        }
+    }
+
+    void serverEntriesAreDecoded()
+    {
+        const auto decoded = decodeServer("i-1",
+                                          R"({"service":"one","address":"10.1.0.9:8080","zone":"north","version":"v1","capacity":2,
+                                              "state":"draining","warmupLeftS":1.5,"sequence":4,"born":1700000000123})");
+        CPPUNIT_ASSERT(decoded.value_);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), decoded.value_->id_);
+        CPPUNIT_ASSERT(decoded.value_->state_ == Gateway::ServerState::Draining);
+        CPPUNIT_ASSERT(decoded.value_->warmupLeft_ == 1500ms);
+        CPPUNIT_ASSERT_EQUAL(UnixMilliseconds(1700000000123), decoded.value_->born_);
+    }
+
+    void unusableServerEntriesAreRefused()
+    {
+        for (const char *text : {"", "\xff\xfe\x00", "{}", "7", R"({"service":"one"})",
+                                 R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":"sleeping"})",
+                                 R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":"many","state":"ready"})",
+                                 R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":0,"state":"ready"})",
+                                 R"({"service":"one","address":"nowhere","zone":"north","capacity":2,"state":"ready"})",
+                                 R"({"service":5,"address":"10.1.0.9:8080","zone":"north","capacity":2,"state":"ready"})"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !decodeServer("i-1", text).value_);
+        }
+    }
+
+    void settingsAreRead()
+    {
+        const auto reading = parseSettings(GoodSettings);
+        CPPUNIT_ASSERT(reading.problems_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("edge-1"), reading.settings_.name_);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:8382"), reading.settings_.peerAddress_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), reading.settings_.seeds_.size());
+        CPPUNIT_ASSERT(reading.settings_.heartbeat_ == 870ms);
+        CPPUNIT_ASSERT(reading.settings_.retryWindow_ == 12s);
+        CPPUNIT_ASSERT_EQUAL(0.25, reading.settings_.retryRatio_);
+    }
+
+    void wrongSettingsAreNamed()
+    {
+        const std::vector<std::pair<std::string, std::string>> cases {
+            {"settings file", "= nothing"},
+            {"nodeName", replaced(GoodSettings, "nodeName = \"edge-1\"", "")},
+            {"nodeName", replaced(GoodSettings, "nodeName = \"edge-1\"", "nodeName = 5")},
+            {"listen.front", replaced(GoodSettings, "10.0.0.1:8381", "10.0.0.1")},
+            {"listen.front", replaced(GoodSettings, "10.0.0.1:8381", "10.0.0.1:http")},
+            {"platform.address", replaced(GoodSettings, "address = \"10.200.1.7:8384\"", "")},
+            {"parameters.graceS", replaced(GoodSettings, "graceS = 6", "graceS = \"long\"")},
+            {"parameters.budgetExtra", replaced(GoodSettings, "budgetExtra = 60", "budgetExtra = -1")},
+            {"seedNodes", replaced(GoodSettings, "\"10.0.0.2:8382\"", "7")},
+        };
+        for (const auto &[name, text] : cases) {
+            const auto reading = parseSettings(text);
+            CPPUNIT_ASSERT_MESSAGE(text, !reading.problems_.empty());
+            CPPUNIT_ASSERT_EQUAL(name, reading.problems_.front().name_);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("settings file"), readSettingsFile("/nowhere/at/all").problems_.front().name_);
+    }
+
+    void changedBytesNeverCrash()
+    {
+        std::mt19937 random(11);
+        const auto mutate = [&random](std::string text) {
+            for (unsigned i = 0; i < 1 + random() % 4; ++i) {
+                const auto position = random() % text.size();
+                switch (random() % 3) {
+                case 0:
+                    text[position] = static_cast<char>(random());
+                    break;
+                case 1:
+                    text.erase(position, random() % 20);
+                    break;
+                default:
+                    text.insert(position, text.substr(random() % text.size(), random() % 20));
+                }
+            }
+            return text;
+        };
+        constexpr int Rounds = 3000;
+        for (int i = 0; i < Rounds; ++i) {
+            decodeConfiguration(mutate(GoodConfiguration));
+            parseSettings(mutate(GoodSettings));
+            Gateway::decodeAssignment(mutate(R"({"nextToken":9,"ranges":[{"first":0,"last":65535,"holder":["s0",1,3],"previous":[["s1",2,1]]}]})"));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestDocuments);
--- /dev/null
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -0,0 +1,133 @@
+#include <StandIns/PlatformStoreStandIn.h>
+#include <platform/Platform.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Goldcrestwall;
+using namespace Goldcrestwall::Platform;
+
+namespace {
+
+// Runs one task of the loop to its end and returns what it returns.
+template<typename T>
+T await(boost::asio::io_context &loop, Gateway::Task<T> task)
+{
+    std::optional<T> result;
+    boost::asio::co_spawn(loop, std::move(task), [&result](std::exception_ptr error, T value) {
+        CPPUNIT_ASSERT(!error);
+        result = std::move(value);
+    });
+    loop.restart();
+    loop.run();
+    CPPUNIT_ASSERT(result);
+    return std::move(*result);
+}
+
+StoreWrite makeWrite(const std::string &key, const std::string &value, Revision expected, LeaseId lease = 0)
+{
+    StoreWrite write;
+    write.conditions_.push_back({key, expected});
+    write.puts_.push_back({key, value, 0, lease});
+    return write;
+}
+
+} // namespace
+
+class TestPlatformStore : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestPlatformStore);
+    CPPUNIT_TEST(conditionalWritesAreKeptApart);
+    CPPUNIT_TEST(rangesComeInPages);
+    CPPUNIT_TEST(watchReportsChangesAndRemovals);
+    CPPUNIT_TEST(discardedHistoryIsTold);
+    CPPUNIT_TEST(leasesEndWithTheirKeys);
+    CPPUNIT_TEST(faultsAreToldApart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void conditionalWritesAreKeptApart()
+    {
+        const std::string binary("\x00\xff value \"quoted\"", 17);
+        const auto first = await(loop_, store_.commit(makeWrite("a", binary, 0)));
+        CPPUNIT_ASSERT(first.outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(binary, standIn_.get("a"));
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("a", "2", 0))).outcome_ == StoreOutcome::Conflict);
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("a", "2", first.revision_))).outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("b", "2", 0, 4711))).outcome_ == StoreOutcome::LeaseEnded);
+        CPPUNIT_ASSERT_EQUAL(std::string(), standIn_.get("b"));
+    }
+
+    void rangesComeInPages()
+    {
+        for (int i = 0; i < 620; ++i) {
+            standIn_.put("servers/" + std::to_string(1000 + i), "x");
+        }
+        const auto first = await(loop_, store_.readRange("servers/", ""));
+        CPPUNIT_ASSERT(first.outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT(first.hasMore_);
+        CPPUNIT_ASSERT_EQUAL(standIn_.revision(), first.at_);
+        const auto second = await(loop_, store_.readRange("servers/", first.items_.back().key_));
+        CPPUNIT_ASSERT(!second.hasMore_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(620), first.items_.size() + second.items_.size());
+    }
+
+    void watchReportsChangesAndRemovals()
+    {
+        const auto before = standIn_.revision();
+        standIn_.put("op/config", "1");
+        standIn_.remove("op/config");
+        const auto changes = await(loop_, store_.watch("", before, 1s, nullptr));
+        CPPUNIT_ASSERT(changes.outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.events_.size());
+        CPPUNIT_ASSERT(!changes.events_[0].isRemoved_);
+        CPPUNIT_ASSERT(changes.events_[1].isRemoved_);
+        const auto none = await(loop_, store_.watch("", changes.at_, 50ms, nullptr));
+        CPPUNIT_ASSERT(none.outcome_ == StoreOutcome::Done && none.events_.empty());
+    }
+
+    void discardedHistoryIsTold()
+    {
+        const auto before = standIn_.revision();
+        standIn_.put("op/config", "1");
+        standIn_.discardHistory();
+        CPPUNIT_ASSERT(await(loop_, store_.watch("", before, 1s, nullptr)).outcome_ == StoreOutcome::HistoryGone);
+    }
+
+    void leasesEndWithTheirKeys()
+    {
+        const auto lease = await(loop_, store_.grantLease(1s));
+        CPPUNIT_ASSERT(lease.outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT(lease.lifetime_ == 1s);
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("mine", "1", 0, lease.id_))).outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT(await(loop_, store_.keepLease(lease.id_)).outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT(await(loop_, store_.endLease(lease.id_)) == StoreOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::string(), standIn_.get("mine"));
+        CPPUNIT_ASSERT(await(loop_, store_.keepLease(lease.id_)).outcome_ == StoreOutcome::LeaseEnded);
+    }
+
+    void faultsAreToldApart()
+    {
+        const std::vector<std::pair<PlatformStoreFault, StoreOutcome>> cases {
+            {PlatformStoreFault::Down, StoreOutcome::Unknown},     {PlatformStoreFault::Busy, StoreOutcome::Refused},
+            {PlatformStoreFault::Limited, StoreOutcome::Refused},  {PlatformStoreFault::LosesAnswers, StoreOutcome::Unknown},
+            {PlatformStoreFault::Garbles, StoreOutcome::Unknown},  {PlatformStoreFault::Silent, StoreOutcome::Unknown},
+        };
+        for (const auto &[fault, outcome] : cases) {
+            standIn_.setFault(fault);
+            const auto label = std::to_string(static_cast<int>(fault));
+            CPPUNIT_ASSERT_MESSAGE(label, await(loop_, store_.commit(makeWrite("k" + label, "1", 0))).outcome_ == outcome);
+        }
+        // What lost its answer was done all the same.
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), standIn_.get("k" + std::to_string(static_cast<int>(PlatformStoreFault::LosesAnswers))));
+        standIn_.setFault(PlatformStoreFault::None);
+        PlatformStore nowhere(loop_, "127.0.0.1:1");
+        CPPUNIT_ASSERT(await(loop_, nowhere.readRange("", "")).outcome_ == StoreOutcome::Unreachable);
+    }
+
+private:
+    boost::asio::io_context loop_;
+    PlatformStoreStandIn standIn_ {0};
+    PlatformStore store_ {loop_, standIn_.address()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPlatformStore);
