--- /dev/null
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -0,0 +1,199 @@
+#include <LibGateway/LibGateway.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Goldcrestwall;
+using namespace Goldcrestwall::Gateway;
+using Platform::Revision;
+using Platform::StoreEvent;
+using Platform::StoreItem;
+
+namespace {
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint(std::chrono::hours(1) + std::chrono::milliseconds(milliseconds));
+}
+
+std::string configurationText(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"resources":[]})";
+}
+
+std::string serverText(const std::string &state = "ready")
+{
+    return R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":")" + state + R"("})";
+}
+
+StoreEvent put(const std::string &key, const std::string &value, Revision revision)
+{
+    return {{key, value, revision, 0}, false};
+}
+
+StoreEvent removal(const std::string &key, Revision revision)
+{
+    return {{key, {}, revision, 0}, true};
+}
+
+} // namespace
+
+class TestStoreView : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestStoreView);
+    CPPUNIT_TEST(entriesAreDecoded);
+    CPPUNIT_TEST(unusableEntriesAreReportedAndTheOthersHold);
+    CPPUNIT_TEST(olderStatesChangeNothing);
+    CPPUNIT_TEST(configurationNeverGoesBack);
+    CPPUNIT_TEST(completeReadingRemovesWhatIsGone);
+    CPPUNIT_TEST(lapsedServersAreKeptForAWhile);
+    CPPUNIT_TEST(updatesBringOthersUpToDate);
+    CPPUNIT_TEST(messagesSurviveTheWire);
+    CPPUNIT_TEST(strangeBytesAreNoMessages);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void entriesAreDecoded()
+    {
+        view_.apply({put("op/config", configurationText(3), 11), put("servers/i-1", serverText(), 12), put("op/evacuate/north", "{}", 13),
+                     put(memberKey("a"), encodeMember({"a", "7", "10.0.0.1:1"}), 14), put(leaderKey("one"), encodeMember({"a", "7", "10.0.0.1:1"}), 15)},
+                    15, at(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), view_.configuration()->version_);
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+        CPPUNIT_ASSERT(view_.serversOf("one").front().isEvacuated_);
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), view_.leader("one")->member_.incarnation_);
+        CPPUNIT_ASSERT_EQUAL(Revision(15), view_.at());
+        view_.apply({removal("op/evacuate/north", 16), removal(leaderKey("one"), 17)}, 17, at(1));
+        CPPUNIT_ASSERT(!view_.serversOf("one").front().isEvacuated_);
+        CPPUNIT_ASSERT(view_.leader("one") == nullptr);
+    }
+
+    void unusableEntriesAreReportedAndTheOthersHold()
+    {
+        view_.apply({put("op/config", configurationText(3), 11), put("servers/i-1", serverText(), 12)}, 12, at(0));
+        view_.apply({put("op/config", "{\"version\":", 13), put("servers/i-2", "\xff\xfe", 14), put(assignmentKey("one"), "[]", 15), put(memberKey("b"), "5", 16)}, 16, at(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), problems_.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), view_.configuration()->version_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), view_.serverCount());
+        // An entry that becomes unusable names no server any more.
+        view_.apply({put("servers/i-1", "{}", 17)}, 17, at(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), view_.serverCount());
+    }
+
+    void olderStatesChangeNothing()
+    {
+        view_.apply({put("servers/i-1", serverText("draining"), 20)}, 20, at(0));
+        view_.apply({put("servers/i-1", serverText("ready"), 18), removal("servers/i-1", 19)}, 20, at(1));
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+        CPPUNIT_ASSERT(view_.server("i-1")->state_ == ServerState::Draining);
+        view_.replace({}, 15, at(2));
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+        ViewUpdate old;
+        old.at_ = 19;
+        old.isWhole_ = true;
+        view_.apply(old, at(3));
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(Revision(20), view_.at());
+    }
+
+    void configurationNeverGoesBack()
+    {
+        view_.apply({put("op/config", configurationText(9), 11)}, 11, at(0));
+        view_.apply({put("op/config", configurationText(8), 12)}, 12, at(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), view_.configuration()->version_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), problems_.size());
+    }
+
+    void completeReadingRemovesWhatIsGone()
+    {
+        view_.apply({put("servers/i-1", serverText(), 11), put("servers/i-2", serverText(), 12)}, 12, at(0));
+        view_.replace({{"servers/i-2", serverText(), 12, 0}, {"servers/i-3", serverText(), 20, 0}}, 21, at(1));
+        CPPUNIT_ASSERT(view_.server("i-1") == nullptr);
+        CPPUNIT_ASSERT(view_.server("i-3") != nullptr);
+    }
+
+    void lapsedServersAreKeptForAWhile()
+    {
+        view_.apply({put("servers/i-1", serverText(), 11), put("servers/i-2", serverText(), 12)}, 12, at(0));
+        view_.setLapseGrace(at(2200));
+        view_.replace({}, 20, at(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), view_.serverCount());
+        view_.apply({put("servers/i-1", serverText(), 21)}, 21, at(900));
+        CPPUNIT_ASSERT(!view_.dropLapsed(at(2100)));
+        CPPUNIT_ASSERT(view_.dropLapsed(at(2300)));
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+        CPPUNIT_ASSERT(view_.server("i-2") == nullptr);
+        // Later removals count at once.
+        view_.apply({removal("servers/i-1", 22)}, 22, at(2400));
+        CPPUNIT_ASSERT(view_.server("i-1") == nullptr);
+    }
+
+    void updatesBringOthersUpToDate()
+    {
+        view_.replace({{"servers/i-1", serverText(), 11, 0}, {"servers/i-2", serverText(), 12, 0}}, 12, at(0));
+        StoreView other(handler());
+        other.apply(view_.changesSince(0), at(0));
+        CPPUNIT_ASSERT_EQUAL(Revision(12), other.at());
+        view_.apply({removal("servers/i-1", 13), put("servers/i-3", serverText(), 14)}, 14, at(1));
+        const auto update = view_.changesSince(12);
+        CPPUNIT_ASSERT(!update.isWhole_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), update.items_.size());
+        other.apply(toViewUpdate(toMessage(update)), at(1));
+        CPPUNIT_ASSERT(other.server("i-1") == nullptr);
+        CPPUNIT_ASSERT(other.server("i-3") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(Revision(14), other.at());
+        // What is older than the known removals gets everything.
+        CPPUNIT_ASSERT(view_.changesSince(5).isWhole_);
+    }
+
+    void messagesSurviveTheWire()
+    {
+        PlaceRequest request;
+        request.id_ = {"a", 5};
+        request.workKind_ = "lookup";
+        request.priority_ = 2;
+        request.aimAt_ = at(300);
+        request.deadline_ = at(800);
+        request.attempt_ = AttemptKind::Repeat;
+        request.isReturn_ = true;
+        request.key_ = 77;
+        request.avoid_ = {"s1"};
+        const auto frame = encodeFrame(toMessage("one", request, at(0)));
+        const auto message = decodeFrame(frame.data() + 4, frame.size() - 4);
+        CPPUNIT_ASSERT(message && std::holds_alternative<AskMessage>(*message));
+        auto back = toPlaceRequest(std::get<AskMessage>(*message), "a", at(0));
+        CPPUNIT_ASSERT(back == request);
+        PlaceReport report;
+        report.outcome_ = PlaceOutcome::Answered;
+        report.duration_ = 12ms;
+        report.load_ = ReportedLoad {1, 2, 3, 1.5};
+        const auto finish = encodeFrame(toMessage("one", 5, report));
+        CPPUNIT_ASSERT(toPlaceReport(std::get<FinishMessage>(*decodeFrame(finish.data() + 4, finish.size() - 4))) == report);
+    }
+
+    void strangeBytesAreNoMessages()
+    {
+        std::mt19937 random(3);
+        const auto frame = encodeFrame(PlacedMessage {5, "s1", "10.0.0.1:1"});
+        for (int i = 0; i < 20000; ++i) {
+            std::string bytes = frame.substr(4);
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+            bytes.resize(random() % (bytes.size() + 1));
+            decodeFrame(bytes.data(), bytes.size());
+        }
+        CPPUNIT_ASSERT(!decodeFrame("", 0));
+        CPPUNIT_ASSERT(!decodeFrame("\x92\x7f\xc0", 3));
+    }
+
+private:
+    StoreView::ProblemHandler handler()
+    {
+        return [this](const std::string &key, const std::string &reason) {
+            problems_.push_back(key + ": " + reason);
+        };
+    }
+
+    std::vector<std::string> problems_;
+    StoreView view_ {handler()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreView);
--- /dev/null
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -0,0 +1,266 @@
+#include <LibHttp/LibHttp.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Goldcrestwall;
+using namespace Goldcrestwall::Gateway;
+
+namespace {
+
+// What a scripted server does on one connection after it has read a request.
+struct Script
+{
+    // One entry for each request of the connection.
+    std::vector<std::string> answers_;
+    bool isClosed_ = true;
+    bool isReset_ = false;
+};
+
+// Accepts connections and plays one script on each, in turn.
+class ScriptedServer
+{
+public:
+    ScriptedServer(asio::io_context &loop, std::vector<Script> scripts)
+        : acceptor_(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , scripts_(std::move(scripts))
+    {
+        asio::co_spawn(loop, serve(), asio::detached);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    std::size_t requestCount() const
+    {
+        return requests_;
+    }
+    std::size_t connectionCount() const
+    {
+        return connections_;
+    }
+
+private:
+    Task<void> serve()
+    {
+        for (const auto &script : scripts_) {
+            ErrorCode error;
+            auto socket = co_await acceptor_.async_accept(failingInto(error));
+            if (error) {
+                co_return;
+            }
+            ++connections_;
+            beast::flat_buffer buffer;
+            for (const auto &answer : script.answers_) {
+                HttpRequest request;
+                co_await http::async_read(socket, buffer, request, failingInto(error));
+                if (error) {
+                    break;
+                }
+                ++requests_;
+                co_await asio::async_write(socket, asio::buffer(answer), failingInto(error));
+            }
+            if (script.isReset_) {
+                socket.set_option(asio::socket_base::linger(true, 0), error);
+            }
+            if (script.isClosed_ || script.isReset_) {
+                socket.close(error);
+            } else {
+                open_.push_back(std::move(socket));
+            }
+        }
+        acceptor_.close();
+    }
+
+    Tcp::acceptor acceptor_;
+    std::vector<Script> scripts_;
+    std::vector<Tcp::socket> open_;
+    std::size_t requests_ = 0;
+    std::size_t connections_ = 0;
+};
+
+HttpRequest makeRequest()
+{
+    HttpRequest request(http::verb::get, "/x", 11);
+    request.set(http::field::host, "h");
+    request.set("Id", "1");
+    return request;
+}
+
+ExchangeOptions makeOptions(Duration timeout = 300ms)
+{
+    ExchangeOptions options;
+    options.timeout_ = timeout;
+    options.identifyingHeader_ = "Id";
+    options.identity_ = "1";
+    return options;
+}
+
+std::string answerWith(const std::string &headers, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n" + headers + "\r\n" + body;
+}
+
+} // namespace
+
+class TestHttpClient : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestHttpClient);
+    CPPUNIT_TEST(answersAreJudged);
+    CPPUNIT_TEST(connectionsAreKeptOnlyWhenClean);
+    CPPUNIT_TEST(closedConnectionIsNotUsedAgain);
+    CPPUNIT_TEST(idleConnectionIsNotUsedBeyondItsTime);
+    CPPUNIT_TEST(unreachableServerWasNotSentAnything);
+    CPPUNIT_TEST(cancelledExchangeEnds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Makes exchanges one after another.
+    std::vector<ExchangeResult> play(std::vector<Script> scripts, int count, ExchangeOptions options = makeOptions())
+    {
+        asio::io_context loop;
+        ScriptedServer server(loop, std::move(scripts));
+        HttpClient client(loop);
+        std::vector<ExchangeResult> results;
+        asio::co_spawn(
+            loop,
+            [&]() -> Task<void> {
+                for (int i = 0; i < count; ++i) {
+                    results.push_back(co_await client.exchange(server.address(), makeRequest(), options, std::make_shared<ExchangeHandle>()));
+                    co_await sleepFor(loop, 20ms);
+                }
+                loop.stop();
+            },
+            asio::detached);
+        loop.run();
+        return results;
+    }
+
+    void answersAreJudged()
+    {
+        struct Case
+        {
+            const char *name_;
+            Script script_;
+            ExchangeOutcome outcome_;
+            std::string body_;
+        };
+        const std::vector<Case> cases {
+            {"with a length", {{answerWith("Id: 1\r\nContent-Length: 3\r\n", "abc")}}, ExchangeOutcome::Answered, "abc"},
+            {"in chunks", {{answerWith("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n")}}, ExchangeOutcome::Answered, "abc"},
+            {"until the end of the connection", {{answerWith("Id: 1\r\n", "abc")}}, ExchangeOutcome::Answered, "abc"},
+            {"until a reset", {{answerWith("Id: 1\r\n", "abc")}, true, true}, ExchangeOutcome::Lost, ""},
+            {"shorter than announced", {{answerWith("Content-Length: 9\r\n", "abc")}}, ExchangeOutcome::Lost, ""},
+            {"chunks without an end", {{answerWith("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n")}}, ExchangeOutcome::Lost, ""},
+            {"nothing", {{""}}, ExchangeOutcome::Lost, ""},
+            {"a reset", {{""}, true, true}, ExchangeOutcome::Lost, ""},
+            {"no answer in time", {{""}, false}, ExchangeOutcome::Lost, ""},
+            {"bytes that are no answer", {{"\x01\x02\x03 garbage\r\n\r\n"}}, ExchangeOutcome::Malformed, ""},
+            {"two lengths", {{answerWith("Content-Length: 3\r\nContent-Length: 4\r\n", "abcd")}}, ExchangeOutcome::Malformed, ""},
+            {"another request's answer first",
+             {{answerWith("Id: 7\r\nContent-Length: 5\r\n", "wrong") + answerWith("Id: 1\r\nContent-Length: 3\r\n", "abc")}},
+             ExchangeOutcome::Answered,
+             "abc"},
+            {"only another request's answer", {{answerWith("Id: 7\r\nContent-Length: 5\r\n", "wrong")}}, ExchangeOutcome::Lost, ""},
+            {"an interim answer first", {{"HTTP/1.1 100 Continue\r\n\r\n" + answerWith("Content-Length: 3\r\n", "abc")}}, ExchangeOutcome::Answered, "abc"},
+        };
+        for (const auto &each : cases) {
+            const auto results = play({each.script_}, 1);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name_, std::string(exchangeOutcomeName(each.outcome_)), std::string(exchangeOutcomeName(results.front().outcome_)));
+            if (each.outcome_ == ExchangeOutcome::Answered) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name_, each.body_, results.front().response_.body());
+            }
+        }
+    }
+
+    void connectionsAreKeptOnlyWhenClean()
+    {
+        const auto clean = answerWith("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        struct Case
+        {
+            const char *name_;
+            std::string first_;
+            bool isKept_;
+        };
+        const std::vector<Case> cases {
+            {"clean", clean, true},
+            {"announced end", answerWith("Id: 1\r\nConnection: close\r\nContent-Length: 3\r\n", "abc"), false},
+            {"bytes after the answer", clean + "surplus", false},
+            {"a second answer", clean + clean, false},
+        };
+        for (const auto &each : cases) {
+            const auto results = play({{{each.first_, clean}, false}, {{clean}, false}}, 2);
+            CPPUNIT_ASSERT_MESSAGE(each.name_, results[1].outcome_ == ExchangeOutcome::Answered);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name_, each.isKept_, !results[1].isNewConnection_);
+        }
+    }
+
+    void closedConnectionIsNotUsedAgain()
+    {
+        const auto clean = answerWith("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        const auto results = play({{{clean}, true}, {{clean}, true}}, 2);
+        CPPUNIT_ASSERT(results[1].outcome_ == ExchangeOutcome::Answered);
+        CPPUNIT_ASSERT(results[1].isNewConnection_);
+    }
+
+    void idleConnectionIsNotUsedBeyondItsTime()
+    {
+        const auto clean = answerWith("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        auto options = makeOptions();
+        options.maxIdle_ = 5ms;
+        CPPUNIT_ASSERT(play({{{clean, clean}, false}, {{clean}, false}}, 2, options)[1].isNewConnection_);
+        // The server closes after a second, which is no time to rely on.
+        const auto brief = answerWith("Id: 1\r\nKeep-Alive: timeout=1\r\nContent-Length: 3\r\n", "abc");
+        CPPUNIT_ASSERT(play({{{brief, brief}, false}, {{clean}, false}}, 2)[1].isNewConnection_);
+    }
+
+    void unreachableServerWasNotSentAnything()
+    {
+        asio::io_context loop;
+        HttpClient client(loop);
+        std::vector<ExchangeOutcome> outcomes;
+        asio::co_spawn(
+            loop,
+            [&]() -> Task<void> {
+                for (const char *address : {"127.0.0.1:1", "nowhere", "127.0.0.1:99999"}) {
+                    const auto result = co_await client.exchange(address, makeRequest(), makeOptions(), std::make_shared<ExchangeHandle>());
+                    outcomes.push_back(result.outcome_);
+                }
+            },
+            asio::detached);
+        loop.run();
+        CPPUNIT_ASSERT(outcomes == std::vector<ExchangeOutcome>(3, ExchangeOutcome::NotSent));
+    }
+
+    void cancelledExchangeEnds()
+    {
+        asio::io_context loop;
+        ScriptedServer server(loop, {{{""}, false}});
+        HttpClient client(loop);
+        auto handle = std::make_shared<ExchangeHandle>();
+        std::optional<ExchangeOutcome> outcome;
+        asio::co_spawn(
+            loop,
+            [&]() -> Task<void> {
+                const auto result = co_await client.exchange(server.address(), makeRequest(), makeOptions(60s), handle);
+                outcome = result.outcome_;
+                loop.stop();
+            },
+            asio::detached);
+        asio::co_spawn(
+            loop,
+            [&]() -> Task<void> {
+                co_await sleepFor(loop, 50ms);
+                handle->cancel();
+            },
+            asio::detached);
+        loop.run();
+        CPPUNIT_ASSERT(outcome == std::optional<ExchangeOutcome>(ExchangeOutcome::Cancelled));
+        CPPUNIT_ASSERT(handle->isSent());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestHttpClient);
