--- /dev/null
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -0,0 +1,307 @@
+#include "Deployment.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+
+#include <nlohmann/json.hpp>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <thread>
+
+namespace Goldcrestwall::OnPlatform {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr auto PollInterval = std::chrono::milliseconds(20);
+
+std::uint16_t findFreePort()
+{
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), false);
+    return socket.address().port();
+}
+
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string fetch(std::uint16_t port, const std::string &path, int &status)
+{
+    status = 0;
+    try {
+        Poco::Net::HTTPClientSession session("127.0.0.1", port);
+        session.setTimeout(Poco::Timespan(1, 0));
+        Poco::Net::HTTPRequest request("GET", path, "HTTP/1.1");
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        auto &stream = session.receiveResponse(response);
+        status = response.getStatus();
+        std::string body;
+        Poco::StreamCopier::copyToString(stream, body);
+        return body;
+    } catch (const Poco::Exception &) {
+        return {};
+    }
+}
+
+} // namespace
+
+RouterProcess::RouterProcess(std::string name, std::string domain, const std::string &storeAddress, const std::filesystem::path &folder, std::vector<std::string> seeds)
+    : name_(std::move(name))
+    , domain_(std::move(domain))
+    , settingsPath_(folder / (name_ + ".toml"))
+    , logPath_(folder / (name_ + ".log"))
+    , callerPort_(findFreePort())
+    , readyPort_(findFreePort())
+    , peerPort_(findFreePort())
+    , metricsPort_(findFreePort())
+    , storeAddress_(storeAddress)
+    , seeds_(std::move(seeds))
+{
+}
+
+RouterProcess::~RouterProcess()
+{
+    if (pid_ > 0) {
+        signal(SIGKILL);
+        wait(5s);
+    }
+}
+
+std::string RouterProcess::peerAddress() const
+{
+    return loopback(peerPort_);
+}
+
+void RouterProcess::start()
+{
+    std::ofstream settings(settingsPath_);
+    settings << "nodeName = \"" << name_ << "\"\nzone = \"" << domain_ << "\"\nip = \"127.0.0.1\"\nfutureField = 7\nseedNodes = [";
+    for (const auto &seed : seeds_) {
+        settings << '"' << seed << "\",";
+    }
+    settings << "]\n[listen]\nfront = \"" << loopback(callerPort_) << "\"\nready = \"" << loopback(readyPort_) << "\"\ncontrol = \"" << peerAddress()
+             << "\"\n[parameters]\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 60\n[platform]\naddress = \"" << storeAddress_ << "\"\n";
+    settings.close();
+    const std::string settingsFlag = "--settings=" + settingsPath_.string();
+    const std::string portFlag = "--metrics-port=" + std::to_string(metricsPort_);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+        const int log = ::open(logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        ::dup2(log, STDOUT_FILENO);
+        ::execl(ROUTER_PROGRAM, ROUTER_PROGRAM, "route", settingsFlag.c_str(), portFlag.c_str(), nullptr);
+        ::_exit(127);
+    }
+}
+
+void RouterProcess::signal(int number) const
+{
+    if (pid_ > 0) {
+        ::kill(pid_, number);
+    }
+}
+
+std::optional<int> RouterProcess::wait(Duration timeout)
+{
+    int status = 0;
+    const bool hasEnded = Deployment::eventually(
+        [&] {
+            return ::waitpid(pid_, &status, WNOHANG) == pid_;
+        },
+        timeout);
+    if (!hasEnded) {
+        return std::nullopt;
+    }
+    pid_ = -1;
+    return WIFEXITED(status) ? std::make_optional(WEXITSTATUS(status)) : std::nullopt;
+}
+
+bool RouterProcess::isReady() const
+{
+    int status = 0;
+    fetch(readyPort_, "/-/ready", status);
+    return status == 200;
+}
+
+std::string RouterProcess::metrics() const
+{
+    int status = 0;
+    return fetch(metricsPort_, "/metrics", status);
+}
+
+std::vector<std::string> RouterProcess::logLines() const
+{
+    std::ifstream log(logPath_);
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(log, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+Deployment::Deployment(std::size_t instances)
+{
+    std::string name = (std::filesystem::temp_directory_path() / "goldcrestwall-XXXXXX").string();
+    folder_ = ::mkdtemp(name.data());
+    const char *domains[] = {"north", "south"};
+    for (int i = 0; i < 4; ++i) {
+        PlatformServerBehaviour behaviour;
+        behaviour.service_ = "plain";
+        behaviour.domain_ = domains[i % 2];
+        plain_.push_back(std::make_unique<PlatformServerStandIn>("p-" + std::to_string(i), behaviour, store_, witness_));
+        behaviour.service_ = "sharded";
+        behaviour.isSharded_ = true;
+        sharded_.push_back(std::make_unique<PlatformServerStandIn>("s-" + std::to_string(i), behaviour, store_, witness_));
+    }
+    std::vector<PlatformServerStandIn *> siblings;
+    for (const auto &server : sharded_) {
+        siblings.push_back(server.get());
+    }
+    for (const auto &server : sharded_) {
+        server->setSiblings(siblings);
+    }
+    putConfiguration();
+    for (std::size_t i = 0; i < plain_.size(); ++i) {
+        plain_[i]->registerEntry();
+        sharded_[i]->registerEntry();
+    }
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < instances; ++i) {
+        instances_.push_back(std::make_unique<RouterProcess>("edge-" + std::to_string(i), domains[i % 2], store_.address(), folder_, seeds));
+        seeds.push_back(instances_.back()->peerAddress());
+    }
+    for (const auto &instance : instances_) {
+        instance->start();
+    }
+}
+
+Deployment::~Deployment()
+{
+    instances_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+void Deployment::putConfiguration(const std::string &extraRoutes)
+{
+    ++version_;
+    const auto route = [](const char *name, const char *host, const char *prefix, const char *kind, const char *service) {
+        return R"({"resourceType":"routes","metadata":{"name":")" + std::string(name) + R"("},"spec":{"host":")" + host + R"(","prefix":")" + prefix
+            + R"(","kind":")" + kind + R"(","timeoutS":2,"aimS":0.3,"priority":1,"service":")" + service + R"(","maxAttempts":2}},)";
+    };
+    store_.put("op/config",
+               R"({"version":)" + std::to_string(version_ * 3) + R"(,"resources":[)" + route("r-plain", "plain.example", "/plain/", "idempotent", "plain")
+                   + route("r-book", "plain.example", "/book/", "non_idempotent", "plain") + route("r-keyed", "keyed.example", "/keyed/", "idempotent", "sharded")
+                   + extraRoutes + R"({"resourceType":"services","metadata":{"name":"plain"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5}},
+            {"resourceType":"services","metadata":{"name":"sharded"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5,"useShards":true}},
+            {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutS":3,"idleTimeoutS":15}}]})");
+}
+
+RouterProcess *Deployment::coordinator(const std::string &service)
+{
+    const auto entry = Json::parse(store_.get("goldcrestwall/leaders/" + service), nullptr, false);
+    for (const auto &instance : instances_) {
+        if (entry.is_object() && entry.value("name", "") == instance->name()) {
+            return instance.get();
+        }
+    }
+    return nullptr;
+}
+
+bool Deployment::awaitService()
+{
+    return eventually([this] {
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            if (!instances_[i]->isRunning()) {
+                continue;
+            }
+            CallerRequest keyed;
+            keyed.host_ = "keyed.example";
+            keyed.path_ = "/keyed/x";
+            for (std::uint32_t key = 0; key < 65536; key += 8192) {
+                keyed.key_ = key;
+                if (call(i, keyed).status_ != 200) {
+                    return false;
+                }
+            }
+            if (!instances_[i]->isReady() || call(i, CallerRequest()).status_ != 200) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+CallerAnswer Deployment::call(std::size_t instance, const CallerRequest &request)
+{
+    CallerAnswer answer;
+    answer.requestId_ = "q" + std::to_string(nextRequest_++);
+    try {
+        Poco::Net::HTTPClientSession session("127.0.0.1", instances_.at(instance)->callerPort());
+        session.setTimeout(Poco::Timespan(5, 0));
+        session.setKeepAlive(true);
+        Poco::Net::HTTPRequest message(request.method_, request.path_, "HTTP/1.1");
+        message.setHost(request.host_);
+        message.set("Goldcrestwall-Request-Id", answer.requestId_);
+        message.set("Goldcrestwall-Request-Deadline", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(request.patience_).count()));
+        if (request.key_) {
+            message.set("Goldcrestwall-Shard-Key", std::to_string(*request.key_));
+        }
+        if (!request.body_.empty()) {
+            message.setContentLength64(static_cast<Poco::Int64>(request.body_.size()));
+        }
+        session.sendRequest(message) << request.body_;
+        Poco::Net::HTTPResponse response;
+        auto &stream = session.receiveResponse(response);
+        Poco::StreamCopier::copyToString(stream, answer.body_);
+        answer.status_ = response.getStatus();
+        answer.isSigned_ = response.has("Goldcrestwall-Server-Signature");
+        answer.hasRetryAfter_ = response.has("Retry-After");
+        answer.isConnectionClosed_ = !response.getKeepAlive();
+        if (response.get("Goldcrestwall-Request-Id", answer.requestId_) != answer.requestId_) {
+            witness_.noteViolation("an answer names another request than " + answer.requestId_);
+        }
+    } catch (const Poco::Exception &) {
+        answer.status_ = 0;
+    }
+    return answer;
+}
+
+bool Deployment::eventually(const std::function<bool()> &check, Duration timeout)
+{
+    const auto until = std::chrono::steady_clock::now() + std::chrono::microseconds(timeout);
+    while (!check()) {
+        if (std::chrono::steady_clock::now() > until) {
+            return false;
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return true;
+}
+
+std::vector<std::string> Deployment::linesAbout(const std::string &requestId) const
+{
+    std::vector<std::string> found;
+    for (const auto &instance : instances_) {
+        for (const auto &line : instance->logLines()) {
+            if (line.find("\"" + requestId + "\"") != std::string::npos) {
+                found.push_back(line);
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace Goldcrestwall::OnPlatform
--- /dev/null
+++ b/Tests/OnPlatform/Deployment.h
@@ -0,0 +1,141 @@
+// Real processes of the program on loopback, with stand-ins for the platform.
+#pragma once
+
+#include <StandIns/PlatformServerStandIn.h>
+
+#include <atomic>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Goldcrestwall::OnPlatform {
+
+// What a caller sends.
+struct CallerRequest
+{
+    std::string method_ = "GET";
+    std::string host_ = "plain.example";
+    std::string path_ = "/plain/x";
+    std::string body_;
+    std::optional<std::uint32_t> key_;
+    Duration patience_ = 2s;
+};
+
+// What a caller gets.
+struct CallerAnswer
+{
+    // 0 when the connection ended without an answer.
+    int status_ = 0;
+    std::string requestId_;
+    std::string body_;
+    bool isSigned_ = false;
+    bool hasRetryAfter_ = false;
+    bool isConnectionClosed_ = false;
+};
+
+// One process of the program.
+class RouterProcess
+{
+public:
+    RouterProcess(std::string name, std::string domain, const std::string &storeAddress, const std::filesystem::path &folder, std::vector<std::string> seeds);
+    ~RouterProcess();
+    RouterProcess(const RouterProcess &) = delete;
+    RouterProcess &operator=(const RouterProcess &) = delete;
+
+    void start();
+    void signal(int number) const;
+    // Waits until the process has ended; returns its exit status, or nothing when a signal ended it or it did not end in time.
+    std::optional<int> wait(Duration timeout);
+    bool isRunning() const
+    {
+        return pid_ > 0;
+    }
+    bool isReady() const;
+    const std::string &name() const
+    {
+        return name_;
+    }
+    std::uint16_t callerPort() const
+    {
+        return callerPort_;
+    }
+    std::string peerAddress() const;
+    // The structured lines that it has written so far.
+    std::vector<std::string> logLines() const;
+    std::string metrics() const;
+
+private:
+    std::string name_;
+    std::string domain_;
+    std::filesystem::path settingsPath_;
+    std::filesystem::path logPath_;
+    std::uint16_t callerPort_ = 0;
+    std::uint16_t readyPort_ = 0;
+    std::uint16_t peerPort_ = 0;
+    std::uint16_t metricsPort_ = 0;
+    std::string storeAddress_;
+    std::vector<std::string> seeds_;
+    int pid_ = -1;
+};
+
+// A store, servers of a plain and of a sharded service, and instances.
+class Deployment
+{
+public:
+    explicit Deployment(std::size_t instances);
+    ~Deployment();
+
+    PlatformStoreStandIn &store()
+    {
+        return store_;
+    }
+    PlatformWitness &witness()
+    {
+        return witness_;
+    }
+    PlatformServerStandIn &plain(std::size_t index)
+    {
+        return *plain_.at(index);
+    }
+    PlatformServerStandIn &sharded(std::size_t index)
+    {
+        return *sharded_.at(index);
+    }
+    RouterProcess &instance(std::size_t index)
+    {
+        return *instances_.at(index);
+    }
+    std::size_t instanceCount() const
+    {
+        return instances_.size();
+    }
+    // The instance that coordinates a service, by the store.
+    RouterProcess *coordinator(const std::string &service);
+
+    // Writes the next version of the configuration. Extra routes are text of the platform's format.
+    void putConfiguration(const std::string &extraRoutes = "");
+    // Waits until all instances are ready and every key is served.
+    bool awaitService();
+    CallerAnswer call(std::size_t instance, const CallerRequest &request);
+    // Repeats a check until it holds.
+    static bool eventually(const std::function<bool()> &check, Duration timeout = 20s);
+
+    // All lines of all instances that name the request.
+    std::vector<std::string> linesAbout(const std::string &requestId) const;
+
+private:
+    std::filesystem::path folder_;
+    PlatformStoreStandIn store_ {0};
+    PlatformWitness witness_;
+    std::vector<std::unique_ptr<PlatformServerStandIn>> plain_;
+    std::vector<std::unique_ptr<PlatformServerStandIn>> sharded_;
+    std::vector<std::unique_ptr<RouterProcess>> instances_;
+    int version_ = 0;
+    std::atomic<std::uint64_t> nextRequest_ = 1;
+};
+
+} // namespace Goldcrestwall::OnPlatform
--- /dev/null
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -0,0 +1,590 @@
+#include "Deployment.h"
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <set>
+#include <thread>
+
+using namespace Goldcrestwall;
+using namespace Goldcrestwall::OnPlatform;
+
+namespace {
+
+CallerRequest makeBooking()
+{
+    CallerRequest request;
+    request.method_ = "POST";
+    request.path_ = "/book/visit?day=2";
+    request.body_ = "visit on Tuesday";
+    return request;
+}
+
+CallerRequest makeKeyed(std::uint32_t key)
+{
+    CallerRequest request;
+    request.host_ = "keyed.example";
+    request.path_ = "/keyed/x";
+    request.key_ = key;
+    return request;
+}
+
+std::string extraRoute(const std::string &prefix)
+{
+    return R"({"resourceType":"routes","metadata":{"name":"r-extra"},"spec":{"host":"plain.example","prefix":")" + prefix
+        + R"(","kind":"idempotent","timeoutS":2,"aimS":0.3,"priority":1,"service":"plain","maxAttempts":2}},)";
+}
+
+// Sends bytes to an instance and returns all that comes back until it closes the connection.
+std::string exchangeBytes(std::uint16_t port, const std::string &bytes)
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+    socket.setReceiveTimeout(Poco::Timespan(5, 0));
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::string received;
+    char chunk[2000];
+    try {
+        for (int size = 0; (size = socket.receiveBytes(chunk, sizeof chunk)) > 0;) {
+            received.append(chunk, static_cast<std::size_t>(size));
+        }
+    } catch (const Poco::Exception &) {
+        received += "(no end)";
+    }
+    return received;
+}
+
+// Callers that ask one request after another until they are stopped.
+class Load
+{
+public:
+    Load(Deployment &deployment, std::vector<std::size_t> instances)
+    {
+        for (const auto instance : instances) {
+            for (int kind = 0; kind < 3; ++kind) {
+                callers_.emplace_back([this, &deployment, instance, kind] {
+                    run(deployment, instance, kind);
+                });
+            }
+        }
+    }
+    ~Load()
+    {
+        stop();
+    }
+
+    void stop()
+    {
+        isStopped_ = true;
+        for (auto &caller : callers_) {
+            if (caller.joinable()) {
+                caller.join();
+            }
+        }
+    }
+
+    std::map<int, std::size_t> statuses() const
+    {
+        const std::lock_guard lock(mutex_);
+        return statuses_;
+    }
+    std::vector<CallerAnswer> bookings() const
+    {
+        const std::lock_guard lock(mutex_);
+        return bookings_;
+    }
+
+private:
+    void run(Deployment &deployment, std::size_t instance, int kind)
+    {
+        for (std::uint32_t i = 0; !isStopped_; ++i) {
+            const auto request = kind == 0 ? CallerRequest() : kind == 1 ? makeBooking() : makeKeyed(i * 6151 % 65536);
+            const auto answer = deployment.call(instance, request);
+            const std::lock_guard lock(mutex_);
+            ++statuses_[answer.status_];
+            if (kind == 1) {
+                bookings_.push_back(answer);
+            }
+        }
+    }
+
+    std::atomic<bool> isStopped_ = false;
+    mutable std::mutex mutex_;
+    std::map<int, std::size_t> statuses_;
+    std::vector<CallerAnswer> bookings_;
+    std::vector<std::thread> callers_;
+};
+
+// What callers were told of their bookings must agree with what ran.
+void checkBookings(Deployment &deployment, const std::vector<CallerAnswer> &bookings)
+{
+    for (const auto &booking : bookings) {
+        const auto runs = deployment.witness().runsOf(booking.requestId_);
+        CPPUNIT_ASSERT_MESSAGE(booking.requestId_ + " ran twice", runs <= 1);
+        if (booking.status_ == 200) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), runs);
+        }
+        if (booking.status_ == 503 || booking.status_ == 429) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(booking.requestId_ + " was said not to have run", std::size_t(0), runs);
+        }
+    }
+}
+
+void checkNoViolations(Deployment &deployment)
+{
+    for (const auto &violation : deployment.witness().violations()) {
+        CPPUNIT_FAIL(violation);
+    }
+}
+
+} // namespace
+
+class TestOnPlatform : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestOnPlatform);
+    CPPUNIT_TEST(everyInstanceServesEverything);
+    CPPUNIT_TEST(requestsArriveUnchanged);
+    CPPUNIT_TEST(unreadableRequestsAreAnsweredAndNotRun);
+    CPPUNIT_TEST(serversFaultsAreToldTruthfully);
+    CPPUNIT_TEST(lostCoordinatorLosesNoBooking);
+    CPPUNIT_TEST(storeOutageIsSurvived);
+    CPPUNIT_TEST(routeChangeBehindDeafWatchesTakesEffect);
+    CPPUNIT_TEST(instanceThatTheStoreTurnsAwayFollowsItsPeers);
+    CPPUNIT_TEST(leavingServersGetNothing);
+    CPPUNIT_TEST(plannedStopCutsNothing);
+    CPPUNIT_TEST(leavingCallerEndsItsWork);
+    CPPUNIT_TEST(allProcessesAtOnce);
+    CPPUNIT_TEST(settingsAreReloaded);
+    CPPUNIT_TEST(failedRequestsAreExplained);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void everyInstanceServesEverything()
+    {
+        Deployment deployment(3);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        for (std::size_t i = 0; i < 3; ++i) {
+            const auto answer = deployment.call(i, CallerRequest());
+            CPPUNIT_ASSERT_EQUAL(200, answer.status_);
+            CPPUNIT_ASSERT(answer.isSigned_);
+            CPPUNIT_ASSERT(answer.body_.find("ran /plain/x") != std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(200, deployment.call(i, makeBooking()).status_);
+            CallerRequest unknown;
+            unknown.path_ = "/nothing/";
+            CPPUNIT_ASSERT_EQUAL(404, deployment.call(i, unknown).status_);
+            CPPUNIT_ASSERT(deployment.instance(i).metrics().find("goldcrestwall_requests_total") != std::string::npos);
+        }
+        checkNoViolations(deployment);
+    }
+
+    void requestsArriveUnchanged()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        auto request = makeBooking();
+        request.path_ = "/book/a%20b/c?x=1&y=%2F";
+        request.body_ = std::string(50000, 'z');
+        const auto answer = deployment.call(0, request);
+        CPPUNIT_ASSERT_EQUAL(200, answer.status_);
+        for (const auto &run : deployment.witness().runs()) {
+            if (run.requestId_ == answer.requestId_) {
+                CPPUNIT_ASSERT_EQUAL(std::string("POST"), run.method_);
+                CPPUNIT_ASSERT_EQUAL(request.path_, run.path_);
+                CPPUNIT_ASSERT(request.body_ == run.body_);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.witness().runsOf(answer.requestId_));
+    }
+
+    void unreadableRequestsAreAnsweredAndNotRun()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        const auto before = deployment.witness().runs().size();
+        const std::string head = "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: bad\r\n";
+        const std::string smuggled = "GET /plain/smuggled HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: in\r\n\r\n";
+        const std::vector<std::pair<std::string, std::string>> cases {
+            {"HTTP/1.1 400", "nonsense\r\n\r\n"},
+            {"HTTP/1.1 400", head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef"},
+            {"HTTP/1.1 400", head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled},
+            {"HTTP/1.1 400", head + "Transfer-Encoding: xchunked\r\n\r\n" + smuggled},
+            {"HTTP/1.1 400", head + "Host: other.example\r\n\r\n"},
+            {"HTTP/1.1 400", head + "Content-Length: -1\r\n\r\n"},
+            {"HTTP/1.1 400", "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nConnection: close\r\n\r\n"},
+            {"HTTP/1.1 431", head + "X-Long: " + std::string(9000, 'x') + "\r\n\r\n"},
+            {"HTTP/1.1 413", head + "Content-Length: 100001\r\n\r\n"},
+        };
+        for (const auto &[status, bytes] : cases) {
+            const auto received = exchangeBytes(deployment.instance(0).callerPort(), bytes);
+            CPPUNIT_ASSERT_MESSAGE(bytes.substr(0, 200) + " -> " + received, received.starts_with(status));
+            CPPUNIT_ASSERT_MESSAGE(received, received.find("smuggled") == std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, deployment.witness().runs().size());
+        // Two requests in one write are answered in order, and a body may come in chunks after its announcement was confirmed.
+        const auto both = exchangeBytes(deployment.instance(0).callerPort(),
+                                        "GET /plain/one HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: b1\r\n\r\n"
+                                        "POST /book/two HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: b2\r\nConnection: close\r\n"
+                                        "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        const auto first = both.find("ran /plain/one");
+        const auto second = both.find("ran /book/two");
+        CPPUNIT_ASSERT_MESSAGE(both, first != std::string::npos && second != std::string::npos && first < second);
+        CPPUNIT_ASSERT(both.find("HTTP/1.1 100") != std::string::npos);
+    }
+
+    void serversFaultsAreToldTruthfully()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        struct Case
+        {
+            PlatformServerFault fault_;
+            // What a caller of an idempotent request and of a booking gets.
+            int idempotent_;
+            int booking_;
+        };
+        const std::vector<Case> cases {
+            {PlatformServerFault::Sheds, 503, 503},         {PlatformServerFault::LosesAnswers, 502, 502},   {PlatformServerFault::Truncates, 502, 502},
+            {PlatformServerFault::Garbles, 502, 502},       {PlatformServerFault::AnswersTwice, 200, 200},   {PlatformServerFault::AnswersAnother, 200, 200},
+            {PlatformServerFault::OmitsSignature, 502, 502}, {PlatformServerFault::ForgetsConnections, 200, 200},
+        };
+        for (const auto &each : cases) {
+            for (std::size_t i = 0; i < 4; ++i) {
+                deployment.plain(i).setFault(each.fault_);
+            }
+            const auto label = "fault " + std::to_string(static_cast<int>(each.fault_));
+            std::vector<CallerAnswer> bookings;
+            for (int i = 0; i < 5; ++i) {
+                const auto answer = deployment.call(0, CallerRequest());
+                // Where all servers fail, the budget for repeats or the distrust of the servers may end it sooner.
+                const bool isAsExpected = answer.status_ == each.idempotent_ || (each.idempotent_ != 200 && answer.status_ == 503);
+                CPPUNIT_ASSERT_MESSAGE(label + " got " + std::to_string(answer.status_), isAsExpected);
+                CPPUNIT_ASSERT(answer.status_ != 200 || (answer.isSigned_ && answer.body_.find("ran /plain/x") != std::string::npos));
+                bookings.push_back(deployment.call(0, makeBooking()));
+                const bool isBooked = bookings.back().status_ == each.booking_ || (each.booking_ != 200 && bookings.back().status_ == 503);
+                CPPUNIT_ASSERT_MESSAGE(label + " booking got " + std::to_string(bookings.back().status_), isBooked);
+            }
+            checkBookings(deployment, bookings);
+            for (std::size_t i = 0; i < 4; ++i) {
+                deployment.plain(i).setFault(PlatformServerFault::None);
+            }
+            CPPUNIT_ASSERT_MESSAGE(label, deployment.awaitService());
+        }
+        checkNoViolations(deployment);
+    }
+
+    void lostCoordinatorLosesNoBooking()
+    {
+        Deployment deployment(3);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        auto *coordinator = deployment.coordinator("plain");
+        CPPUNIT_ASSERT(coordinator != nullptr);
+        std::vector<std::size_t> others;
+        for (std::size_t i = 0; i < 3; ++i) {
+            if (&deployment.instance(i) != coordinator) {
+                others.push_back(i);
+            }
+        }
+        Load load(deployment, others);
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        coordinator->signal(SIGKILL);
+        coordinator->wait(5s);
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            auto *next = deployment.coordinator("plain");
+            return next != nullptr && next != coordinator;
+        }));
+        CPPUNIT_ASSERT(deployment.awaitService());
+        load.stop();
+        checkBookings(deployment, load.bookings());
+        checkNoViolations(deployment);
+        const auto statuses = load.statuses();
+        std::size_t total = 0;
+        for (const auto &[status, count] : statuses) {
+            total += count;
+        }
+        // Instances that live answer every request.
+        CPPUNIT_ASSERT(!statuses.contains(0));
+        CPPUNIT_ASSERT(statuses.at(200) * 10 >= total * 8);
+    }
+
+    void storeOutageIsSurvived()
+    {
+        Deployment deployment(3);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        for (const auto fault : {PlatformStoreFault::Down, PlatformStoreFault::Busy, PlatformStoreFault::Silent}) {
+            deployment.store().setFault(fault);
+            deployment.store().endAllLeases();
+            Load load(deployment, {0, 1, 2});
+            std::this_thread::sleep_for(std::chrono::seconds(5));
+            load.stop();
+            checkBookings(deployment, load.bookings());
+            const auto statuses = load.statuses();
+            CPPUNIT_ASSERT_MESSAGE("requests failed while the store was away", statuses.size() == 1 && statuses.contains(200));
+            deployment.store().setFault(PlatformStoreFault::None);
+            CPPUNIT_ASSERT(deployment.awaitService());
+        }
+        deployment.putConfiguration(extraRoute("/late/"));
+        CallerRequest late;
+        late.path_ = "/late/";
+        for (std::size_t i = 0; i < 3; ++i) {
+            CPPUNIT_ASSERT(Deployment::eventually([&] {
+                return deployment.call(i, late).status_ == 200;
+            }));
+        }
+        checkNoViolations(deployment);
+    }
+
+    // The store discards its history: watches hear nothing of a change, are cut, and watches opened right then hear nothing either.
+    void routeChangeBehindDeafWatchesTakesEffect()
+    {
+        Deployment deployment(3);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        deployment.store().makeWatchesDeaf();
+        deployment.putConfiguration(extraRoute("/hidden/"));
+        deployment.store().cutWatches();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        deployment.store().discardHistory();
+        CallerRequest hidden;
+        hidden.path_ = "/hidden/";
+        for (std::size_t i = 0; i < 3; ++i) {
+            CPPUNIT_ASSERT(Deployment::eventually(
+                [&] {
+                    return deployment.call(i, hidden).status_ == 200;
+                },
+                4s));
+        }
+    }
+
+    void instanceThatTheStoreTurnsAwayFollowsItsPeers()
+    {
+        Deployment deployment(3);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        // One instance starts without ever reaching the store: its settings name an address where nothing listens.
+        const std::filesystem::path folder = std::filesystem::temp_directory_path();
+        RouterProcess lonely("edge-lonely", "north", "127.0.0.1:1", folder, {deployment.instance(0).peerAddress(), deployment.instance(1).peerAddress()});
+        lonely.start();
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            const auto received = exchangeBytes(lonely.callerPort(),
+                                                "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: l1\r\nConnection: close\r\n\r\n");
+            return received.starts_with("HTTP/1.1 200");
+        }));
+        deployment.putConfiguration(extraRoute("/relayed/"));
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            const auto received = exchangeBytes(lonely.callerPort(),
+                                                "GET /relayed/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: l2\r\nConnection: close\r\n\r\n");
+            return received.starts_with("HTTP/1.1 200");
+        }));
+        lonely.signal(SIGTERM);
+        CPPUNIT_ASSERT(lonely.wait(10s) == std::optional<int>(0));
+        std::filesystem::remove(folder / "edge-lonely.toml");
+        std::filesystem::remove(folder / "edge-lonely.log");
+    }
+
+    void leavingServersGetNothing()
+    {
+        Deployment deployment(2);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        Load load(deployment, {0, 1});
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        deployment.plain(0).registerEntry("draining");
+        deployment.sharded(0).registerEntry("draining");
+        deployment.plain(1).removeEntry();
+        deployment.store().put("op/evacuate/south", "{}");
+        // The bound of the contract: 2 s after the acknowledgement for servers that leave, 5 s for a failure domain.
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        const auto isLeaving = [](const PlatformRun &run) {
+            return run.server_ == "p-0" || run.server_ == "s-0" || run.server_ == "p-1";
+        };
+        const auto isSouthern = [](const PlatformRun &run) {
+            return run.server_.back() == '1' || run.server_.back() == '3';
+        };
+        const auto before = deployment.witness().runs();
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+        const auto between = deployment.witness().runs();
+        CPPUNIT_ASSERT_EQUAL(std::ranges::count_if(before, isLeaving), std::ranges::count_if(between, isLeaving));
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        load.stop();
+        const auto after = deployment.witness().runs();
+        CPPUNIT_ASSERT_EQUAL(std::ranges::count_if(between, isSouthern), std::ranges::count_if(after, isSouthern));
+        deployment.store().remove("op/evacuate/south");
+        CPPUNIT_ASSERT(deployment.awaitService());
+        checkBookings(deployment, load.bookings());
+        checkNoViolations(deployment);
+    }
+
+    void plannedStopCutsNothing()
+    {
+        Deployment deployment(3);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        auto *coordinator = deployment.coordinator("sharded");
+        CPPUNIT_ASSERT(coordinator != nullptr);
+        std::size_t stopped = 0;
+        while (&deployment.instance(stopped) != coordinator) {
+            ++stopped;
+        }
+        Load load(deployment, {0, 1, 2});
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        coordinator->signal(SIGTERM);
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            return !coordinator->isReady();
+        }));
+        // The platform needs two questions a second apart to notice; callers still come until then.
+        for (int i = 0; i < 20; ++i) {
+            const auto answer = deployment.call(stopped, CallerRequest());
+            CPPUNIT_ASSERT_EQUAL(200, answer.status_);
+            CPPUNIT_ASSERT(answer.isConnectionClosed_);
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        load.stop();
+        CPPUNIT_ASSERT(coordinator->wait(8s) == std::optional<int>(0));
+        checkBookings(deployment, load.bookings());
+        checkNoViolations(deployment);
+        const auto statuses = load.statuses();
+        CPPUNIT_ASSERT(!statuses.contains(0));
+        CPPUNIT_ASSERT(!statuses.contains(502));
+        CPPUNIT_ASSERT(deployment.awaitService());
+    }
+
+    void leavingCallerEndsItsWork()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.plain(i).setFault(PlatformServerFault::Silent);
+        }
+        {
+            Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", deployment.instance(0).callerPort()));
+            const std::string bytes = "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: gone\r\nGoldcrestwall-Request-Deadline: 2000\r\n\r\n";
+            socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+            CPPUNIT_ASSERT(Deployment::eventually([&] {
+                return deployment.witness().runsOf("gone") == 1;
+            }));
+        }
+        CPPUNIT_ASSERT(Deployment::eventually(
+            [&] {
+                const auto lines = deployment.linesAbout("gone");
+                return std::ranges::any_of(lines, [](const std::string &line) {
+                    return line.find("caller-left") != std::string::npos;
+                });
+            },
+            1500ms));
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.plain(i).setFault(PlatformServerFault::None);
+        }
+    }
+
+    void allProcessesAtOnce()
+    {
+        Deployment deployment(3);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        deployment.putConfiguration(extraRoute("/last/"));
+        for (std::size_t i = 0; i < 3; ++i) {
+            deployment.instance(i).signal(SIGKILL);
+        }
+        for (std::size_t i = 0; i < 3; ++i) {
+            deployment.instance(i).wait(5s);
+            deployment.instance(i).start();
+        }
+        CPPUNIT_ASSERT(deployment.awaitService());
+        CallerRequest last;
+        last.path_ = "/last/";
+        CPPUNIT_ASSERT_EQUAL(200, deployment.call(0, last).status_);
+        checkNoViolations(deployment);
+    }
+
+    void settingsAreReloaded()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        Load load(deployment, {0});
+        deployment.instance(0).signal(SIGHUP);
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            const auto lines = deployment.instance(0).logLines();
+            return std::ranges::any_of(lines, [](const std::string &line) {
+                return line.find("settings-reloaded") != std::string::npos;
+            });
+        }));
+        load.stop();
+        const auto statuses = load.statuses();
+        CPPUNIT_ASSERT(statuses.size() == 1 && statuses.contains(200));
+    }
+
+    // Follows docs/OPERATIONS.md: from the id of a failed request to its cause, by the log lines alone.
+    void failedRequestsAreExplained()
+    {
+        Deployment deployment(2);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        const auto reasonOf = [&deployment](const std::string &requestId, const std::string &event) {
+            std::string found;
+            Deployment::eventually([&] {
+                for (const auto &line : deployment.linesAbout(requestId)) {
+                    if (line.find("\"event\":\"" + event + "\"") != std::string::npos) {
+                        found = line;
+                    }
+                }
+                return !found.empty();
+            });
+            return found;
+        };
+        // 1. Rejected under load: the last line names the overload and the coordinator that decided.
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.plain(i).setFault(PlatformServerFault::Silent);
+        }
+        std::vector<std::thread> crowd;
+        std::mutex mutex;
+        std::vector<CallerAnswer> answers;
+        for (int i = 0; i < 30; ++i) {
+            crowd.emplace_back([&] {
+                CallerRequest request;
+                request.patience_ = 400ms;
+                const auto answer = deployment.call(0, request);
+                const std::lock_guard lock(mutex);
+                answers.push_back(answer);
+            });
+        }
+        for (auto &caller : crowd) {
+            caller.join();
+        }
+        const auto rejected = std::ranges::find(answers, 503, &CallerAnswer::status_);
+        CPPUNIT_ASSERT(rejected != answers.end());
+        CPPUNIT_ASSERT(rejected->hasRetryAfter_);
+        const auto overload = reasonOf(rejected->requestId_, "request");
+        CPPUNIT_ASSERT_MESSAGE(overload, overload.find("\"reason\":\"overload\"") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(overload, overload.find("\"placedBy\":") != std::string::npos);
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.plain(i).setFault(PlatformServerFault::None);
+        }
+        CPPUNIT_ASSERT(deployment.awaitService());
+        // 2. A 502 after a lost answer: the failed attempt names the server.
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.plain(i).setFault(PlatformServerFault::LosesAnswers);
+        }
+        const auto lost = deployment.call(1, makeBooking());
+        CPPUNIT_ASSERT_EQUAL(502, lost.status_);
+        const auto attempt = reasonOf(lost.requestId_, "attempt-failed");
+        CPPUNIT_ASSERT_MESSAGE(attempt, attempt.find("\"outcome\":\"lost\"") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(attempt, attempt.find("\"server\":\"p-") != std::string::npos);
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.plain(i).setFault(PlatformServerFault::None);
+        }
+        // 3. A 503 around a key whose server is gone: the granter's lines name the server and the range.
+        std::size_t index = 0;
+        while (!deployment.sharded(index).holds(100)) {
+            ++index;
+        }
+        deployment.sharded(index).restart();
+        CallerAnswer misdirected;
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            misdirected = deployment.call(0, makeKeyed(100));
+            return misdirected.status_ != 200;
+        }));
+        CPPUNIT_ASSERT_EQUAL(503, misdirected.status_);
+        const auto moved = reasonOf(misdirected.requestId_, "request");
+        CPPUNIT_ASSERT_MESSAGE(moved, moved.find("\"reason\":\"misdirected\"") != std::string::npos || moved.find("\"reason\":\"no-owner\"") != std::string::npos);
+        deployment.sharded(index).registerEntry();
+        CPPUNIT_ASSERT(deployment.awaitService());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestOnPlatform);
