LibGateway: Keep coordinating until another coordinator is known

Cause: when its lease lapsed with the store, a coordinator dropped its duty at once; a second outage before the next election left a sharded service without a granter, and its keys ran out. Ruled out: peers' confirmation (all were in touch). TestOnPlatform::storeOutageIsSurvived failed before (222 and 234 of 6,900 refused), passes now.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -260,8 +260,11 @@
     const auto configuration = view_.configuration();
     if (configuration && !hasLeft_) {
         for (const auto &service : configuration->services_) {
+            // A coordinator whose entry lapsed goes on until another one is known: its grants bear lower tokens than a successor's,
+            // and without it nobody would renew them.
             const auto *leader = view_.leader(service.name_);
-            if (leader != nullptr && leader->member_ == self_) {
+            const bool isVacant = leader == nullptr && placement_.isCoordinating(service.name_);
+            if (isVacant || (leader != nullptr && leader->member_ == self_)) {
                 coordinated.insert(service.name_);
             }
         }
@@ -298,9 +301,11 @@
 void Gateway::runDuties(TimePoint now)
 {
     const bool isValid = storeLink_.isLeaseValid(now);
-    const bool mayGrant = isValid || (!storeLink_.isCurrent(now) && isConfirmedByPeers(now));
+    const bool isCurrent = storeLink_.isCurrent(now);
     for (const auto &[service, shards] : shards_) {
-        shards->run(mayGrant, isValid && storeLink_.isCurrent(now), now);
+        const bool isVacant = view_.leader(service) == nullptr;
+        const bool mayGrant = isCurrent ? isValid || isVacant : isValid || isConfirmedByPeers(now);
+        shards->run(mayGrant, isValid && isCurrent && !isVacant, now);
     }
     const auto configuration = view_.configuration();
     if (!configuration || isStopping_ || !isValid || !storeLink_.isCurrent(now)) {
@@ -322,7 +327,8 @@
     for (const auto &[name, member] : view_.members()) {
         names.push_back(name);
     }
-    const auto rank = leaderRank(service, self_.name_, names);
+    // The coordinator so far knows all that a successor would have to learn.
+    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + leaderRank(service, self_.name_, names);
     if (claiming_.contains(service) || now - vacant->second < RankDelay * static_cast<Duration::rep>(rank)) {
         return;
     }
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -496,7 +496,6 @@
 {
     const int pool = Replay::withPool();
     const int baseline = Replay::withTwoChoices();
-    std::cerr << "TRIAL pool " << pool << " baseline " << baseline << " offered " << Replay::arrivals().size() << "\n";
     // What the servers carry in the time, all of it useful, is 4,800 requests of the mean.
     CPPUNIT_ASSERT(pool > baseline);
     CPPUNIT_ASSERT(pool >= 4800 * 85 / 100);
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -40,7 +40,12 @@
 // Sends bytes to an instance and returns all that comes back until it closes the connection.
 std::string exchangeBytes(std::uint16_t port, const std::string &bytes)
 {
-    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+    Poco::Net::StreamSocket socket;
+    try {
+        socket.connect(Poco::Net::SocketAddress("127.0.0.1", port));
+    } catch (const Poco::Exception &) {
+        return "(no connection)";
+    }
     socket.setReceiveTimeout(Poco::Timespan(5, 0));
     socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
     std::string received;
@@ -319,7 +324,11 @@
             load.stop();
             checkBookings(deployment, load.bookings());
             const auto statuses = load.statuses();
-            CPPUNIT_ASSERT_MESSAGE("requests failed while the store was away", statuses.size() == 1 && statuses.contains(200));
+            std::string counts = "statuses while the store was away:";
+            for (const auto &[status, count] : statuses) {
+                counts += " " + std::to_string(status) + "x" + std::to_string(count);
+            }
+            CPPUNIT_ASSERT_MESSAGE(counts, statuses.size() == 1 && statuses.contains(200));
             deployment.store().setFault(PlatformStoreFault::None);
             CPPUNIT_ASSERT(deployment.awaitService());
         }
