--- a/Libraries/LibBase/Time.h
+++ b/Libraries/LibBase/Time.h
@@ -40,7 +40,7 @@
 // Reads the boot clock, which also counts the time that a machine was suspended. Leases, deadlines and ages are measured on it.
 inline TimePoint bootNow()
 {
-    timespec now {};
+    timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
     return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
--- a/Libraries/LibGateway/EventLog.cpp
+++ b/Libraries/LibGateway/EventLog.cpp
@@ -15,7 +15,7 @@
 
 bool isWritable()
 {
-    pollfd descriptor {STDOUT_FILENO, POLLOUT, 0};
+    pollfd descriptor{STDOUT_FILENO, POLLOUT, 0};
     return ::poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
 }
 
@@ -41,7 +41,7 @@
         ++droppedTotal_;
         return;
     }
-    nlohmann::ordered_json document {{"time", unixNow()}, {"instance", instance_}};
+    nlohmann::ordered_json document{{"time", unixNow()}, {"instance", instance_}};
     document.update(line.fields());
     if (dropped_ > 0) {
         document["linesLeftOut"] = dropped_;
--- a/Libraries/LibGateway/EventLog.h
+++ b/Libraries/LibGateway/EventLog.h
@@ -22,7 +22,7 @@
 {
 public:
     explicit LogLine(const char *event)
-        : fields_ {{"event", event}}
+        : fields_{{"event", event}}
     {
     }
 
--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -117,8 +117,8 @@
         error = http::error::bad_transfer_encoding;
     }
     if (!error && boost::iequals(parser.get()[http::field::expect], "100-continue")) {
-        static const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await asio::async_write(stream_, asio::buffer(Continue), failingInto(error));
+        static const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(stream_, asio::buffer(Interim), failingInto(error));
     }
     while (!error && !parser.is_done()) {
         stream_.expires_after(toChrono(limits_.idleTimeout_));
@@ -165,7 +165,7 @@
     ErrorCode error;
     stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
     stream_.expires_after(toChrono(DrainTimeout));
-    std::array<char, ReadSize> chunk {};
+    std::array<char, ReadSize> chunk{};
     for (std::size_t drained = 0; drained < MaxDrained && !error;) {
         drained += co_await stream_.async_read_some(asio::buffer(chunk), failingInto(error));
     }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -33,18 +33,20 @@
 
 std::int64_t changeTimeOf(const std::string &path)
 {
-    struct stat status {};
+    struct stat status
+    {
+    };
     if (::stat(path.c_str(), &status) != 0) {
         return 0;
     }
     return status.st_mtim.tv_sec * 1000000000LL + status.st_mtim.tv_nsec;
 }
 
-HttpResponse makeStatus(unsigned status, std::string body)
+HttpResponse makeStatus(unsigned status, const std::string &body)
 {
     HttpResponse response;
     response.result(status);
-    response.body() = std::move(body);
+    response.body() = body;
     return response;
 }
 
@@ -62,21 +64,25 @@
 Gateway::Gateway(GatewayOptions options, Platform::InstanceSettings settings)
     : options_(std::move(options))
     , settings_(std::move(settings))
-    , self_ {settings_.name_, makeIncarnation(), settings_.peerAddress_}
+    , self_{settings_.name_, makeIncarnation(), settings_.peerAddress_}
     , loop_(1)
     , log_(settings_.name_)
     , view_([this](const std::string &key, const std::string &reason) {
         log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason), LogImportance::Kept, bootNow());
     })
     , store_(loop_, settings_.storeAddress_)
-    , storeLink_(loop_, store_, view_, self_, log_,
+    , storeLink_(loop_,
+                 store_,
+                 view_,
+                 self_,
+                 log_,
                  {[this] {
                       viewChanged();
                   },
                   [this] {
                       refreshDuties(bootNow());
                   }})
-    , network_(loop_, HelloMessage {self_.name_, self_.incarnation_, settings_.domain_}, log_, makePeerHandlers())
+    , network_(loop_, HelloMessage{self_.name_, self_.incarnation_, settings_.domain_}, log_, makePeerHandlers())
     , placement_(loop_, self_.name_, settings_.domain_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, log_)
     , client_(loop_)
     , orderClient_(loop_)
@@ -164,7 +170,7 @@
     } else if (const auto *held = std::get_if<HeldMessage>(&message)) {
         placement_.handleHeld(link, *held, now);
     } else if (std::holds_alternative<PingMessage>(message)) {
-        link->send(PongMessage {view_.at(), storeLink_.isCurrent(now)});
+        link->send(PongMessage{view_.at(), storeLink_.isCurrent(now)});
     } else if (const auto *request = std::get_if<ViewRequestMessage>(&message)) {
         if (view_.at() > request->revision_) {
             link->send(toMessage(view_.changesSince(request->revision_)));
@@ -200,7 +206,7 @@
 
 HttpResponse Gateway::answerStatus(const HttpRequest &request)
 {
-    if (request.target() != "/-/ready") {
+    if (request.target() != Platform::ReadyPath) {
         return makeStatus(404, {});
     }
     const bool isReadyNow = isReady(bootNow());
@@ -342,7 +348,8 @@
     write.conditions_.push_back({leaderKey(service), 0});
     write.puts_.push_back({leaderKey(service), encodeMember(self_), 0, storeLink_.lease()});
     const auto commit = co_await store_.commit(std::move(write));
-    log_.write(LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(commit.outcome_)), LogImportance::Kept, bootNow());
+    log_.write(
+        LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(commit.outcome_)), LogImportance::Kept, bootNow());
     // The watch tells who has it now.
     co_await sleepFor(loop_, RankDelay);
     claiming_.erase(service);
@@ -390,7 +397,7 @@
     for (const auto &link : links) {
         if (link->revision() > view_.at() || !storeLink_.isCurrent(now)) {
             viewRequestedAt_ = now;
-            link->send(ViewRequestMessage {view_.at()});
+            link->send(ViewRequestMessage{view_.at()});
         }
     }
 }
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -77,7 +77,7 @@
 
 Task<void> PeerLink::receive()
 {
-    std::array<char, ReadSize> chunk {};
+    std::array<char, ReadSize> chunk{};
     while (isOpen_) {
         ErrorCode error;
         const std::size_t size = co_await socket_.async_read_some(asio::buffer(chunk), failingInto(error));
--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -110,10 +110,11 @@
 PlaceReport toPlaceReport(const FinishMessage &message)
 {
     PlaceReport report;
-    report.outcome_ = message.outcome_ <= static_cast<std::uint8_t>(PlaceOutcome::Abandoned) ? static_cast<PlaceOutcome>(message.outcome_) : PlaceOutcome::Abandoned;
+    report.outcome_ =
+        message.outcome_ <= static_cast<std::uint8_t>(PlaceOutcome::Abandoned) ? static_cast<PlaceOutcome>(message.outcome_) : PlaceOutcome::Abandoned;
     report.duration_ = Duration(message.duration_);
     if (message.hasLoad_) {
-        report.load_ = ReportedLoad {message.running_, message.waiting_, message.slots_, message.delayFactor_};
+        report.load_ = ReportedLoad{message.running_, message.waiting_, message.slots_, message.delayFactor_};
     }
     return report;
 }
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -156,8 +156,19 @@
 };
 
 // The order of the alternatives is the type on the wire: new ones go to the end.
-using PeerMessage = std::variant<HelloMessage, AskMessage, QueuedMessage, PlacedMessage, RejectedMessage, CancelMessage, FinishMessage, HeldMessage, PingMessage,
-                                 PongMessage, ViewRequestMessage, ViewUpdateMessage, DeclinedMessage>;
+using PeerMessage = std::variant<HelloMessage,
+                                 AskMessage,
+                                 QueuedMessage,
+                                 PlacedMessage,
+                                 RejectedMessage,
+                                 CancelMessage,
+                                 FinishMessage,
+                                 HeldMessage,
+                                 PingMessage,
+                                 PongMessage,
+                                 ViewRequestMessage,
+                                 ViewUpdateMessage,
+                                 DeclinedMessage>;
 
 // A message with its length in front.
 std::string encodeFrame(const PeerMessage &message);
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -102,7 +102,7 @@
             silent.push_back(outgoing.link_);
         } else if (now - outgoing.pingedAt_ >= PingInterval) {
             outgoing.pingedAt_ = now;
-            outgoing.link_->send(PingMessage {handlers_.revision_()});
+            outgoing.link_->send(PingMessage{handlers_.revision_()});
         }
     }
     for (const auto &link : incoming_) {
@@ -153,7 +153,7 @@
     found->second.link_ = link;
     link->start();
     link->send(self_);
-    link->send(PingMessage {handlers_.revision_()});
+    link->send(PingMessage{handlers_.revision_()});
     found->second.pingedAt_ = bootNow();
     log_.write(LogLine("peer-connected").add("address", address), LogImportance::Kept, bootNow());
     handlers_.opened_(address, link);
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -30,7 +30,8 @@
     return "unknown";
 }
 
-PlacementService::PlacementService(asio::io_context &loop, std::string instance, std::string domain, const StoreView &view, PeerNetwork &network, RepeatTerms terms, EventLog &log)
+PlacementService::PlacementService(
+    asio::io_context &loop, std::string instance, std::string domain, const StoreView &view, PeerNetwork &network, RepeatTerms terms, EventLog &log)
     : loop_(loop)
     , instance_(std::move(instance))
     , domain_(std::move(domain))
@@ -154,8 +155,11 @@
     co_return result;
 }
 
-Task<bool> PlacementService::awaitCoordinator(const std::string &service, const std::shared_ptr<Pending> &pending, const std::shared_ptr<PeerLink> &link,
-                                              PlaceRequest request, const std::shared_ptr<RequestControl> &control)
+Task<bool> PlacementService::awaitCoordinator(const std::string &service,
+                                              const std::shared_ptr<Pending> &pending,
+                                              const std::shared_ptr<PeerLink> &link,
+                                              PlaceRequest request,
+                                              const std::shared_ptr<RequestControl> &control)
 {
     const TimePoint startedAt = bootNow();
     link->send(toMessage(service, request, startedAt));
@@ -170,14 +174,18 @@
         }
         const TimePoint later = bootNow();
         if (control->isAbandoned() || later >= request.deadline_) {
-            link->send(CancelMessage {service, request.id_.number_});
+            link->send(CancelMessage{service, request.id_.number_});
             co_return true;
         }
         const bool isSilent = pending->isDeclined_ || (!pending->isQueued_ && later - startedAt >= FirstAnswerTimeout);
         if (isSilent || network_.link(link->address(), later) != link) {
-            link->send(CancelMessage {service, request.id_.number_});
+            link->send(CancelMessage{service, request.id_.number_});
             services_[service].distrustedUntil_ = later + DistrustTime;
-            log_.write(LogLine("coordinator-passed-over").add("service", service).add("declined", pending->isDeclined_).add("address", link->address()).addAge("waitedMs", later - startedAt),
+            log_.write(LogLine("coordinator-passed-over")
+                           .add("service", service)
+                           .add("declined", pending->isDeclined_)
+                           .add("address", link->address())
+                           .addAge("waitedMs", later - startedAt),
                        LogImportance::Kept,
                        later);
             co_return false;
@@ -185,7 +193,9 @@
     }
 }
 
-Task<void> PlacementService::awaitPool(const std::string &service, const std::shared_ptr<Pending> &pending, PlaceRequest request,
+Task<void> PlacementService::awaitPool(const std::string &service,
+                                       const std::shared_ptr<Pending> &pending,
+                                       PlaceRequest request,
                                        const std::shared_ptr<RequestControl> &control)
 {
     const AskId id = request.id_;
@@ -240,7 +250,7 @@
 {
     const auto found = services_.find(message.service_);
     if (found == services_.end() || !isCoordinating(message.service_)) {
-        link->send(DeclinedMessage {message.number_});
+        link->send(DeclinedMessage{message.number_});
         return;
     }
     auto &state = found->second;
@@ -253,7 +263,7 @@
     state.pool_->ask(std::move(request), now);
     decide(message.service_);
     if (state.pool_->isWaiting({link->instance(), message.number_})) {
-        link->send(QueuedMessage {message.number_});
+        link->send(QueuedMessage{message.number_});
     }
 }
 
@@ -321,7 +331,7 @@
     result.server_ = message.server_;
     result.address_ = message.address_;
     result.source_ = PlaceSource::RemoteCoordinator;
-    resolve(message.number_, std::move(result));
+    resolve(message.number_, result);
 }
 
 void PlacementService::handleRejected(const RejectedMessage &message)
@@ -330,7 +340,7 @@
     result.reason_ = message.reason_ <= static_cast<std::uint8_t>(RejectReason::NoOwner) ? static_cast<RejectReason>(message.reason_) : RejectReason::NoServer;
     result.retryAfter_ = Duration(message.retryAfter_);
     result.source_ = PlaceSource::RemoteCoordinator;
-    resolve(message.number_, std::move(result));
+    resolve(message.number_, result);
 }
 
 void PlacementService::reportHeld(const std::string &address, const std::shared_ptr<PeerLink> &link)
@@ -338,18 +348,18 @@
     for (const auto &[number, held] : held_) {
         const auto *leader = view_.leader(held.service_);
         if (leader != nullptr && leader->member_.peerAddress_ == address) {
-            link->send(HeldMessage {held.service_, number, held.server_, held.workKind_});
+            link->send(HeldMessage{held.service_, number, held.server_, held.workKind_});
         }
     }
 }
 
-void PlacementService::resolve(std::uint64_t number, PlaceResult result)
+void PlacementService::resolve(std::uint64_t number, const PlaceResult &result)
 {
     const auto found = pending_.find(number);
     if (found == pending_.end() || found->second->result_) {
         return;
     }
-    found->second->result_ = std::move(result);
+    found->second->result_ = result;
     found->second->timer_.cancel();
 }
 
@@ -400,13 +410,13 @@
         if (!pending_.contains(placed.id_.number_)) {
             state.pool_->finish(placed.id_, PlaceReport(), now);
         }
-        resolve(placed.id_.number_, std::move(result));
+        resolve(placed.id_.number_, result);
         return;
     }
     const auto asker = state.askers_.find(placed.id_.instance_);
     const auto link = asker == state.askers_.end() ? nullptr : asker->second.lock();
     if (link) {
-        link->send(PlacedMessage {placed.id_.number_, placed.server_, address});
+        link->send(PlacedMessage{placed.id_.number_, placed.server_, address});
     } else {
         state.pool_->finish(placed.id_, PlaceReport(), now);
     }
@@ -419,12 +429,12 @@
         result.reason_ = rejected.reason_;
         result.retryAfter_ = rejected.retryAfter_;
         result.source_ = isCoordinating(state.pool_->service().name_) ? PlaceSource::Coordinator : PlaceSource::Alone;
-        resolve(rejected.id_.number_, std::move(result));
+        resolve(rejected.id_.number_, result);
         return;
     }
     const auto asker = state.askers_.find(rejected.id_.instance_);
     if (const auto link = asker == state.askers_.end() ? nullptr : asker->second.lock()) {
-        link->send(RejectedMessage {rejected.id_.number_, static_cast<std::uint8_t>(rejected.reason_), rejected.retryAfter_.count()});
+        link->send(RejectedMessage{rejected.id_.number_, static_cast<std::uint8_t>(rejected.reason_), rejected.retryAfter_.count()});
     }
 }
 
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -62,7 +62,8 @@
 class PlacementService
 {
 public:
-    PlacementService(asio::io_context &loop, std::string instance, std::string domain, const StoreView &view, PeerNetwork &network, RepeatTerms terms, EventLog &log);
+    PlacementService(
+        asio::io_context &loop, std::string instance, std::string domain, const StoreView &view, PeerNetwork &network, RepeatTerms terms, EventLog &log);
 
     // Takes over services, servers, assignments and coordinators from the view.
     void refresh(TimePoint now);
@@ -131,14 +132,18 @@
         TimePoint distrustedUntil_;
     };
 
-    Task<bool> awaitCoordinator(const std::string &service, const std::shared_ptr<Pending> &pending, const std::shared_ptr<PeerLink> &link, PlaceRequest request,
+    Task<bool> awaitCoordinator(const std::string &service,
+                                const std::shared_ptr<Pending> &pending,
+                                const std::shared_ptr<PeerLink> &link,
+                                PlaceRequest request,
                                 const std::shared_ptr<RequestControl> &control);
-    Task<void> awaitPool(const std::string &service, const std::shared_ptr<Pending> &pending, PlaceRequest request, const std::shared_ptr<RequestControl> &control);
+    Task<void>
+    awaitPool(const std::string &service, const std::shared_ptr<Pending> &pending, PlaceRequest request, const std::shared_ptr<RequestControl> &control);
     std::shared_ptr<PeerLink> coordinatorLink(const std::string &service, TimePoint now) const;
     void decide(const std::string &service);
     void deliver(ServiceState &state, const Placed &placed, TimePoint now);
     void deliver(ServiceState &state, const Rejected &rejected);
-    void resolve(std::uint64_t number, PlaceResult result);
+    void resolve(std::uint64_t number, const PlaceResult &result);
 
     asio::io_context &loop_;
     std::string instance_;
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -115,7 +115,13 @@
     }
 };
 
-RequestFlow::RequestFlow(asio::io_context &loop, const StoreView &view, const StoreLink &store, PlacementService &placement, HttpClient &client, EventLog &log, MetricRegistry &metrics)
+RequestFlow::RequestFlow(asio::io_context &loop,
+                         const StoreView &view,
+                         const StoreLink &store,
+                         PlacementService &placement,
+                         HttpClient &client,
+                         EventLog &log,
+                         MetricRegistry &metrics)
     : loop_(loop)
     , view_(view)
     , store_(store)
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -12,7 +12,13 @@
 class RequestFlow
 {
 public:
-    RequestFlow(asio::io_context &loop, const StoreView &view, const StoreLink &store, PlacementService &placement, HttpClient &client, EventLog &log, MetricRegistry &metrics);
+    RequestFlow(asio::io_context &loop,
+                const StoreView &view,
+                const StoreLink &store,
+                PlacementService &placement,
+                HttpClient &client,
+                EventLog &log,
+                MetricRegistry &metrics);
 
     // The answer for the caller; nothing when the caller has left. `arrivedAt` is when the request's first bytes were read.
     Task<std::optional<HttpResponse>> run(const HttpRequest &request, std::shared_ptr<RequestControl> control, TimePoint arrivedAt);
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -30,8 +30,13 @@
 
 } // namespace
 
-ShardService::ShardService(asio::io_context &loop, std::string service, const StoreView &view, Platform::PlatformStore &store, HttpClient &client,
-                           PlacementService &placement, EventLog &log)
+ShardService::ShardService(asio::io_context &loop,
+                           std::string service,
+                           const StoreView &view,
+                           Platform::PlatformStore &store,
+                           HttpClient &client,
+                           PlacementService &placement,
+                           EventLog &log)
     : loop_(loop)
     , service_(std::move(service))
     , view_(view)
@@ -82,20 +87,29 @@
         plannedAt_ = now;
         if (auto next = granter_->plan(pool->serverLoads(now), *load, now)) {
             isWriting_ = true;
-            asio::co_spawn(loop_, [self = shared_from_this(), assignment = std::move(*next)]() mutable -> Task<void> {
-                co_await self->writeAssignment(std::move(assignment));
-            }, asio::detached);
+            asio::co_spawn(
+                loop_,
+                [self = shared_from_this(), assignment = std::move(*next)]() mutable -> Task<void> {
+                    co_await self->writeAssignment(std::move(assignment));
+                },
+                asio::detached);
         }
     }
     for (auto &call : granter_->takeReleases(now)) {
-        asio::co_spawn(loop_, [self = shared_from_this(), call]() -> Task<void> {
-            co_await self->sendRelease(call);
-        }, asio::detached);
+        asio::co_spawn(
+            loop_,
+            [self = shared_from_this(), call]() -> Task<void> {
+                co_await self->sendRelease(call);
+            },
+            asio::detached);
     }
     for (auto &call : granter_->takeGrants(now)) {
-        asio::co_spawn(loop_, [self = shared_from_this(), call]() -> Task<void> {
-            co_await self->sendGrant(call);
-        }, asio::detached);
+        asio::co_spawn(
+            loop_,
+            [self = shared_from_this(), call]() -> Task<void> {
+                co_await self->sendGrant(call);
+            },
+            asio::detached);
     }
     publishHeld(now);
 }
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -10,7 +10,13 @@
 class ShardService : public std::enable_shared_from_this<ShardService>
 {
 public:
-    ShardService(asio::io_context &loop, std::string service, const StoreView &view, Platform::PlatformStore &store, HttpClient &client, PlacementService &placement, EventLog &log);
+    ShardService(asio::io_context &loop,
+                 std::string service,
+                 const StoreView &view,
+                 Platform::PlatformStore &store,
+                 HttpClient &client,
+                 PlacementService &placement,
+                 EventLog &log);
 
     // Does what is due. `mayGrant` says whether this instance certainly is the granter, `mayMove` whether the store can be written.
     void run(bool mayGrant, bool mayMove, TimePoint now);
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -25,9 +25,8 @@
 {
     try {
         const auto document = Json::parse(text);
-        return MemberEntry {document.at("name").get<std::string>(),
-                            document.at("incarnation").get<std::string>(),
-                            document.at("peerAddress").get<std::string>()};
+        return MemberEntry{
+            document.at("name").get<std::string>(), document.at("incarnation").get<std::string>(), document.at("peerAddress").get<std::string>()};
     } catch (const std::exception &) {
         return std::nullopt;
     }
@@ -52,7 +51,7 @@
 
 std::string encodeMember(const MemberEntry &member)
 {
-    return Json {{"name", member.name_}, {"incarnation", member.incarnation_}, {"peerAddress", member.peerAddress_}}.dump();
+    return Json{{"name", member.name_}, {"incarnation", member.incarnation_}, {"peerAddress", member.peerAddress_}}.dump();
 }
 
 void StoreView::apply(const std::vector<Platform::StoreEvent> &events, Revision at, TimePoint now)
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -156,7 +156,8 @@
     co_return stream;
 }
 
-Task<ExchangeOutcome> HttpClient::readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response, bool &isReusable)
+Task<ExchangeOutcome>
+HttpClient::readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response, bool &isReusable)
 {
     beast::flat_buffer buffer;
     for (;;) {
@@ -169,8 +170,8 @@
         ErrorCode error;
         co_await http::async_read(stream, buffer, parser, failingInto(error));
         if (error) {
-            const bool isProtocolError = error.category() == make_error_code(http::error::end_of_stream).category()
-                && error != http::error::end_of_stream && error != http::error::partial_message;
+            const bool isProtocolError = error.category() == make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream
+                && error != http::error::partial_message;
             co_return isProtocolError ? ExchangeOutcome::Malformed : ExchangeOutcome::Lost;
         }
         response = parser.release();
@@ -189,7 +190,8 @@
     }
 }
 
-Task<ExchangeResult> HttpClient::exchange(const std::string &address, const HttpRequest &request, ExchangeOptions options, std::shared_ptr<ExchangeHandle> handle)
+Task<ExchangeResult>
+HttpClient::exchange(const std::string &address, const HttpRequest &request, ExchangeOptions options, std::shared_ptr<ExchangeHandle> handle)
 {
     ExchangeResult result;
     const TimePoint startedAt = bootNow();
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -105,7 +105,8 @@
     std::shared_ptr<beast::tcp_stream> takeIdle(const std::string &address, Duration maxIdle, TimePoint now);
     void keep(const std::string &address, std::shared_ptr<beast::tcp_stream> stream, const HttpResponse &response, TimePoint now);
     Task<std::shared_ptr<beast::tcp_stream>> connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle);
-    static Task<ExchangeOutcome> readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response, bool &isReusable);
+    static Task<ExchangeOutcome>
+    readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response, bool &isReusable);
 
     asio::io_context &loop_;
     std::map<std::string, std::deque<Idle>> idle_;
--- a/Libraries/LibPlacement/KeyLoad.h
+++ b/Libraries/LibPlacement/KeyLoad.h
@@ -22,7 +22,7 @@
     void decay(TimePoint now);
     double decayFactor(TimePoint now) const;
 
-    std::array<float, GroupCount> groups_ {};
+    std::array<float, GroupCount> groups_{};
     TimePoint decayedAt_;
 };
 
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -511,8 +511,9 @@
         outlook.slots_.front() = choice->endAt_;
         std::ranges::sort(outlook.slots_);
         if (isCold(*outlook.server_, now) && service_.warmup_ > Duration::zero()) {
-            outlook.earliest_ = isFree ? outlook.server_->coldRate_.nextTokenAt(now)
-                                       : choice->startAt_ + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / (service_.warmupRate_ * coldShare())));
+            outlook.earliest_ = isFree
+                ? outlook.server_->coldRate_.nextTokenAt(now)
+                : choice->startAt_ + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / (service_.warmupRate_ * coldShare())));
         }
         if (!isFree) {
             remaining.push_back(std::move(request));
--- a/Libraries/LibPlacement/ShardAssignment.cpp
+++ b/Libraries/LibPlacement/ShardAssignment.cpp
@@ -64,10 +64,9 @@
         for (const auto &holder : range.previous_) {
             previous.push_back(encodeHolder(holder));
         }
-        ranges.push_back(
-            Json {{"first", range.first_}, {"last", range.last_}, {"holder", encodeHolder(range.holder_)}, {"previous", std::move(previous)}});
+        ranges.push_back(Json{{"first", range.first_}, {"last", range.last_}, {"holder", encodeHolder(range.holder_)}, {"previous", std::move(previous)}});
     }
-    return Json {{"nextToken", assignment.nextToken_}, {"ranges", std::move(ranges)}}.dump();
+    return Json{{"nextToken", assignment.nextToken_}, {"ranges", std::move(ranges)}}.dump();
 }
 
 std::optional<ShardAssignment> decodeAssignment(const std::string &text)
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-ShardGranter::ShardGranter(GrantTerms terms, std::optional<ShardAssignment> stored, TimePoint now)
+ShardGranter::ShardGranter(GrantTerms terms, const std::optional<ShardAssignment> &stored, TimePoint now)
     : terms_(terms)
     , assignment_(stored.value_or(ShardAssignment()))
     , earlierGrantsEndAt_(stored ? now + longestHold(terms) : now)
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -61,7 +61,7 @@
 {
 public:
     // `stored` is the assignment that lies in the store, if there is one.
-    ShardGranter(GrantTerms terms, std::optional<ShardAssignment> stored, TimePoint now);
+    ShardGranter(GrantTerms terms, const std::optional<ShardAssignment> &stored, TimePoint now);
 
     // The assignment that should be written to the store now, or nothing.
     std::optional<ShardAssignment> plan(const std::vector<ServerLoadView> &servers, const KeyLoad &load, TimePoint now);
--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -46,7 +46,7 @@
         if (!view.isEligible_) {
             continue;
         }
-        PlannedServer server {&view, 0};
+        PlannedServer server{&view, 0};
         for (const auto &range : assignment.ranges_) {
             if (range.holder_.server_ == view.id_) {
                 server.utilization_ += server.costOf(rangeLoad(load, range.first_, range.last_, now));
@@ -92,7 +92,7 @@
         const auto consider = [&](ShardKey first, ShardKey last, double moved) {
             const double peak = std::max(from.utilization_ - from.costOf(moved), to.utilization_ + to.costOf(moved));
             if (!best || peak < best->peak_) {
-                best = Cut {index, first, last, moved, peak};
+                best = Cut{index, first, last, moved, peak};
             }
         };
         std::vector<std::pair<std::uint32_t, double>> pieces;
@@ -123,7 +123,7 @@
     if (cut.first_ > whole.first_) {
         parts.push_back({whole.first_, static_cast<ShardKey>(cut.first_ - 1), whole.holder_, whole.previous_});
     }
-    ShardRange moved {cut.first_, cut.last_, whole.holder_, whole.previous_};
+    ShardRange moved{cut.first_, cut.last_, whole.holder_, whole.previous_};
     moveRange(moved, target, assignment.nextToken_);
     parts.push_back(std::move(moved));
     if (cut.last_ < whole.last_) {
--- a/Meta/check-style.sh
+++ b/Meta/check-style.sh
@@ -6,4 +6,6 @@
 mapfile -t sources < <(git ls-files --cached --others --exclude-standard -- '*.cpp' '*.h')
 clang-format --dry-run --Werror "${sources[@]}"
 mapfile -t units < <(git ls-files --cached --others --exclude-standard -- '*.cpp')
-printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build"
+# The packaged linter knows coroutines, but says so by another macro than the compiler.
+coroutines=(--extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1)
+printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build" "${coroutines[@]}"
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -132,8 +132,15 @@
     {
         const std::lock_guard lock(mutex_);
         const auto left = std::max(0.0, std::chrono::duration<double>(coldUntil_ - monotonicNow()).count());
-        entry = {{"service", behaviour_.service_}, {"address", address()}, {"zone", behaviour_.domain_}, {"version", "v1"}, {"capacity", behaviour_.slots_},
-                 {"state", state},                 {"warmupLeftS", left},  {"sequence", ++sequence_},    {"born", born_}};
+        entry = {{"service", behaviour_.service_},
+                 {"address", address()},
+                 {"zone", behaviour_.domain_},
+                 {"version", "v1"},
+                 {"capacity", behaviour_.slots_},
+                 {"state", state},
+                 {"warmupLeftS", left},
+                 {"sequence", ++sequence_},
+                 {"born", born_}};
     }
     store_.put("servers/" + id_, entry.dump());
 }
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -278,8 +278,8 @@
     response.sendBuffer(reply.body_.data(), reply.body_.size());
 }
 
-PlatformStoreStandIn::Reply PlatformStoreStandIn::answer(const std::string &method, const std::string &path, const std::map<std::string, std::string> &query,
-                                                         const std::string &body)
+PlatformStoreStandIn::Reply
+PlatformStoreStandIn::answer(const std::string &method, const std::string &path, const std::map<std::string, std::string> &query, const std::string &body)
 {
     const auto text = [&query](const char *name) {
         const auto found = query.find(name);
@@ -336,7 +336,7 @@
 PlatformStoreStandIn::Reply PlatformStoreStandIn::readRange(const std::string &prefix, const std::string &after)
 {
     const std::lock_guard lock(mutex_);
-    Json document {{"items", Json::array()}, {"hasMore", false}, {"at", revision_}};
+    Json document{{"items", Json::array()}, {"hasMore", false}, {"at", revision_}};
     for (auto item = items_.upper_bound(after); item != items_.end(); ++item) {
         if (!item->first.starts_with(prefix)) {
             continue;
@@ -362,7 +362,7 @@
         if (after < discardedUntil_ && (isOpenedLater || !history_.empty())) {
             return {410, "{}"};
         }
-        Json document {{"events", Json::array()}, {"at", revision_}};
+        Json document{{"events", Json::array()}, {"at", revision_}};
         for (const auto &change : history_) {
             if (change.item_.revision_ <= after || change.isHidden_ || !change.key_.starts_with(prefix)) {
                 continue;
@@ -391,7 +391,7 @@
     const auto request = Json::parse(body);
     const std::lock_guard lock(mutex_);
     bool isMet = true;
-    Json current {{"items", Json::array()}};
+    Json current{{"items", Json::array()}};
     for (const auto &condition : request.at("expect")) {
         const auto key = condition.at("key").get<std::string>();
         const auto found = items_.find(key);
@@ -421,7 +421,7 @@
     for (const auto &key : request.at("deletes")) {
         erase(key.get<std::string>());
     }
-    return {200, Json {{"revision", revision_}}.dump()};
+    return {200, Json{{"revision", revision_}}.dump()};
 }
 
 PlatformStoreStandIn::Reply PlatformStoreStandIn::grantLease(const std::string &body)
@@ -430,7 +430,7 @@
     const std::lock_guard lock(mutex_);
     const auto id = ++lastLease_;
     leases_[id] = {monotonicNow() + lifetime, lifetime};
-    return {200, Json {{"leaseId", id}, {"ttlS_time", std::chrono::duration<double>(lifetime).count()}}.dump()};
+    return {200, Json{{"leaseId", id}, {"ttlS_time", std::chrono::duration<double>(lifetime).count()}}.dump()};
 }
 
 PlatformStoreStandIn::Reply PlatformStoreStandIn::keepLease(std::uint64_t id)
@@ -442,7 +442,7 @@
         return {404, "{}"};
     }
     found->second.endsAt_ = monotonicNow() + found->second.lifetime_;
-    return {200, Json {{"ttlS_time", std::chrono::duration<double>(found->second.lifetime_).count()}}.dump()};
+    return {200, Json{{"ttlS_time", std::chrono::duration<double>(found->second.lifetime_).count()}}.dump()};
 }
 
 PlatformStoreStandIn::Reply PlatformStoreStandIn::endLease(std::uint64_t id)
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -54,9 +54,13 @@
 public:
     void entriesAreDecoded()
     {
-        view_.apply({put("op/config", configurationText(3), 11), put("servers/i-1", serverText(), 12), put("op/evacuate/north", "{}", 13),
-                     put(memberKey("a"), encodeMember({"a", "7", "10.0.0.1:1"}), 14), put(leaderKey("one"), encodeMember({"a", "7", "10.0.0.1:1"}), 15)},
-                    15, at(0));
+        view_.apply({put("op/config", configurationText(3), 11),
+                     put("servers/i-1", serverText(), 12),
+                     put("op/evacuate/north", "{}", 13),
+                     put(memberKey("a"), encodeMember({"a", "7", "10.0.0.1:1"}), 14),
+                     put(leaderKey("one"), encodeMember({"a", "7", "10.0.0.1:1"}), 15)},
+                    15,
+                    at(0));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), view_.configuration()->version_);
         CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
         CPPUNIT_ASSERT(view_.serversOf("one").front().isEvacuated_);
@@ -70,7 +74,10 @@
     void unusableEntriesAreReportedAndTheOthersHold()
     {
         view_.apply({put("op/config", configurationText(3), 11), put("servers/i-1", serverText(), 12)}, 12, at(0));
-        view_.apply({put("op/config", "{\"version\":", 13), put("servers/i-2", "\xff\xfe", 14), put(assignmentKey("one"), "[]", 15), put(memberKey("b"), "5", 16)}, 16, at(1));
+        view_.apply(
+            {put("op/config", "{\"version\":", 13), put("servers/i-2", "\xff\xfe", 14), put(assignmentKey("one"), "[]", 15), put(memberKey("b"), "5", 16)},
+            16,
+            at(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), problems_.size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), view_.configuration()->version_);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), view_.serverCount());
@@ -165,7 +172,7 @@
         PlaceReport report;
         report.outcome_ = PlaceOutcome::Answered;
         report.duration_ = 12ms;
-        report.load_ = ReportedLoad {1, 2, 3, 1.5};
+        report.load_ = ReportedLoad{1, 2, 3, 1.5};
         const auto finish = encodeFrame(toMessage("one", 5, report));
         CPPUNIT_ASSERT(toPlaceReport(std::get<FinishMessage>(*decodeFrame(finish.data() + 4, finish.size() - 4))) == report);
     }
@@ -173,7 +180,7 @@
     void strangeBytesAreNoMessages()
     {
         std::mt19937 random(3);
-        const auto frame = encodeFrame(PlacedMessage {5, "s1", "10.0.0.1:1"});
+        const auto frame = encodeFrame(PlacedMessage{5, "s1", "10.0.0.1:1"});
         for (int i = 0; i < 20000; ++i) {
             std::string bytes = frame.substr(4);
             bytes[random() % bytes.size()] = static_cast<char>(random());
@@ -193,7 +200,7 @@
     }
 
     std::vector<std::string> problems_;
-    StoreView view_ {handler()};
+    StoreView view_{handler()};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreView);
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -148,7 +148,7 @@
             ExchangeOutcome outcome_;
             std::string body_;
         };
-        const std::vector<Case> cases {
+        const std::vector<Case> cases{
             {"with a length", {{answerWith("Id: 1\r\nContent-Length: 3\r\n", "abc")}}, ExchangeOutcome::Answered, "abc"},
             {"in chunks", {{answerWith("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n")}}, ExchangeOutcome::Answered, "abc"},
             {"until the end of the connection", {{answerWith("Id: 1\r\n", "abc")}}, ExchangeOutcome::Answered, "abc"},
@@ -169,7 +169,8 @@
         };
         for (const auto &each : cases) {
             const auto results = play({each.script_}, 1);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name_, std::string(exchangeOutcomeName(each.outcome_)), std::string(exchangeOutcomeName(results.front().outcome_)));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                each.name_, std::string(exchangeOutcomeName(each.outcome_)), std::string(exchangeOutcomeName(results.front().outcome_)));
             if (each.outcome_ == ExchangeOutcome::Answered) {
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name_, each.body_, results.front().response_.body());
             }
@@ -185,7 +186,7 @@
             std::string first_;
             bool isKept_;
         };
-        const std::vector<Case> cases {
+        const std::vector<Case> cases{
             {"clean", clean, true},
             {"announced end", answerWith("Id: 1\r\nConnection: close\r\nContent-Length: 3\r\n", "abc"), false},
             {"bytes after the answer", clean + "surplus", false},
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -69,7 +69,7 @@
 // A pool that decides for all instances.
 ServicePool makePool(int servers, std::uint32_t slots, bool isSharded = false)
 {
-    ServicePool pool(makeService(isSharded), RepeatTerms {0.2, 10, 10s}, 1);
+    ServicePool pool(makeService(isSharded), RepeatTerms{0.2, 10, 10s}, 1);
     pool.setScope(PoolScope::Shared, 3, at(0));
     pool.setServers(makeServers(servers, slots, at(0)), at(0));
     return pool;
@@ -195,7 +195,7 @@
     {
         auto pool = makePool(2, 2);
         auto noisy = makeReport(PlaceOutcome::Abandoned);
-        noisy.load_ = ReportedLoad {1, 0, 2, 3.0};
+        noisy.load_ = ReportedLoad{1, 0, 2, 3.0};
         pool.observe("s0", "lookup", noisy, at(10));
         pool.ask(makeRequest(1, at(20)), at(20));
         CPPUNIT_ASSERT_EQUAL(std::string("s1"), pool.decide(at(20)).placed_.front().server_);
@@ -263,7 +263,7 @@
 
     void coldServersShareIsDividedWhenDecidingAlone()
     {
-        ServicePool pool(makeService(), RepeatTerms {0.2, 10, 10s}, 1);
+        ServicePool pool(makeService(), RepeatTerms{0.2, 10, 10s}, 1);
         pool.setScope(PoolScope::Alone, 10, at(0));
         auto server = makeServer("s0", 100, at(0));
         server.description_.warmupLeft_ = 100s;
@@ -443,7 +443,8 @@
             for (const auto &placed : pool.decide(now).placed_) {
                 const auto server = static_cast<std::size_t>(std::stoi(placed.server_.substr(1)));
                 const auto work = all[placed.id_.number_].second;
-                running.push({now + Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) / speedOf(server))), placed.id_.number_, server, now});
+                running.push(
+                    {now + Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) / speedOf(server))), placed.id_.number_, server, now});
             }
         };
         const auto finishUntil = [&](TimePoint now) {
--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -337,8 +337,8 @@
     bool holds(ShardKey key, TimePoint now) const
     {
         return isUp_ && std::ranges::any_of(holds_, [&](const Hold &hold) {
-            return hold.first_ <= key && key <= hold.last_ && now < hold.until_;
-        });
+                   return hold.first_ <= key && key <= hold.last_ && now < hold.until_;
+               });
     }
 
     void release(ShardKey first, ShardKey last)
--- a/Tests/LibPlacement/TestSmallDecisions.cpp
+++ b/Tests/LibPlacement/TestSmallDecisions.cpp
@@ -35,7 +35,7 @@
     void rotationKeepsWeightsExactly()
     {
         WeightedRotation rotation;
-        const std::vector<WeightedService> services {{"a", 90}, {"b", 10}};
+        const std::vector<WeightedService> services{{"a", 90}, {"b", 10}};
         std::map<std::string, int> counts;
         for (int i = 0; i < 200; ++i) {
             ++counts[rotation.next(services)];
@@ -48,7 +48,7 @@
     {
         WeightedRotation rotation;
         rotation.next({{"a", 1}, {"b", 1}});
-        const std::vector<WeightedService> onlyB {{"a", 0}, {"b", 3}};
+        const std::vector<WeightedService> onlyB{{"a", 0}, {"b", 3}};
         for (int i = 0; i < 10; ++i) {
             CPPUNIT_ASSERT_EQUAL(std::string("b"), rotation.next(onlyB));
         }
@@ -67,7 +67,7 @@
 
     void repeatBudgetSlides()
     {
-        RepeatBudget budget(RepeatTerms {0, 10, 10s});
+        RepeatBudget budget(RepeatTerms{0, 10, 10s});
         int taken = 0;
         while (budget.tryTake(1, at(0))) {
             ++taken;
@@ -79,7 +79,7 @@
 
     void repeatBudgetOfManyStaysWithinTheWhole()
     {
-        const RepeatTerms terms {0.2, 60, 10s};
+        const RepeatTerms terms{0.2, 60, 10s};
         int taken = 0;
         for (int instance = 0; instance < 10; ++instance) {
             RepeatBudget budget(terms);
@@ -124,7 +124,7 @@
 
     void leaderRanksAreAPermutation()
     {
-        const std::vector<std::string> instances {"a", "b", "c", "d"};
+        const std::vector<std::string> instances{"a", "b", "c", "d"};
         std::set<std::size_t> ranks;
         for (const auto &instance : instances) {
             ranks.insert(leaderRank("service", instance, instances));
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -58,7 +58,8 @@
 
 } // namespace
 
-RouterProcess::RouterProcess(std::string name, std::string domain, const std::string &storeAddress, const std::filesystem::path &folder, std::vector<std::string> seeds)
+RouterProcess::RouterProcess(
+    std::string name, std::string domain, const std::string &storeAddress, const std::filesystem::path &folder, std::vector<std::string> seeds)
     : name_(std::move(name))
     , domain_(std::move(domain))
     , settingsPath_(folder / (name_ + ".toml"))
@@ -93,7 +94,8 @@
         settings << '"' << seed << "\",";
     }
     settings << "]\n[listen]\nfront = \"" << loopback(callerPort_) << "\"\nready = \"" << loopback(readyPort_) << "\"\ncontrol = \"" << peerAddress()
-             << "\"\n[parameters]\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 60\n[platform]\naddress = \"" << storeAddress_ << "\"\n";
+             << "\"\n[parameters]\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 60\n[platform]\naddress = \"" << storeAddress_
+             << "\"\n";
     settings.close();
     const std::string settingsFlag = "--settings=" + settingsPath_.string();
     const std::string portFlag = "--metrics-port=" + std::to_string(metricsPort_);
@@ -203,8 +205,9 @@
     };
     store_.put("op/config",
                R"({"version":)" + std::to_string(version_ * 3) + R"(,"resources":[)" + route("r-plain", "plain.example", "/plain/", "idempotent", "plain")
-                   + route("r-book", "plain.example", "/book/", "non_idempotent", "plain") + route("r-keyed", "keyed.example", "/keyed/", "idempotent", "sharded")
-                   + extraRoutes + R"({"resourceType":"services","metadata":{"name":"plain"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5}},
+                   + route("r-book", "plain.example", "/book/", "non_idempotent", "plain")
+                   + route("r-keyed", "keyed.example", "/keyed/", "idempotent", "sharded") + extraRoutes
+                   + R"({"resourceType":"services","metadata":{"name":"plain"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5}},
             {"resourceType":"services","metadata":{"name":"sharded"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5,"useShards":true}},
             {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutS":3,"idleTimeoutS":15}}]})");
 }
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -129,7 +129,7 @@
 
 private:
     std::filesystem::path folder_;
-    PlatformStoreStandIn store_ {0};
+    PlatformStoreStandIn store_{0};
     PlatformWitness witness_;
     std::vector<std::unique_ptr<PlatformServerStandIn>> plain_;
     std::vector<std::unique_ptr<PlatformServerStandIn>> sharded_;
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -209,7 +209,7 @@
         const auto before = deployment.witness().runs().size();
         const std::string head = "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: bad\r\n";
         const std::string smuggled = "GET /plain/smuggled HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: in\r\n\r\n";
-        const std::vector<std::pair<std::string, std::string>> cases {
+        const std::vector<std::pair<std::string, std::string>> cases{
             {"HTTP/1.1 400", "nonsense\r\n\r\n"},
             {"HTTP/1.1 400", head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef"},
             {"HTTP/1.1 400", head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled},
@@ -248,10 +248,15 @@
             int idempotent_;
             int booking_;
         };
-        const std::vector<Case> cases {
-            {PlatformServerFault::Sheds, 503, 503},         {PlatformServerFault::LosesAnswers, 502, 502},   {PlatformServerFault::Truncates, 502, 502},
-            {PlatformServerFault::Garbles, 502, 502},       {PlatformServerFault::AnswersTwice, 200, 200},   {PlatformServerFault::AnswersAnother, 200, 200},
-            {PlatformServerFault::OmitsSignature, 502, 502}, {PlatformServerFault::ForgetsConnections, 200, 200},
+        const std::vector<Case> cases{
+            {PlatformServerFault::Sheds, 503, 503},
+            {PlatformServerFault::LosesAnswers, 502, 502},
+            {PlatformServerFault::Truncates, 502, 502},
+            {PlatformServerFault::Garbles, 502, 502},
+            {PlatformServerFault::AnswersTwice, 200, 200},
+            {PlatformServerFault::AnswersAnother, 200, 200},
+            {PlatformServerFault::OmitsSignature, 502, 502},
+            {PlatformServerFault::ForgetsConnections, 200, 200},
         };
         for (const auto &each : cases) {
             for (std::size_t i = 0; i < 4; ++i) {
@@ -374,8 +379,8 @@
         RouterProcess lonely("edge-lonely", "north", "127.0.0.1:1", folder, {deployment.instance(0).peerAddress(), deployment.instance(1).peerAddress()});
         lonely.start();
         CPPUNIT_ASSERT(Deployment::eventually([&] {
-            const auto received = exchangeBytes(lonely.callerPort(),
-                                                "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: l1\r\nConnection: close\r\n\r\n");
+            const auto received =
+                exchangeBytes(lonely.callerPort(), "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: l1\r\nConnection: close\r\n\r\n");
             return received.starts_with("HTTP/1.1 200");
         }));
         deployment.putConfiguration(extraRoute("/relayed/"));
@@ -464,7 +469,8 @@
         }
         {
             Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", deployment.instance(0).callerPort()));
-            const std::string bytes = "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: gone\r\nGoldcrestwall-Request-Deadline: 2000\r\n\r\n";
+            const std::string bytes =
+                "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: gone\r\nGoldcrestwall-Request-Deadline: 2000\r\n\r\n";
             socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
             CPPUNIT_ASSERT(Deployment::eventually([&] {
                 return deployment.witness().runsOf("gone") == 1;
@@ -590,7 +596,8 @@
         }));
         CPPUNIT_ASSERT_EQUAL(503, misdirected.status_);
         const auto moved = reasonOf(misdirected.requestId_, "request");
-        CPPUNIT_ASSERT_MESSAGE(moved, moved.find("\"reason\":\"misdirected\"") != std::string::npos || moved.find("\"reason\":\"no-owner\"") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(moved,
+                               moved.find("\"reason\":\"misdirected\"") != std::string::npos || moved.find("\"reason\":\"no-owner\"") != std::string::npos);
         deployment.sharded(index).registerEntry();
         CPPUNIT_ASSERT(deployment.awaitService());
     }
--- a/Tests/Platform/TestBackendProtocol.cpp
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -36,15 +36,15 @@
 public:
     void answersAreClassified()
     {
-        const std::pair<std::string, std::string> signature {"Goldcrestwall-Server-Signature", "s"};
-        const std::pair<std::string, std::string> notRun {"Goldcrestwall-Not-Executed", "1"};
+        const std::pair<std::string, std::string> signature{"Goldcrestwall-Server-Signature", "s"};
+        const std::pair<std::string, std::string> notRun{"Goldcrestwall-Not-Executed", "1"};
         struct Case
         {
             unsigned status_;
             std::vector<std::pair<std::string, std::string>> headers_;
             AnswerKind kind_;
         };
-        const std::vector<Case> cases {
+        const std::vector<Case> cases{
             {200, {signature}, AnswerKind::Complete},
             {204, {signature}, AnswerKind::Complete},
             {200, {}, AnswerKind::Unusable},
@@ -72,8 +72,8 @@
         const auto read = [](const std::string &text) {
             return readLoad(makeResponse(200, {{"Goldcrestwall-Server-Load", text}}));
         };
-        CPPUNIT_ASSERT(read("3,1,8") == (Gateway::ReportedLoad {3, 1, 8, 1}));
-        CPPUNIT_ASSERT(read("3,1,8,250") == (Gateway::ReportedLoad {3, 1, 8, 2.5}));
+        CPPUNIT_ASSERT(read("3,1,8") == (Gateway::ReportedLoad{3, 1, 8, 1}));
+        CPPUNIT_ASSERT(read("3,1,8,250") == (Gateway::ReportedLoad{3, 1, 8, 2.5}));
         for (const char *text : {"3,1", "a,b,c", "3,1,8,x", "-1,0,2", "3;1;8", "99999999999999999999,1,2"}) {
             CPPUNIT_ASSERT_MESSAGE(text, !read(text));
         }
@@ -137,7 +137,7 @@
         using Gateway::ExchangeOutcome;
         using Gateway::OrderOutcome;
         const auto answered = [](unsigned status) {
-            return Gateway::ExchangeResult {ExchangeOutcome::Answered, makeResponse(status, {}), false};
+            return Gateway::ExchangeResult{ExchangeOutcome::Answered, makeResponse(status, {}), false};
         };
         CPPUNIT_ASSERT(readOrderOutcome(answered(200)) == OrderOutcome::Accepted);
         CPPUNIT_ASSERT(readOrderOutcome(answered(409)) == OrderOutcome::Refused);
--- a/Tests/Platform/TestDocuments.cpp
+++ b/Tests/Platform/TestDocuments.cpp
@@ -78,7 +78,7 @@
 
     void unusableConfigurationsAreRefusedWithAReason()
     {
-        const std::vector<std::string> broken {
+        const std::vector<std::string> broken{
             "",
             "[]",
             GoodConfiguration.substr(0, 300),
@@ -88,8 +88,10 @@
             replaced(GoodConfiguration, "\"timeoutS\":1,", "\"timeoutS\":-1,"),
             replaced(GoodConfiguration, "\"service\":\"one\",", ""),
             replaced(GoodConfiguration, "\"weight\":90", "\"heavy\":90"),
-            replaced(GoodConfiguration, "\"resources\":[", "\"resources\":["
-                                                           "5,"),
+            replaced(GoodConfiguration,
+                     "\"resources\":[",
+                     "\"resources\":["
+                     "5,"),
         };
         for (const auto &text : broken) {
             const auto decoded = decodeConfiguration(text);
@@ -112,7 +114,11 @@
 
     void unusableServerEntriesAreRefused()
     {
-        for (const char *text : {"", "\xff\xfe\x00", "{}", "7", R"({"service":"one"})",
+        for (const char *text : {"",
+                                 "\xff\xfe\x00",
+                                 "{}",
+                                 "7",
+                                 R"({"service":"one"})",
                                  R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":"sleeping"})",
                                  R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":"many","state":"ready"})",
                                  R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":0,"state":"ready"})",
@@ -136,7 +142,7 @@
 
     void wrongSettingsAreNamed()
     {
-        const std::vector<std::pair<std::string, std::string>> cases {
+        const std::vector<std::pair<std::string, std::string>> cases{
             {"settings file", "= nothing"},
             {"nodeName", replaced(GoodSettings, "nodeName = \"edge-1\"", "")},
             {"nodeName", replaced(GoodSettings, "nodeName = \"edge-1\"", "nodeName = 5")},
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -107,10 +107,13 @@
 
     void faultsAreToldApart()
     {
-        const std::vector<std::pair<PlatformStoreFault, StoreOutcome>> cases {
-            {PlatformStoreFault::Down, StoreOutcome::Unknown},     {PlatformStoreFault::Busy, StoreOutcome::Refused},
-            {PlatformStoreFault::Limited, StoreOutcome::Refused},  {PlatformStoreFault::LosesAnswers, StoreOutcome::Unknown},
-            {PlatformStoreFault::Garbles, StoreOutcome::Unknown},  {PlatformStoreFault::Silent, StoreOutcome::Unknown},
+        const std::vector<std::pair<PlatformStoreFault, StoreOutcome>> cases{
+            {PlatformStoreFault::Down, StoreOutcome::Unknown},
+            {PlatformStoreFault::Busy, StoreOutcome::Refused},
+            {PlatformStoreFault::Limited, StoreOutcome::Refused},
+            {PlatformStoreFault::LosesAnswers, StoreOutcome::Unknown},
+            {PlatformStoreFault::Garbles, StoreOutcome::Unknown},
+            {PlatformStoreFault::Silent, StoreOutcome::Unknown},
         };
         for (const auto &[fault, outcome] : cases) {
             standIn_.setFault(fault);
@@ -126,8 +129,8 @@
 
 private:
     boost::asio::io_context loop_;
-    PlatformStoreStandIn standIn_ {0};
-    PlatformStore store_ {loop_, standIn_.address()};
+    PlatformStoreStandIn standIn_{0};
+    PlatformStore store_{loop_, standIn_.address()};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestPlatformStore);
