--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 // Moves are only worth their cost above these differences in busy slots per slot.
+// A server that is less busy than this hardly ever makes a request wait, whatever the others do.
+constexpr double MinBusy = 0.45;
 constexpr double MinDifference = 0.15;
 constexpr double MinRelativeDifference = 0.3;
 // Part of the difference by which a single move must lower the load of the busiest server.
@@ -213,7 +215,7 @@
         const bool isUnheld = std::ranges::none_of(assignment.ranges_, [&idlest](const ShardRange &range) {
             return range.holder_.server_ == idlest->view_->id_;
         });
-        const bool isWorthIt = difference > MinDifference && difference > MinRelativeDifference * busiest->utilization_;
+        const bool isWorthIt = busiest->utilization_ > MinBusy && difference > MinDifference && difference > MinRelativeDifference * busiest->utilization_;
         if ((!isWorthIt && !isUnheld) || assignment.ranges_.size() >= MaxRangesPerServer * planned.size()) {
             break;
         }
