--- a/Libraries/LibBase/Time.h
+++ b/Libraries/LibBase/Time.h
@@ -37,6 +37,12 @@
     return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+// A span of time times a factor.
+inline Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 // Reads the boot clock, which also counts the time that a machine was suspended. Leases, deadlines and ages are measured on it.
 inline TimePoint bootNow()
 {
--- /dev/null
+++ b/Libraries/LibGateway/DutyManager.cpp
@@ -0,0 +1,189 @@
+#include "DutyManager.h"
+
+namespace Goldcrestwall::Gateway {
+
+namespace {
+
+// How long each instance that ranks behind waits longer before it tries to become a coordinator.
+constexpr Duration RankDelay = 250ms;
+constexpr Duration HealthInterval = 500ms;
+constexpr Duration HealthTimeout = 400ms;
+
+} // namespace
+
+DutyManager::DutyManager(asio::io_context &loop,
+                         MemberEntry self,
+                         const StoreView &view,
+                         Platform::PlatformStore &store,
+                         const StoreLink &storeLink,
+                         PeerNetwork &network,
+                         PlacementService &placement,
+                         EventLog &log)
+    : loop_(loop)
+    , self_(std::move(self))
+    , view_(view)
+    , store_(store)
+    , storeLink_(storeLink)
+    , network_(network)
+    , placement_(placement)
+    , log_(log)
+    , client_(loop)
+{
+}
+
+void DutyManager::giveUp(TimePoint now)
+{
+    hasGivenUp_ = true;
+    refresh(now);
+}
+
+void DutyManager::refresh(TimePoint now)
+{
+    std::set<std::string> coordinated;
+    const auto configuration = view_.configuration();
+    if (configuration && !hasGivenUp_) {
+        for (const auto &service : configuration->services_) {
+            // A coordinator whose entry lapsed goes on until another one is known: its grants bear lower tokens than a successor's,
+            // and without it nobody would renew them.
+            const auto *leader = view_.leader(service.name_);
+            const bool isVacant = leader == nullptr && placement_.isCoordinating(service.name_);
+            if (isVacant || (leader != nullptr && leader->member_ == self_)) {
+                coordinated.insert(service.name_);
+            }
+        }
+    }
+    for (const auto &service : coordinated) {
+        if (!placement_.isCoordinating(service)) {
+            log_.write(LogLine("coordinating").add("service", service).add("storeRevision", view_.at()), LogImportance::Kept, now);
+        }
+    }
+    std::erase_if(shards_, [&](const auto &entry) {
+        if (coordinated.contains(entry.first)) {
+            return false;
+        }
+        log_.write(LogLine("coordination-ended").add("service", entry.first).add("storeRevision", view_.at()), LogImportance::Kept, now);
+        entry.second->stop();
+        return true;
+    });
+    for (const auto &service : coordinated) {
+        const auto *description = configuration->service(service);
+        if (description->isSharded_ && !shards_.contains(service)) {
+            shards_[service] = std::make_shared<ShardService>(loop_, service, view_, store_, client_, placement_, log_);
+        }
+    }
+    placement_.setCoordinated(std::move(coordinated), now);
+}
+
+bool DutyManager::isConfirmedByPeers(TimePoint now) const
+{
+    // Instances that reach the store would have passed on who took over. If none reaches it, no one can have taken over.
+    const std::size_t others = view_.members().size() > 0 ? view_.members().size() - 1 : 0;
+    return network_.openLinks(now).size() * 2 >= others;
+}
+
+void DutyManager::run(bool isStopping, TimePoint now)
+{
+    const bool isValid = storeLink_.isLeaseValid(now);
+    const bool isCurrent = storeLink_.isCurrent(now);
+    for (const auto &[service, shards] : shards_) {
+        const bool isVacant = view_.leader(service) == nullptr;
+        const bool mayGrant = isCurrent ? isValid || isVacant : isValid || isConfirmedByPeers(now);
+        shards->run(mayGrant, isValid && isCurrent && !isVacant, now);
+    }
+    checkSuspects(now);
+    const auto configuration = view_.configuration();
+    if (!configuration || isStopping || !isValid || !storeLink_.isCurrent(now)) {
+        return;
+    }
+    for (const auto &service : configuration->services_) {
+        elect(service.name_, now);
+    }
+}
+
+void DutyManager::elect(const std::string &service, TimePoint now)
+{
+    if (view_.leader(service) != nullptr) {
+        vacantSince_.erase(service);
+        return;
+    }
+    const auto [vacant, isNew] = vacantSince_.try_emplace(service, now);
+    std::vector<std::string> names;
+    for (const auto &[name, member] : view_.members()) {
+        names.push_back(name);
+    }
+    // The coordinator so far knows all that a successor would have to learn.
+    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + leaderRank(service, self_.name_, names);
+    if (claiming_.contains(service) || now - vacant->second < RankDelay * static_cast<Duration::rep>(rank)) {
+        return;
+    }
+    claiming_.insert(service);
+    asio::co_spawn(loop_, claim(service), asio::detached);
+}
+
+Task<void> DutyManager::claim(std::string service)
+{
+    Platform::StoreWrite write;
+    write.conditions_.push_back({leaderKey(service), 0});
+    write.puts_.push_back({leaderKey(service), encodeMember(self_), 0, storeLink_.lease()});
+    const auto commit = co_await store_.commit(std::move(write));
+    log_.write(
+        LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(commit.outcome_)), LogImportance::Kept, bootNow());
+    // The watch tells who has it now.
+    co_await sleepFor(loop_, RankDelay);
+    claiming_.erase(service);
+}
+
+void DutyManager::checkSuspects(TimePoint now)
+{
+    const auto configuration = view_.configuration();
+    if (!configuration) {
+        return;
+    }
+    for (const auto &service : configuration->services_) {
+        auto *pool = placement_.pool(service.name_);
+        if (pool == nullptr || !placement_.isCoordinating(service.name_)) {
+            continue;
+        }
+        for (const auto &id : pool->suspects(now)) {
+            const auto *server = view_.server(id);
+            auto &checkedAt = healthCheckedAt_[id];
+            if (server != nullptr && now - checkedAt >= HealthInterval) {
+                checkedAt = now;
+                asio::co_spawn(loop_, checkHealth(service.name_, *server, service.healthPath_), asio::detached);
+            }
+        }
+    }
+}
+
+Task<void> DutyManager::checkHealth(std::string service, ServerDescription server, std::string path)
+{
+    ExchangeOptions options;
+    options.timeout_ = HealthTimeout;
+    const auto result =
+        co_await client_.exchange(server.address_, Platform::makeHealthRequest(server.address_, path), options, std::make_shared<ExchangeHandle>());
+    const TimePoint now = bootNow();
+    auto *pool = placement_.pool(service);
+    if (pool == nullptr) {
+        co_return;
+    }
+    Platform::HealthReport report;
+    if (result.outcome_ == ExchangeOutcome::Answered) {
+        report = Platform::readHealth(result.response_);
+    }
+    const bool isHealthy = report.isHealthy_ && report.serverId_ == server.id_;
+    log_.write(LogLine("health-checked")
+                   .add("server", server.id_)
+                   .add("outcome", exchangeOutcomeName(result.outcome_))
+                   .add("healthy", isHealthy)
+                   .addAge("warmupLeftMs", report.warmupLeft_),
+               LogImportance::Kept,
+               now);
+    if (isHealthy) {
+        pool->noteHealth(server.id_, report.warmupLeft_, report.load_, now);
+        placement_.scheduleDecision(service);
+    } else if (result.outcome_ != ExchangeOutcome::Answered) {
+        pool->noteHealthFailure(server.id_, now);
+    }
+}
+
+} // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/FrontServer.cpp
+++ b/Libraries/LibGateway/FrontServer.cpp
@@ -10,7 +10,11 @@
     , flow_(flow)
     , log_(log)
     , metrics_(metrics)
-    , acceptor_(loop)
+    , listener_(loop, [this](Tcp::socket socket) {
+        auto session = std::make_shared<FrontSession>(*this, std::move(socket));
+        sessions_.insert(session);
+        session->start();
+    })
 {
 }
 
@@ -18,32 +22,7 @@
 
 std::error_code FrontServer::listen(const std::string &address)
 {
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
-        return make_error_code(RouterError::InvalidSetting);
-    }
-    if (listenOn(acceptor_, *endpoint)) {
-        return make_error_code(RouterError::InvalidSetting);
-    }
-    asio::co_spawn(loop_, accept(), asio::detached);
-    return {};
-}
-
-Task<void> FrontServer::accept()
-{
-    constexpr Duration ErrorPause = 10ms;
-    while (acceptor_.is_open()) {
-        ErrorCode error;
-        Tcp::socket socket = co_await acceptor_.async_accept(failingInto(error));
-        if (error) {
-            // Without free descriptors, for example, accepting at once again would only burn the processor.
-            co_await sleepFor(loop_, ErrorPause);
-            continue;
-        }
-        auto session = std::make_shared<FrontSession>(*this, std::move(socket));
-        sessions_.insert(session);
-        session->start();
-    }
+    return listener_.listen(address);
 }
 
 void FrontServer::beginStop()
@@ -53,8 +32,7 @@
 
 void FrontServer::closeIdle()
 {
-    ErrorCode error;
-    acceptor_.close(error);
+    listener_.close();
     const auto sessions = sessions_;
     for (const auto &session : sessions) {
         session->closeIfIdle();
--- a/Libraries/LibGateway/FrontServer.h
+++ b/Libraries/LibGateway/FrontServer.h
@@ -40,14 +40,12 @@
 private:
     friend class FrontSession;
 
-    Task<void> accept();
-
     asio::io_context &loop_;
     const StoreView &view_;
     RequestFlow &flow_;
     EventLog &log_;
     MetricRegistry &metrics_;
-    Tcp::acceptor acceptor_;
+    Listener listener_;
     std::set<std::shared_ptr<FrontSession>> sessions_;
     std::size_t requestsInProgress_ = 0;
     bool isStopping_ = false;
--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -13,6 +13,7 @@
 constexpr Duration DrainTimeout = 1s;
 constexpr std::size_t MaxDrained = 256U << 10U;
 constexpr std::size_t ReadSize = 4096;
+constexpr std::string_view InterimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::chrono::microseconds toChrono(Duration duration)
 {
@@ -117,8 +118,7 @@
         error = http::error::bad_transfer_encoding;
     }
     if (!error && boost::iequals(parser.get()[http::field::expect], "100-continue")) {
-        static const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await asio::async_write(stream_, asio::buffer(Interim), failingInto(error));
+        co_await asio::async_write(stream_, asio::buffer(InterimAnswer), failingInto(error));
     }
     while (!error && !parser.is_done()) {
         stream_.expires_after(toChrono(limits_.idleTimeout_));
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -13,10 +13,6 @@
 constexpr Duration TickInterval = 50ms;
 // A longer gap between two ticks means that the process stood still.
 constexpr Duration FreezeGap = 600ms;
-// How long each instance that ranks behind waits longer before it tries to become a coordinator.
-constexpr Duration RankDelay = 250ms;
-constexpr Duration HealthInterval = 500ms;
-constexpr Duration HealthTimeout = 400ms;
 constexpr Duration ViewRequestInterval = 250ms;
 constexpr Duration SettingsInterval = 1s;
 // The platform stops sending new callers within this time after the instance has said that it is not ready.
@@ -80,12 +76,12 @@
                       viewChanged();
                   },
                   [this] {
-                      refreshDuties(bootNow());
+                      duties_.refresh(bootNow());
                   }})
     , network_(loop_, HelloMessage{self_.name_, self_.incarnation_, settings_.domain_}, log_, makePeerHandlers())
     , placement_(loop_, self_.name_, settings_.domain_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, log_)
     , client_(loop_)
-    , orderClient_(loop_)
+    , duties_(loop_, self_, view_, store_, storeLink_, network_, placement_, log_)
     , flow_(loop_, view_, storeLink_, placement_, client_, log_, metrics_)
     , front_(loop_, view_, flow_, log_, metrics_)
     , ready_(loop_,
@@ -230,10 +226,10 @@
                    LogImportance::Kept,
                    now);
     }
-    refreshDuties(now);
+    duties_.refresh(now);
     placement_.refresh(now);
     refreshPeers(now);
-    runDuties(now);
+    duties_.run(isStopping_, now);
 }
 
 void Gateway::refreshPeers(TimePoint now)
@@ -260,101 +256,6 @@
     network_.setNeeded(std::move(addresses), now);
 }
 
-void Gateway::refreshDuties(TimePoint now)
-{
-    std::set<std::string> coordinated;
-    const auto configuration = view_.configuration();
-    if (configuration && !hasLeft_) {
-        for (const auto &service : configuration->services_) {
-            // A coordinator whose entry lapsed goes on until another one is known: its grants bear lower tokens than a successor's,
-            // and without it nobody would renew them.
-            const auto *leader = view_.leader(service.name_);
-            const bool isVacant = leader == nullptr && placement_.isCoordinating(service.name_);
-            if (isVacant || (leader != nullptr && leader->member_ == self_)) {
-                coordinated.insert(service.name_);
-            }
-        }
-    }
-    for (const auto &service : coordinated) {
-        if (!placement_.isCoordinating(service)) {
-            log_.write(LogLine("coordinating").add("service", service).add("storeRevision", view_.at()), LogImportance::Kept, now);
-        }
-    }
-    std::erase_if(shards_, [&](const auto &entry) {
-        if (coordinated.contains(entry.first)) {
-            return false;
-        }
-        log_.write(LogLine("coordination-ended").add("service", entry.first).add("storeRevision", view_.at()), LogImportance::Kept, now);
-        entry.second->stop();
-        return true;
-    });
-    for (const auto &service : coordinated) {
-        const auto *description = configuration->service(service);
-        if (description->isSharded_ && !shards_.contains(service)) {
-            shards_[service] = std::make_shared<ShardService>(loop_, service, view_, store_, orderClient_, placement_, log_);
-        }
-    }
-    placement_.setCoordinated(std::move(coordinated), now);
-}
-
-bool Gateway::isConfirmedByPeers(TimePoint now) const
-{
-    // Instances that reach the store would have passed on who took over. If none reaches it, no one can have taken over.
-    const std::size_t others = view_.members().size() > 0 ? view_.members().size() - 1 : 0;
-    return network_.openLinks(now).size() * 2 >= others;
-}
-
-void Gateway::runDuties(TimePoint now)
-{
-    const bool isValid = storeLink_.isLeaseValid(now);
-    const bool isCurrent = storeLink_.isCurrent(now);
-    for (const auto &[service, shards] : shards_) {
-        const bool isVacant = view_.leader(service) == nullptr;
-        const bool mayGrant = isCurrent ? isValid || isVacant : isValid || isConfirmedByPeers(now);
-        shards->run(mayGrant, isValid && isCurrent && !isVacant, now);
-    }
-    const auto configuration = view_.configuration();
-    if (!configuration || isStopping_ || !isValid || !storeLink_.isCurrent(now)) {
-        return;
-    }
-    for (const auto &service : configuration->services_) {
-        elect(service.name_, now);
-    }
-}
-
-void Gateway::elect(const std::string &service, TimePoint now)
-{
-    if (view_.leader(service) != nullptr) {
-        vacantSince_.erase(service);
-        return;
-    }
-    const auto [vacant, isNew] = vacantSince_.try_emplace(service, now);
-    std::vector<std::string> names;
-    for (const auto &[name, member] : view_.members()) {
-        names.push_back(name);
-    }
-    // The coordinator so far knows all that a successor would have to learn.
-    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + leaderRank(service, self_.name_, names);
-    if (claiming_.contains(service) || now - vacant->second < RankDelay * static_cast<Duration::rep>(rank)) {
-        return;
-    }
-    claiming_.insert(service);
-    asio::co_spawn(loop_, claim(service), asio::detached);
-}
-
-Task<void> Gateway::claim(std::string service)
-{
-    Platform::StoreWrite write;
-    write.conditions_.push_back({leaderKey(service), 0});
-    write.puts_.push_back({leaderKey(service), encodeMember(self_), 0, storeLink_.lease()});
-    const auto commit = co_await store_.commit(std::move(write));
-    log_.write(
-        LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(commit.outcome_)), LogImportance::Kept, bootNow());
-    // The watch tells who has it now.
-    co_await sleepFor(loop_, RankDelay);
-    claiming_.erase(service);
-}
-
 void Gateway::checkForFreeze(TimePoint now)
 {
     const Duration gap = now - tickedAt_;
@@ -377,8 +278,7 @@
         }
         refreshPeers(now);
         followPeers(now);
-        runDuties(now);
-        checkSuspects(now);
+        duties_.run(isStopping_, now);
         checkSettingsFile(now);
         client_.closeIdle(now);
         log_.flush();
@@ -402,58 +302,6 @@
     }
 }
 
-void Gateway::checkSuspects(TimePoint now)
-{
-    const auto configuration = view_.configuration();
-    if (!configuration) {
-        return;
-    }
-    for (const auto &service : configuration->services_) {
-        auto *pool = placement_.pool(service.name_);
-        if (pool == nullptr || !placement_.isCoordinating(service.name_)) {
-            continue;
-        }
-        for (const auto &id : pool->suspects(now)) {
-            const auto *server = view_.server(id);
-            auto &checkedAt = healthCheckedAt_[id];
-            if (server != nullptr && now - checkedAt >= HealthInterval) {
-                checkedAt = now;
-                asio::co_spawn(loop_, checkHealth(service.name_, id, server->address_, service.healthPath_), asio::detached);
-            }
-        }
-    }
-}
-
-Task<void> Gateway::checkHealth(std::string service, std::string server, std::string address, std::string path)
-{
-    ExchangeOptions options;
-    options.timeout_ = HealthTimeout;
-    const auto result = co_await orderClient_.exchange(address, Platform::makeHealthRequest(address, path), options, std::make_shared<ExchangeHandle>());
-    const TimePoint now = bootNow();
-    auto *pool = placement_.pool(service);
-    if (pool == nullptr) {
-        co_return;
-    }
-    Platform::HealthReport report;
-    if (result.outcome_ == ExchangeOutcome::Answered) {
-        report = Platform::readHealth(result.response_);
-    }
-    const bool isHealthy = report.isHealthy_ && report.serverId_ == server;
-    log_.write(LogLine("health-checked")
-                   .add("server", server)
-                   .add("outcome", exchangeOutcomeName(result.outcome_))
-                   .add("healthy", isHealthy)
-                   .addAge("warmupLeftMs", report.warmupLeft_),
-               LogImportance::Kept,
-               now);
-    if (isHealthy) {
-        pool->noteHealth(server, report.warmupLeft_, report.load_, now);
-        placement_.scheduleDecision(service);
-    } else if (result.outcome_ != ExchangeOutcome::Answered) {
-        pool->noteHealthFailure(server, now);
-    }
-}
-
 void Gateway::updateMetrics()
 {
     metrics_.setGauge("goldcrestwall_waiting_requests", {}, static_cast<double>(placement_.waitingCount()));
@@ -520,8 +368,7 @@
     while (!storeLink_.isCurrent(bootNow())) {
         co_await sleepFor(loop_, TickInterval);
     }
-    hasLeft_ = true;
-    refreshDuties(bootNow());
+    duties_.giveUp(bootNow());
     co_await storeLink_.leave();
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,8 +1,8 @@
 // One running instance on the platform.
 #pragma once
 
+#include <LibGateway/DutyManager.h>
 #include <LibGateway/FrontServer.h>
-#include <LibGateway/ShardService.h>
 #include <LibGateway/StatusServer.h>
 
 #include <boost/asio/signal_set.hpp>
@@ -41,16 +41,8 @@
 
     void viewChanged();
     void refreshPeers(TimePoint now);
-    void refreshDuties(TimePoint now);
-    // Whether this instance may act as the granter although its lease is in doubt.
-    bool isConfirmedByPeers(TimePoint now) const;
     Task<void> tick();
     void checkForFreeze(TimePoint now);
-    void runDuties(TimePoint now);
-    void elect(const std::string &service, TimePoint now);
-    Task<void> claim(std::string service);
-    void checkSuspects(TimePoint now);
-    Task<void> checkHealth(std::string service, std::string server, std::string address, std::string path);
     void followPeers(TimePoint now);
     void updateMetrics();
 
@@ -73,19 +65,13 @@
     PeerNetwork network_;
     PlacementService placement_;
     HttpClient client_;
-    HttpClient orderClient_;
+    DutyManager duties_;
     RequestFlow flow_;
     FrontServer front_;
     StatusServer ready_;
     StatusServer metricsServer_;
     asio::signal_set signals_;
-    std::map<std::string, std::shared_ptr<ShardService>> shards_;
-    // Since when a service has no coordinator.
-    std::map<std::string, TimePoint> vacantSince_;
-    std::set<std::string> claiming_;
-    std::map<std::string, TimePoint> healthCheckedAt_;
     bool isStopping_ = false;
-    bool hasLeft_ = false;
     bool hasBeenReady_ = false;
     TimePoint tickedAt_;
     TimePoint viewRequestedAt_;
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -20,49 +20,33 @@
     , self_(std::move(self))
     , log_(log)
     , handlers_(std::move(handlers))
-    , acceptor_(loop)
+    , listener_(loop, [this](Tcp::socket socket) {
+        accept(std::move(socket));
+    })
 {
 }
 
 std::error_code PeerNetwork::listen(const std::string &address)
 {
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
-        return make_error_code(RouterError::InvalidSetting);
-    }
-    if (listenOn(acceptor_, *endpoint)) {
-        return make_error_code(RouterError::InvalidSetting);
-    }
-    asio::co_spawn(loop_, accept(), asio::detached);
-    return {};
+    return listener_.listen(address);
 }
 
-Task<void> PeerNetwork::accept()
+void PeerNetwork::accept(Tcp::socket socket)
 {
-    while (!isStopped_) {
-        ErrorCode error;
-        Tcp::socket socket = co_await acceptor_.async_accept(failingInto(error));
-        if (error) {
-            co_await sleepFor(loop_, 10ms);
-            continue;
-        }
-        PeerLink::Handlers handlers;
-        handlers.message_ = handlers_.incoming_;
-        handlers.closed_ = [this](const std::shared_ptr<PeerLink> &link) {
-            incoming_.erase(link);
-            handlers_.incomingClosed_(link);
-        };
-        auto link = std::make_shared<PeerLink>(loop_, std::move(socket), std::move(handlers));
-        incoming_.insert(link);
-        link->start();
-    }
+    PeerLink::Handlers handlers;
+    handlers.message_ = handlers_.incoming_;
+    handlers.closed_ = [this](const std::shared_ptr<PeerLink> &link) {
+        incoming_.erase(link);
+        handlers_.incomingClosed_(link);
+    };
+    auto link = std::make_shared<PeerLink>(loop_, std::move(socket), std::move(handlers));
+    incoming_.insert(link);
+    link->start();
 }
 
 void PeerNetwork::stop()
 {
-    isStopped_ = true;
-    ErrorCode error;
-    acceptor_.close(error);
+    listener_.close();
 }
 
 void PeerNetwork::setNeeded(std::set<std::string> addresses, TimePoint now)
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -52,17 +52,16 @@
         TimePoint pingedAt_;
     };
 
-    Task<void> accept();
+    void accept(Tcp::socket socket);
     Task<void> connect(std::string address);
 
     asio::io_context &loop_;
     HelloMessage self_;
     EventLog &log_;
     Handlers handlers_;
-    Tcp::acceptor acceptor_;
+    Listener listener_;
     std::map<std::string, Outgoing> outgoing_;
     std::set<std::shared_ptr<PeerLink>> incoming_;
-    bool isStopped_ = false;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -27,11 +27,6 @@
 constexpr Duration StartupRetryAfter = 300ms;
 constexpr Duration MisdirectedDelay = 30ms;
 
-Duration scale(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 std::string pathOf(const HttpRequest &request)
 {
     const auto target = request.target();
@@ -173,7 +168,7 @@
     progress.deadline_ = progress.arrivedAt_ + std::min(route.timeout_, progress.terms_.patience_.value_or(route.timeout_));
     const Duration age = estimateAge(route.name_, progress.terms_.patience_);
     progress.isReturn_ = age > MinReturnAge;
-    progress.aimAt_ = progress.arrivedAt_ + scale(route.aim_, AimPart) - age;
+    progress.aimAt_ = progress.arrivedAt_ + scaled(route.aim_, AimPart) - age;
     progress.service_ = rotations_[route.name_].next(route.services_);
     return std::nullopt;
 }
@@ -206,7 +201,7 @@
         ask.priority_ = progress.route_->priority_;
         ask.aimAt_ = progress.aimAt_;
         ask.deadline_ = progress.deadline_;
-        ask.assumedWork_ = scale(progress.route_->aim_, AssumedWorkPart);
+        ask.assumedWork_ = scaled(progress.route_->aim_, AssumedWorkPart);
         ask.attempt_ = progress.nextAttempt_;
         ask.isReturn_ = progress.isReturn_;
         ask.key_ = progress.terms_.key_;
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -185,17 +185,22 @@
     }
 }
 
-Task<void> ShardService::sendGrant(GrantCall call)
+Task<ExchangeResult> ShardService::sendOrder(std::string address, HttpRequest request, Duration timeout)
 {
-    const TimePoint sentAt = bootNow();
-    const std::string address = addressOf(call.holder_.server_);
     ExchangeOptions options;
     options.connectTimeout_ = OrderConnectTimeout;
-    options.timeout_ = GrantTimeout;
-    ExchangeResult result;
-    if (!address.empty() && mayGrant_) {
-        result = co_await client_.exchange(address, Platform::makeGrantRequest(address, call), options, std::make_shared<ExchangeHandle>());
+    options.timeout_ = timeout;
+    if (address.empty() || !mayGrant_) {
+        co_return ExchangeResult();
     }
+    co_return co_await client_.exchange(address, request, options, std::make_shared<ExchangeHandle>());
+}
+
+Task<void> ShardService::sendGrant(GrantCall call)
+{
+    const TimePoint sentAt = bootNow();
+    const std::string address = addressOf(call.holder_.server_);
+    const auto result = co_await sendOrder(address, Platform::makeGrantRequest(address, call), GrantTimeout);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readOrderOutcome(result);
     if (outcome != OrderOutcome::Accepted) {
@@ -221,13 +226,7 @@
 Task<void> ShardService::sendRelease(ReleaseCall call)
 {
     const std::string address = addressOf(call.holder_.server_);
-    ExchangeOptions options;
-    options.connectTimeout_ = OrderConnectTimeout;
-    options.timeout_ = ReleaseTimeout;
-    ExchangeResult result;
-    if (!address.empty() && mayGrant_) {
-        result = co_await client_.exchange(address, Platform::makeReleaseRequest(address, call), options, std::make_shared<ExchangeHandle>());
-    }
+    const auto result = co_await sendOrder(address, Platform::makeReleaseRequest(address, call), ReleaseTimeout);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readOrderOutcome(result);
     const std::string handover = outcome == OrderOutcome::Accepted ? Platform::readHandover(result.response_) : std::string();
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -25,6 +25,8 @@
 
 private:
     Task<void> writeAssignment(ShardAssignment assignment);
+    // An order that may not be sent any more counts as not sent.
+    Task<ExchangeResult> sendOrder(std::string address, HttpRequest request, Duration timeout);
     Task<void> sendGrant(GrantCall call);
     Task<void> sendRelease(ReleaseCall call);
     Task<void> reload();
--- a/Libraries/LibGateway/StatusServer.cpp
+++ b/Libraries/LibGateway/StatusServer.cpp
@@ -11,35 +11,15 @@
 StatusServer::StatusServer(asio::io_context &loop, Handler handler)
     : loop_(loop)
     , handler_(std::move(handler))
-    , acceptor_(loop)
+    , listener_(loop, [this](Tcp::socket socket) {
+        asio::co_spawn(loop_, serve(std::move(socket)), asio::detached);
+    })
 {
 }
 
 std::error_code StatusServer::listen(const std::string &address)
 {
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
-        return make_error_code(RouterError::InvalidSetting);
-    }
-    if (listenOn(acceptor_, *endpoint)) {
-        return make_error_code(RouterError::InvalidSetting);
-    }
-    asio::co_spawn(loop_, accept(), asio::detached);
-    return {};
-}
-
-Task<void> StatusServer::accept()
-{
-    constexpr Duration ErrorPause = 10ms;
-    while (acceptor_.is_open()) {
-        ErrorCode error;
-        Tcp::socket socket = co_await acceptor_.async_accept(failingInto(error));
-        if (error) {
-            co_await sleepFor(loop_, ErrorPause);
-            continue;
-        }
-        asio::co_spawn(loop_, serve(std::move(socket)), asio::detached);
-    }
+    return listener_.listen(address);
 }
 
 Task<void> StatusServer::serve(Tcp::socket socket)
--- a/Libraries/LibGateway/StatusServer.h
+++ b/Libraries/LibGateway/StatusServer.h
@@ -19,12 +19,11 @@
     std::error_code listen(const std::string &address);
 
 private:
-    Task<void> accept();
     Task<void> serve(Tcp::socket socket);
 
     asio::io_context &loop_;
     Handler handler_;
-    Tcp::acceptor acceptor_;
+    Listener listener_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibHttp/Asio.cpp
+++ b/Libraries/LibHttp/Asio.cpp
@@ -52,22 +52,6 @@
     setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
 }
 
-ErrorCode listenOn(Tcp::acceptor &acceptor, const Tcp::endpoint &endpoint)
-{
-    ErrorCode error;
-    acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    return error;
-}
-
 Task<void> sleepFor(asio::io_context &loop, Duration duration)
 {
     asio::steady_timer timer(loop, std::chrono::microseconds(duration));
--- a/Libraries/LibHttp/Asio.h
+++ b/Libraries/LibHttp/Asio.h
@@ -45,9 +45,6 @@
 // Sets the options of every connection: no delay of small writes, and a bound on how long a silent peer goes unnoticed.
 void configureSocket(Tcp::socket &socket);
 
-// Binds and listens; an address in use by a process that has just ended is no obstacle.
-ErrorCode listenOn(Tcp::acceptor &acceptor, const Tcp::endpoint &endpoint);
-
 // Waits on the loop's timer.
 Task<void> sleepFor(asio::io_context &loop, Duration duration);
 
--- a/Libraries/LibHttp/LibHttp.h
+++ b/Libraries/LibHttp/LibHttp.h
@@ -3,3 +3,4 @@
 
 #include <LibHttp/Asio.h>
 #include <LibHttp/HttpClient.h>
+#include <LibHttp/Listener.h>
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -44,11 +44,6 @@
 // Part of the cold rate that an instance uses while it decides alone, before it is divided by their number.
 constexpr double AlonePart = 0.5;
 
-Duration scale(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 const char *rejectReasonName(RejectReason reason)
@@ -216,7 +211,7 @@
     }
     if (report.outcome_ == PlaceOutcome::TimedOut || report.outcome_ == PlaceOutcome::Abandoned) {
         // The work takes at least as long as was waited for it; a shorter wait says nothing.
-        const Duration expected = scale(estimator_.usualWork(workKind, report.duration_), server.speed_.factor(now));
+        const Duration expected = scaled(estimator_.usualWork(workKind, report.duration_), server.speed_.factor(now));
         if (report.duration_ > expected) {
             estimator_.learn(workKind, server.speed_, report.duration_, now);
         }
@@ -320,7 +315,7 @@
 Duration ServicePool::expectedWork(const PlaceRequest &request, const PoolServer &server, TimePoint now) const
 {
     const double cold = isCold(server, now) && service_.warmup_ > Duration::zero() ? ColdSlowness : 1;
-    return scale(usualWork(request), server.speed_.factor(now) * cold);
+    return scaled(usualWork(request), server.speed_.factor(now) * cold);
 }
 
 std::vector<ServicePool::Outlook> ServicePool::foresee(TimePoint now)
@@ -338,7 +333,7 @@
         outlook.server_ = &server;
         for (const auto &running : server.running_) {
             const TimePoint expected = running.startedAt_ + running.expected_;
-            outlook.slots_.push_back(expected > now ? expected : now + scale(running.expected_, OverduePart));
+            outlook.slots_.push_back(expected > now ? expected : now + scaled(running.expected_, OverduePart));
         }
         if (scope_ == PoolScope::Alone && now - server.foreignAt_ < ForeignLifetime) {
             outlook.slots_.insert(outlook.slots_.end(), server.foreign_, server.foreignAt_ + ForeignLifetime);
@@ -381,7 +376,7 @@
     const auto rank = [this, now, meanFactor](const PlaceRequest &request) {
         const auto *holder = holderOf(request);
         const double factor = holder == nullptr ? meanFactor : holder->speed_.factor(now);
-        const bool isLate = now + scale(usualWork(request), InTimePart * factor) > request.aimAt_;
+        const bool isLate = now + scaled(usualWork(request), InTimePart * factor) > request.aimAt_;
         return std::make_tuple(isLate, request.priority_, !request.isReturn_, request.aimAt_);
     };
     std::ranges::sort(waiting_, [&rank](const PlaceRequest &left, const PlaceRequest &right) {
@@ -422,8 +417,8 @@
         choice.endAt_ = choice.startAt_ + expectedWork(request, server, now);
         const double age = std::chrono::duration<double>(now - server.failedAt_).count();
         const bool isNear = request.domain_.empty() || request.domain_ == server.input_.description_.domain_;
-        const Duration distance = isNear ? Duration::zero() : scale(usualWork(request), DistancePart);
-        choice.cost_ = choice.endAt_ + distance + scale(FailurePenalty, server.failureShare_ * std::exp2(-age / FailureHalfLifeSeconds));
+        const Duration distance = isNear ? Duration::zero() : scaled(usualWork(request), DistancePart);
+        choice.cost_ = choice.endAt_ + distance + scaled(FailurePenalty, server.failureShare_ * std::exp2(-age / FailureHalfLifeSeconds));
         const bool isAvoided = std::ranges::find(request.avoid_, id) != request.avoid_.end();
         if (!best || std::make_pair(isAvoided, choice.cost_) < std::make_pair(isBestAvoided, best->cost_)) {
             best = choice;
@@ -494,7 +489,7 @@
             continue;
         }
         const Duration work = choice->endAt_ - choice->startAt_;
-        if (choice->endAt_ - scale(work, OptimismPart) > request.deadline_) {
+        if (choice->endAt_ - scaled(work, OptimismPart) > request.deadline_) {
             const Duration wait = std::clamp(choice->startAt_ - now, MinRetryAfter, MaxRetryAfter);
             decisions.rejected_.push_back({request.id_, RejectReason::Overload, wait + jitter(wait / 2)});
             continue;
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -472,9 +472,11 @@
         std::vector<std::vector<TimePoint>> freeAt(ServerCount, std::vector<TimePoint>(Slots, at(0)));
         std::vector<std::vector<TimePoint>> ends(ServerCount);
         int inAim = 0;
-        for (const auto &[now, work] : arrivals()) {
+        for (const auto &arrival : arrivals()) {
+            const TimePoint now = arrival.first;
+            const Duration work = arrival.second;
             const auto load = [&](std::size_t server) {
-                return std::ranges::count_if(ends[server], [now = now](TimePoint end) {
+                return std::ranges::count_if(ends[server], [now](TimePoint end) {
                     return end > now;
                 });
             };
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -64,7 +64,7 @@
 class Load
 {
 public:
-    Load(Deployment &deployment, std::vector<std::size_t> instances)
+    Load(Deployment &deployment, const std::vector<std::size_t> &instances)
     {
         for (const auto instance : instances) {
             for (int kind = 0; kind < 3; ++kind) {
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -13,7 +13,7 @@
 T await(boost::asio::io_context &loop, Gateway::Task<T> task)
 {
     std::optional<T> result;
-    boost::asio::co_spawn(loop, std::move(task), [&result](std::exception_ptr error, T value) {
+    boost::asio::co_spawn(loop, std::move(task), [&result](const std::exception_ptr &error, T value) {
         CPPUNIT_ASSERT(!error);
         result = std::move(value);
     });
