LibPlacement: Keep holds within the longest that servers grant

Cause: grants asked for 3.2 s whatever the settings said; where servers grant less, they refused each one, and a sharded service had no holder at all. Found by reading: the setting was read and not used. Ruled out: an effect on the two sites, whose bound of 10 s leaves the terms as they were.

--- a/Libraries/LibGateway/DutyManager.cpp
+++ b/Libraries/LibGateway/DutyManager.cpp
@@ -13,6 +13,7 @@
 
 DutyManager::DutyManager(asio::io_context &loop,
                          MemberEntry self,
+                         GrantTerms grantTerms,
                          const StoreView &view,
                          Platform::PlatformStore &store,
                          const StoreLink &storeLink,
@@ -21,6 +22,7 @@
                          EventLog &log)
     : loop_(loop)
     , self_(std::move(self))
+    , grantTerms_(grantTerms)
     , view_(view)
     , store_(store)
     , storeLink_(storeLink)
@@ -68,7 +70,7 @@
     for (const auto &service : coordinated) {
         const auto *description = configuration->service(service);
         if (description->isSharded_ && !shards_.contains(service)) {
-            shards_[service] = std::make_shared<ShardService>(loop_, service, view_, store_, client_, placement_, log_);
+            shards_[service] = std::make_shared<ShardService>(loop_, service, grantTerms_, view_, store_, client_, placement_, log_);
         }
     }
     placement_.setCoordinated(std::move(coordinated), now);
--- a/Libraries/LibGateway/DutyManager.h
+++ b/Libraries/LibGateway/DutyManager.h
@@ -11,6 +11,7 @@
 public:
     DutyManager(asio::io_context &loop,
                 MemberEntry self,
+                GrantTerms grantTerms,
                 const StoreView &view,
                 Platform::PlatformStore &store,
                 const StoreLink &storeLink,
@@ -35,6 +36,7 @@
 
     asio::io_context &loop_;
     MemberEntry self_;
+    GrantTerms grantTerms_;
     const StoreView &view_;
     Platform::PlatformStore &store_;
     const StoreLink &storeLink_;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -81,7 +81,7 @@
     , network_(loop_, HelloMessage{self_.name_, self_.incarnation_, settings_.domain_}, log_, makePeerHandlers())
     , placement_(loop_, self_.name_, settings_.domain_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, log_)
     , client_(loop_)
-    , duties_(loop_, self_, view_, store_, storeLink_, network_, placement_, log_)
+    , duties_(loop_, self_, GrantTerms::within(settings_.maxHoldTime_), view_, store_, storeLink_, network_, placement_, log_)
     , flow_(loop_, view_, storeLink_, placement_, client_, log_, metrics_)
     , front_(loop_, view_, flow_, log_, metrics_)
     , ready_(loop_,
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -42,6 +42,7 @@
 
 ShardService::ShardService(asio::io_context &loop,
                            std::string service,
+                           GrantTerms terms,
                            const StoreView &view,
                            Platform::PlatformStore &store,
                            HttpClient &client,
@@ -49,6 +50,7 @@
                            EventLog &log)
     : loop_(loop)
     , service_(std::move(service))
+    , terms_(terms)
     , view_(view)
     , store_(store)
     , client_(client)
@@ -70,7 +72,7 @@
 {
     const auto *entry = view_.assignment(service_);
     storedRevision_ = entry == nullptr ? 0 : entry->revision_;
-    granter_.emplace(GrantTerms(), entry == nullptr ? std::nullopt : std::make_optional(entry->assignment_), now);
+    granter_.emplace(terms_, entry == nullptr ? std::nullopt : std::make_optional(entry->assignment_), now);
     log_.write(LogLine("granter-started").add("service", service_).add("assignmentRevision", storedRevision_), LogImportance::Kept, now);
 }
 
@@ -188,7 +190,7 @@
         const auto item = std::ranges::find(page.items_, assignmentKey(service_), &Platform::StoreItem::key_);
         const auto stored = item == page.items_.end() ? std::nullopt : decodeAssignment(item->value_);
         storedRevision_ = item == page.items_.end() ? 0 : item->revision_;
-        granter_.emplace(GrantTerms(), stored, now);
+        granter_.emplace(terms_, stored, now);
         isReloading_ = false;
         log_.write(LogLine("granter-reloaded").add("service", service_).add("assignmentRevision", storedRevision_), LogImportance::Kept, now);
         co_return;
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -12,6 +12,7 @@
 public:
     ShardService(asio::io_context &loop,
                  std::string service,
+                 GrantTerms terms,
                  const StoreView &view,
                  Platform::PlatformStore &store,
                  HttpClient &client,
@@ -36,6 +37,7 @@
 
     asio::io_context &loop_;
     std::string service_;
+    GrantTerms terms_;
     const StoreView &view_;
     Platform::PlatformStore &store_;
     HttpClient &client_;
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -28,6 +28,18 @@
 
 } // namespace
 
+GrantTerms GrantTerms::within(Duration maxHoldTime)
+{
+    GrantTerms terms;
+    if (maxHoldTime < terms.holdTime_) {
+        const double part = std::chrono::duration<double>(maxHoldTime) / terms.holdTime_;
+        terms.holdTime_ = maxHoldTime;
+        terms.renewInterval_ = scaled(terms.renewInterval_, part);
+        terms.retryInterval_ = scaled(terms.retryInterval_, part);
+    }
+    return terms;
+}
+
 ShardGranter::ShardGranter(GrantTerms terms, const std::optional<ShardAssignment> &stored, TimePoint now)
     : terms_(terms)
     , assignment_(stored.value_or(ShardAssignment()))
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -16,6 +16,9 @@
     Duration renewInterval_ = 800ms;
     Duration retryInterval_ = 300ms;
 
+    // The usual terms, shortened in proportion where servers grant no such hold.
+    static GrantTerms within(Duration maxHoldTime);
+
     auto operator<=>(const GrantTerms &) const = default;
 };
 
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -235,6 +235,12 @@
     hold.last_ = order.at("to").get<std::uint32_t>();
     hold.token_ = order.at("fence").get<std::uint64_t>();
     hold.until_ = arrivedAt + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(order.at("holdS").get<double>()));
+    if (hold.until_ - arrivedAt > behaviour_.maxHoldTime_) {
+        response.setStatus(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+        response.setContentLength(0);
+        response.send();
+        return;
+    }
     bool isLate = false;
     {
         const std::lock_guard lock(mutex_);
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -20,6 +20,8 @@
     double coldRate_ = 0;
     Duration coldTime_ = Duration::zero();
     bool isSharded_ = false;
+    // Grants for a longer time are refused.
+    Duration maxHoldTime_ = 10s;
 
     auto operator<=>(const PlatformServerBehaviour &) const = default;
 };
--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(successorRaisesAllTokensAndWaitsForEarlierGrants);
     CPPUNIT_TEST(refusedGrantIsNotRepeated);
     CPPUNIT_TEST(serverThatStartedAnewGetsANewToken);
+    CPPUNIT_TEST(termsFollowTheLongestHold);
     CPPUNIT_TEST(renewalsKeepKeysHeld);
     CPPUNIT_TEST(hotKeysAreSpread);
     CPPUNIT_TEST(calmKeysStay);
@@ -246,6 +247,14 @@
         CPPUNIT_ASSERT(next->ranges_[1].holder_.token_ >= before.nextToken_);
     }
 
+    void termsFollowTheLongestHold()
+    {
+        CPPUNIT_ASSERT(GrantTerms::within(10s) == GrantTerms());
+        const auto terms = GrantTerms::within(1s);
+        CPPUNIT_ASSERT(terms.holdTime_ == 1s);
+        CPPUNIT_ASSERT(terms.renewInterval_ * 3 < terms.holdTime_);
+    }
+
     void renewalsKeepKeysHeld()
     {
         KeyLoad load;
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -58,8 +58,12 @@
 
 } // namespace
 
-RouterProcess::RouterProcess(
-    std::string name, std::string domain, const std::string &storeAddress, const std::filesystem::path &folder, std::vector<std::string> seeds)
+RouterProcess::RouterProcess(std::string name,
+                             std::string domain,
+                             const std::string &storeAddress,
+                             const std::filesystem::path &folder,
+                             std::vector<std::string> seeds,
+                             Duration maxHoldTime)
     : name_(std::move(name))
     , domain_(std::move(domain))
     , settingsPath_(folder / (name_ + ".toml"))
@@ -70,6 +74,7 @@
     , metricsPort_(findFreePort())
     , storeAddress_(storeAddress)
     , seeds_(std::move(seeds))
+    , maxHoldTime_(maxHoldTime)
 {
 }
 
@@ -94,8 +99,8 @@
         settings << '"' << seed << "\",";
     }
     settings << "]\n[listen]\nfront = \"" << loopback(callerPort_) << "\"\nready = \"" << loopback(readyPort_) << "\"\ncontrol = \"" << peerAddress()
-             << "\"\n[parameters]\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 60\n[platform]\naddress = \"" << storeAddress_
-             << "\"\n";
+             << "\"\n[parameters]\nholdMaxS = " << std::chrono::duration<double>(maxHoldTime_).count()
+             << "\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 60\n[platform]\naddress = \"" << storeAddress_ << "\"\n";
     settings.close();
     const std::string settingsFlag = "--settings=" + settingsPath_.string();
     const std::string portFlag = "--metrics-port=" + std::to_string(metricsPort_);
@@ -153,7 +158,7 @@
     return lines;
 }
 
-Deployment::Deployment(std::size_t instances)
+Deployment::Deployment(std::size_t instances, Duration maxHoldTime)
 {
     std::string name = (std::filesystem::temp_directory_path() / "goldcrestwall-XXXXXX").string();
     folder_ = ::mkdtemp(name.data());
@@ -165,6 +170,7 @@
         plain_.push_back(std::make_unique<PlatformServerStandIn>("p-" + std::to_string(i), behaviour, store_, witness_));
         behaviour.service_ = "sharded";
         behaviour.isSharded_ = true;
+        behaviour.maxHoldTime_ = maxHoldTime;
         sharded_.push_back(std::make_unique<PlatformServerStandIn>("s-" + std::to_string(i), behaviour, store_, witness_));
     }
     std::vector<PlatformServerStandIn *> siblings;
@@ -181,7 +187,7 @@
     }
     std::vector<std::string> seeds;
     for (std::size_t i = 0; i < instances; ++i) {
-        instances_.push_back(std::make_unique<RouterProcess>("edge-" + std::to_string(i), domains[i % 2], store_.address(), folder_, seeds));
+        instances_.push_back(std::make_unique<RouterProcess>("edge-" + std::to_string(i), domains[i % 2], store_.address(), folder_, seeds, maxHoldTime));
         seeds.push_back(instances_.back()->peerAddress());
     }
     for (const auto &instance : instances_) {
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -41,7 +41,12 @@
 class RouterProcess
 {
 public:
-    RouterProcess(std::string name, std::string domain, const std::string &storeAddress, const std::filesystem::path &folder, std::vector<std::string> seeds);
+    RouterProcess(std::string name,
+                  std::string domain,
+                  const std::string &storeAddress,
+                  const std::filesystem::path &folder,
+                  std::vector<std::string> seeds,
+                  Duration maxHoldTime = 10s);
     ~RouterProcess();
     RouterProcess(const RouterProcess &) = delete;
     RouterProcess &operator=(const RouterProcess &) = delete;
@@ -79,6 +84,7 @@
     std::uint16_t metricsPort_ = 0;
     std::string storeAddress_;
     std::vector<std::string> seeds_;
+    Duration maxHoldTime_;
     int pid_ = -1;
 };
 
@@ -86,7 +92,8 @@
 class Deployment
 {
 public:
-    explicit Deployment(std::size_t instances);
+    // Servers refuse grants for longer than `maxHoldTime`, which the settings name.
+    explicit Deployment(std::size_t instances, Duration maxHoldTime = 10s);
     ~Deployment();
 
     PlatformStoreStandIn &store()
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -149,6 +149,7 @@
 {
     CPPUNIT_TEST_SUITE(TestOnPlatform);
     CPPUNIT_TEST(everyInstanceServesEverything);
+    CPPUNIT_TEST(holdsStayWithinTheBoundOfTheSettings);
     CPPUNIT_TEST(requestsArriveUnchanged);
     CPPUNIT_TEST(unreadableRequestsAreAnsweredAndNotRun);
     CPPUNIT_TEST(serversFaultsAreToldTruthfully);
@@ -183,6 +184,12 @@
         checkNoViolations(deployment);
     }
 
+    void holdsStayWithinTheBoundOfTheSettings()
+    {
+        Deployment deployment(1, 1500ms);
+        CPPUNIT_ASSERT(deployment.awaitService());
+    }
+
     void requestsArriveUnchanged()
     {
         Deployment deployment(1);
