LibHttp: Discard what is unsent when an exchange times out

A renewal written at 14.7 s was held up by a partition; the exchange timed out, and the stream's own time-out closed the connection the usual way, so that the bytes were sent again when the partition was over, at 21.0 s, when another server had had the key with a higher token. Ruled out: a second granter (none was at work), a late write in the store, an order repeated after the move (none in the log). Change: connections to servers, the store and other instances discard unsent bytes at every end, time-outs included; only clean ends of idle connections are orderly. Test: TestHttpClient::timedOutExchangeIsReset fails without the change (seen).

--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -26,6 +26,7 @@
     , heardAt_(bootNow())
 {
     configureSocket(socket_);
+    discardOnClose(socket_);
 }
 
 void PeerLink::start()
@@ -93,6 +94,16 @@
     close();
 }
 
+void PeerLink::notePong(const PongMessage &pong)
+{
+    hasStore_ = pong.hasStore_;
+    revision_ = pong.revision_;
+    if (pong.pingSentAt_ != 0 && pong.viewAge_ >= 0) {
+        // Counted from the sending of the ping: the answer may have been held up on its way.
+        confirmedAt_ = std::max(confirmedAt_, TimePoint(Duration(pong.pingSentAt_ - pong.viewAge_)));
+    }
+}
+
 bool PeerLink::takeFrames()
 {
     std::size_t position = 0;
@@ -112,8 +123,7 @@
             return false;
         }
         if (const auto *pong = std::get_if<PongMessage>(&*message)) {
-            hasStore_ = pong->hasStore_;
-            revision_ = pong->revision_;
+            notePong(*pong);
         }
         handlers_.message_(shared_from_this(), std::move(*message));
     }
--- a/Libraries/LibHttp/Asio.cpp
+++ b/Libraries/LibHttp/Asio.cpp
@@ -52,6 +52,12 @@
     setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
 }
 
+void discardOnClose(Tcp::socket &socket)
+{
+    ErrorCode error;
+    socket.set_option(asio::socket_base::linger(true, 0), error);
+}
+
 Task<void> sleepFor(asio::io_context &loop, Duration duration)
 {
     asio::steady_timer timer(loop, std::chrono::microseconds(duration));
--- a/Libraries/LibHttp/Asio.h
+++ b/Libraries/LibHttp/Asio.h
@@ -44,6 +44,9 @@
 
 // Sets the options of every connection: no delay of small writes, and a bound on how long a silent peer goes unnoticed.
 void configureSocket(Tcp::socket &socket);
+// Makes every end of the connection discard what has not been sent yet, also one by a timeout: bytes that a partition holds up must
+// not arrive after their sender has given up.
+void discardOnClose(Tcp::socket &socket);
 
 // Waits on the loop's timer.
 Task<void> sleepFor(asio::io_context &loop, Duration duration);
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -15,17 +15,18 @@
 constexpr std::size_t MaxIdlePerAddress = 8;
 constexpr unsigned LowestFinalStatus = 200;
 
+// Ends a connection on which nothing is under way.
 void closeStream(beast::tcp_stream &stream)
 {
     ErrorCode error;
+    stream.socket().set_option(asio::socket_base::linger(false, 0), error);
     stream.socket().close(error);
 }
 
-// Discards what has not been sent yet, so that nothing held up on the way arrives later.
+// Ends a connection and discards what has not been sent yet.
 void resetStream(beast::tcp_stream &stream)
 {
     ErrorCode error;
-    stream.socket().set_option(asio::socket_base::linger(true, 0), error);
     stream.socket().close(error);
 }
 
@@ -141,6 +142,7 @@
     }
     ++connectionCount_;
     configureSocket(stream->socket());
+    discardOnClose(stream->socket());
     co_return stream;
 }
 
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -115,9 +115,41 @@
     CPPUNIT_TEST(idleConnectionIsNotUsedBeyondItsTime);
     CPPUNIT_TEST(unreachableServerWasNotSentAnything);
     CPPUNIT_TEST(cancelledExchangeEnds);
+    CPPUNIT_TEST(timedOutExchangeIsReset);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // What a partition holds up after the timeout must not reach the server once the partition is over: only a reset discards it.
+    void timedOutExchangeIsReset()
+    {
+        asio::io_context loop;
+        Tcp::acceptor acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        ErrorCode end;
+        asio::co_spawn(
+            loop,
+            [&]() -> Task<void> {
+                auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+                beast::flat_buffer buffer;
+                HttpRequest request;
+                co_await http::async_read(socket, buffer, request, asio::use_awaitable);
+                char byte = 0;
+                co_await socket.async_read_some(asio::buffer(&byte, 1), failingInto(end));
+            },
+            asio::detached);
+        HttpClient client(loop);
+        ExchangeResult result;
+        asio::co_spawn(
+            loop,
+            [&]() -> Task<void> {
+                const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+                result = co_await client.exchange(address, makeRequest(), makeOptions(30ms), std::make_shared<ExchangeHandle>());
+            },
+            asio::detached);
+        loop.run();
+        CPPUNIT_ASSERT(result.outcome_ == ExchangeOutcome::Lost);
+        CPPUNIT_ASSERT(end == asio::error::connection_reset);
+    }
+
     // Makes exchanges one after another.
     std::vector<ExchangeResult> play(std::vector<Script> scripts, int count, ExchangeOptions options = makeOptions())
     {
