LibGateway: Let one instance of each failure domain watch the store for the others

Ruled out: a longer pause between watches, which delays changes for coordinators as well. Change: coordinators and one instance of each failure domain watch; the others hear of changes from these, from two at least, and read and watch themselves when none has confirmed the view for 1.3 s. Instances with more processor time come first for duties, and services spread over instances. A placed message names its service.

--- a/Libraries/LibGateway/DutyManager.cpp
+++ b/Libraries/LibGateway/DutyManager.cpp
@@ -109,12 +109,12 @@
         return;
     }
     const auto [vacant, isNew] = vacantSince_.try_emplace(service, now);
-    std::vector<std::string> names;
-    for (const auto &[name, member] : view_.members()) {
-        names.push_back(name);
+    auto instances = view_.instances();
+    if (const auto own = std::ranges::find(instances, self_.name_, &InstanceProfile::name_); own != instances.end()) {
+        own->duties_ += static_cast<std::uint32_t>(claiming_.size());
     }
     // The coordinator so far knows all that a successor would have to learn.
-    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + leaderRank(service, self_.name_, names);
+    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + coordinatorRank(service, self_.name_, instances);
     if (claiming_.contains(service) || now - vacant->second < RankDelay * static_cast<Duration::rep>(rank)) {
         return;
     }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -13,7 +13,6 @@
 constexpr Duration TickInterval = 50ms;
 // A longer gap between two ticks means that the process stood still.
 constexpr Duration FreezeGap = 600ms;
-constexpr Duration ViewRequestInterval = 250ms;
 constexpr Duration SettingsInterval = 1s;
 // The platform stops sending new callers within this time after the instance has said that it is not ready.
 constexpr Duration RotationTime = 3s;
@@ -60,7 +59,7 @@
 Gateway::Gateway(GatewayOptions options, Platform::InstanceSettings settings)
     : options_(std::move(options))
     , settings_(std::move(settings))
-    , self_{settings_.name_, makeIncarnation(), settings_.peerAddress_}
+    , self_{settings_.name_, makeIncarnation(), settings_.peerAddress_, settings_.domain_, settings_.processorMilli_}
     , loop_(1)
     , log_(settings_.name_)
     , view_([this](const std::string &key, const std::string &reason) {
@@ -79,6 +78,7 @@
                       duties_.refresh(bootNow());
                   }})
     , network_(loop_, HelloMessage{self_.name_, self_.incarnation_, settings_.domain_}, log_, makePeerHandlers())
+    , relay_(self_.name_, settings_.domain_, view_, storeLink_, network_, log_)
     , placement_(loop_, self_.name_, settings_.domain_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, log_)
     , client_(loop_)
     , duties_(loop_, self_, GrantTerms::within(settings_.maxHoldTime_), view_, store_, storeLink_, network_, placement_, log_)
@@ -143,9 +143,6 @@
     handlers.opened_ = [this](const std::string &address, const std::shared_ptr<PeerLink> &link) {
         placement_.reportHeld(address, link);
     };
-    handlers.revision_ = [this] {
-        return view_.at();
-    };
     return handlers;
 }
 
@@ -162,18 +159,19 @@
         placement_.handleFinish(link, *finish, now);
     } else if (const auto *held = std::get_if<HeldMessage>(&message)) {
         placement_.handleHeld(link, *held, now);
-    } else if (std::holds_alternative<PingMessage>(message)) {
-        link->send(PongMessage{view_.at(), storeLink_.isCurrent(now)});
+    } else if (const auto *ping = std::get_if<PingMessage>(&message)) {
+        relay_.handlePing(link, *ping, now);
     } else if (const auto *request = std::get_if<ViewRequestMessage>(&message)) {
-        if (view_.at() > request->revision_) {
-            link->send(toMessage(view_.changesSince(request->revision_)));
-        }
+        relay_.handleRequest(link, *request);
     }
 }
 
 void Gateway::handleOutgoing(const std::shared_ptr<PeerLink> &link, PeerMessage message)
 {
-    if (const auto *queued = std::get_if<QueuedMessage>(&message)) {
+    const TimePoint now = bootNow();
+    if (const auto *hello = std::get_if<HelloMessage>(&message)) {
+        link->setInstance(hello->instance_, hello->domain_);
+    } else if (const auto *queued = std::get_if<QueuedMessage>(&message)) {
         placement_.handleQueued(*queued);
     } else if (const auto *declined = std::get_if<DeclinedMessage>(&message)) {
         placement_.handleDeclined(*declined);
@@ -181,11 +179,12 @@
         placement_.handlePlaced(link, *placed);
     } else if (const auto *rejected = std::get_if<RejectedMessage>(&message)) {
         placement_.handleRejected(*rejected);
+    } else if (std::holds_alternative<PongMessage>(message)) {
+        relay_.handlePong(link, now);
     } else if (auto *update = std::get_if<ViewUpdateMessage>(&message)) {
-        const TimePoint now = bootNow();
-        log_.write(LogLine("view-from-peer").add("peer", link->address()).add("revision", update->at_).add("known", view_.at()), LogImportance::Kept, now);
-        view_.apply(toViewUpdate(std::move(*update)), now);
-        viewChanged();
+        if (relay_.handleUpdate(link, std::move(*update), now)) {
+            viewChanged();
+        }
     }
 }
 
@@ -223,36 +222,13 @@
                    LogImportance::Kept,
                    now);
     }
+    relay_.announce(now);
     duties_.refresh(now);
     placement_.refresh(now);
-    refreshPeers(now);
+    relay_.refresh(settings_.seeds_, now);
     duties_.run(isStopping_, now);
 }
 
-void Gateway::refreshPeers(TimePoint now)
-{
-    std::set<std::string> addresses;
-    const auto configuration = view_.configuration();
-    if (configuration && storeLink_.isCurrent(now)) {
-        for (const auto &service : configuration->services_) {
-            const auto *leader = view_.leader(service.name_);
-            if (leader != nullptr && leader->member_.name_ != self_.name_) {
-                addresses.insert(leader->member_.peerAddress_);
-            }
-        }
-    } else {
-        // Without the store every instance that can be reached may have newer content.
-        for (const auto &[name, member] : view_.members()) {
-            if (name != self_.name_) {
-                addresses.insert(member.peerAddress_);
-            }
-        }
-        addresses.insert(settings_.seeds_.begin(), settings_.seeds_.end());
-        addresses.erase(settings_.peerAddress_);
-    }
-    network_.setNeeded(std::move(addresses), now);
-}
-
 void Gateway::checkForFreeze(TimePoint now)
 {
     const Duration gap = now - tickedAt_;
@@ -273,8 +249,8 @@
         if (view_.dropLapsed(now)) {
             viewChanged();
         }
-        refreshPeers(now);
-        followPeers(now);
+        relay_.refresh(settings_.seeds_, now);
+        relay_.follow(now);
         duties_.run(isStopping_, now);
         checkSettingsFile(now);
         client_.closeIdle(now);
@@ -282,23 +258,6 @@
     }
 }
 
-void Gateway::followPeers(TimePoint now)
-{
-    const auto links = network_.openLinks(now);
-    for (const auto &link : links) {
-        storeLink_.expectRevision(link->revision(), now);
-    }
-    if (now - viewRequestedAt_ < ViewRequestInterval) {
-        return;
-    }
-    for (const auto &link : links) {
-        if (link->revision() > view_.at() || !storeLink_.isCurrent(now)) {
-            viewRequestedAt_ = now;
-            link->send(ViewRequestMessage{view_.at()});
-        }
-    }
-}
-
 void Gateway::updateMetrics()
 {
     metrics_.setGauge("goldcrestwall_waiting_requests", {}, static_cast<double>(placement_.waitingCount()));
@@ -356,7 +315,7 @@
     log_.write(LogLine("settings-reloaded").add("cause", cause).add("changed", isChanged).add("needsRestart", needsRestart), LogImportance::Kept, now);
     settings_ = reading.settings_;
     store_.setAddress(settings_.storeAddress_);
-    refreshPeers(now);
+    relay_.refresh(settings_.seeds_, now);
 }
 
 Task<void> Gateway::leave()
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -4,6 +4,7 @@
 #include <LibGateway/DutyManager.h>
 #include <LibGateway/FrontServer.h>
 #include <LibGateway/StatusServer.h>
+#include <LibGateway/ViewRelay.h>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -40,10 +41,8 @@
     bool isReady(TimePoint now) const;
 
     void viewChanged();
-    void refreshPeers(TimePoint now);
     Task<void> tick();
     void checkForFreeze(TimePoint now);
-    void followPeers(TimePoint now);
     void updateMetrics();
 
     Task<void> awaitSignals();
@@ -63,6 +62,7 @@
     Platform::PlatformStore store_;
     StoreLink storeLink_;
     PeerNetwork network_;
+    ViewRelay relay_;
     PlacementService placement_;
     HttpClient client_;
     DutyManager duties_;
@@ -74,7 +74,6 @@
     bool isStopping_ = false;
     bool hasBeenReady_ = false;
     TimePoint tickedAt_;
-    TimePoint viewRequestedAt_;
     TimePoint settingsCheckedAt_;
     std::int64_t settingsChangedAt_ = 0;
     std::uint64_t configurationVersion_ = 0;
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -59,18 +59,26 @@
     {
         address_ = std::move(address);
     }
+    // Whether the other end said last that its view of the store is current.
     bool hasStore() const
     {
         return hasStore_;
     }
+    // The revision that it knew then.
     Platform::Revision revision() const
     {
         return revision_;
     }
+    // Until when its view surely held everything: when the store confirmed it last, by this instance's clock.
+    TimePoint confirmedAt() const
+    {
+        return confirmedAt_;
+    }
 
 private:
     Task<void> receive();
     Task<void> transmit();
+    void notePong(const PongMessage &pong);
     bool takeFrames();
 
     asio::io_context &loop_;
@@ -86,6 +94,7 @@
     bool isTransmitting_ = false;
     bool hasStore_ = false;
     Platform::Revision revision_ = 0;
+    TimePoint confirmedAt_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -51,11 +51,12 @@
 
 struct PlacedMessage
 {
+    std::string service_;
     std::uint64_t number_ = 0;
     std::string server_;
     std::string address_;
 
-    MSGPACK_DEFINE(number_, server_, address_)
+    MSGPACK_DEFINE(service_, number_, server_, address_)
 };
 
 struct RejectedMessage
@@ -106,18 +107,24 @@
 // Shows that the sender is alive; answered by PongMessage.
 struct PingMessage
 {
-    Platform::Revision revision_ = 0;
+    // The sender's boot clock in microseconds.
+    std::int64_t sentAt_ = 0;
 
-    MSGPACK_DEFINE(revision_)
+    MSGPACK_DEFINE(sentAt_)
 };
 
+// What the sender knows of the store. Answers a ping, and is sent unasked when the view has changed.
 struct PongMessage
 {
     Platform::Revision revision_ = 0;
-    // Whether the sender has heard from the store lately.
+    // Whether the sender's view is current.
     bool hasStore_ = false;
+    // The ping's `sentAt_`; 0 when it answers none.
+    std::int64_t pingSentAt_ = 0;
+    // How long ago, in microseconds, the store last confirmed the sender's view.
+    std::int64_t viewAge_ = 0;
 
-    MSGPACK_DEFINE(revision_, hasStore_)
+    MSGPACK_DEFINE(revision_, hasStore_, pingSentAt_, viewAge_)
 };
 
 // Asks for changes of the store's content since a revision.
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -13,6 +13,11 @@
 // Connections of instances that have gone silent are closed after this time.
 constexpr Duration IncomingTimeout = 3s;
 
+PingMessage makePing(TimePoint now)
+{
+    return {now.time_since_epoch().count()};
+}
+
 } // namespace
 
 PeerNetwork::PeerNetwork(asio::io_context &loop, HelloMessage self, EventLog &log, Handlers handlers)
@@ -42,6 +47,7 @@
     auto link = std::make_shared<PeerLink>(loop_, std::move(socket), std::move(handlers));
     incoming_.insert(link);
     link->start();
+    link->send(self_);
 }
 
 void PeerNetwork::stop()
@@ -86,7 +92,7 @@
             silent.push_back(outgoing.link_);
         } else if (now - outgoing.pingedAt_ >= PingInterval) {
             outgoing.pingedAt_ = now;
-            outgoing.link_->send(PingMessage{handlers_.revision_()});
+            outgoing.link_->send(makePing(now));
         }
     }
     for (const auto &link : incoming_) {
@@ -136,7 +142,7 @@
     found->second.link_ = link;
     link->start();
     link->send(self_);
-    link->send(PingMessage{handlers_.revision_()});
+    link->send(makePing(bootNow()));
     found->second.pingedAt_ = bootNow();
     log_.write(LogLine("peer-connected").add("address", address), LogImportance::Kept, bootNow());
     handlers_.opened_(address, link);
@@ -162,6 +168,15 @@
     return links;
 }
 
+void PeerNetwork::announce(const PeerMessage &message)
+{
+    for (const auto &link : incoming_) {
+        if (link->domain() == self_.domain_) {
+            link->send(message);
+        }
+    }
+}
+
 void PeerNetwork::forgetHearing()
 {
     for (auto &[address, outgoing] : outgoing_) {
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -21,8 +21,6 @@
         // A message over a connection that this instance opened.
         std::function<void(const std::shared_ptr<PeerLink> &, PeerMessage)> outgoing_;
         std::function<void(const std::string &address, const std::shared_ptr<PeerLink> &)> opened_;
-        // What the instance says of itself in pings.
-        std::function<Platform::Revision()> revision_;
     };
 
     PeerNetwork(asio::io_context &loop, HelloMessage self, EventLog &log, Handlers handlers);
@@ -40,6 +38,8 @@
     std::vector<std::shared_ptr<PeerLink>> openLinks(TimePoint now) const;
     // Nothing that was heard before counts any more.
     void forgetHearing();
+    // Sends a message to all instances of the own failure domain that are connected to this one.
+    void announce(const PeerMessage &message);
 
 private:
     struct Outgoing
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -320,10 +320,8 @@
 {
     const auto found = pending_.find(message.number_);
     if (found == pending_.end() || found->second->result_) {
-        // The request was given up meanwhile; its place goes back. The service is not needed to find it.
-        for (const auto &[service, state] : services_) {
-            link->send(toMessage(service, message.number_, PlaceReport()));
-        }
+        // The request was given up meanwhile.
+        link->send(toMessage(message.service_, message.number_, PlaceReport()));
         return;
     }
     PlaceResult result;
@@ -416,7 +414,7 @@
     const auto asker = state.askers_.find(placed.id_.instance_);
     const auto link = asker == state.askers_.end() ? nullptr : asker->second.lock();
     if (link) {
-        link->send(PlacedMessage{placed.id_.number_, placed.server_, address});
+        link->send(PlacedMessage{state.pool_->service().name_, placed.id_.number_, placed.server_, address});
     } else {
         state.pool_->finish(placed.id_, PlaceReport(), now);
     }
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // How long the store may leave a watch unanswered.
-constexpr Duration WatchWait = 8s;
+constexpr Duration WatchWait = 5s;
 // Changes that come close together are taken in one answer.
 constexpr Duration WatchPause = 150ms;
 constexpr Duration LeaseLifetime = 1500ms;
@@ -18,6 +18,9 @@
 constexpr Duration LapseGrace = 2200ms;
 // Shorter interruptions make no entries lapse.
 constexpr Duration MinOutage = 500ms;
+// Other instances stand in for an own watch while one of them has confirmed the view within this time. A change takes effect within
+// this time and one reading, even if they all stop.
+constexpr Duration RelayTimeout = 1300ms;
 // A watch that does not report within this time what is known to be there is given up.
 constexpr Duration OutdatedTime = 600ms;
 constexpr Duration MinBackoff = 60ms;
@@ -45,7 +48,17 @@
 
 bool StoreLink::isCurrent(TimePoint now) const
 {
-    return isLoaded_ && !isWatchFailing_ && contactAt_ != TimePoint() && now - contactAt_ < ContactTimeout;
+    return isLoaded_ && (isFollowing_ || !isWatchFailing_) && now - confirmedAt() < ContactTimeout;
+}
+
+bool StoreLink::mayFollow(TimePoint now) const
+{
+    return isLoaded_ && isRelayed_ && now - relayedAt_ < RelayTimeout;
+}
+
+void StoreLink::noteRelayed(TimePoint confirmedAt)
+{
+    relayedAt_ = std::max(relayedAt_, confirmedAt);
 }
 
 bool StoreLink::isLeaseValid(TimePoint now) const
@@ -57,6 +70,7 @@
 {
     leaseValidUntil_ = TimePoint();
     contactAt_ = TimePoint();
+    relayedAt_ = TimePoint();
 }
 
 Duration StoreLink::backoff(std::uint32_t failures)
@@ -97,12 +111,17 @@
 {
     std::uint32_t failures = 0;
     for (;;) {
-        if (!isLoaded_) {
+        if (mayFollow(bootNow())) {
+            co_await follow();
+            continue;
+        }
+        if (!isLoaded_ || isFollowing_) {
             if (!co_await load()) {
                 co_await sleepFor(loop_, backoff(failures++));
                 continue;
             }
             isLoaded_ = true;
+            isFollowing_ = false;
             failures = 0;
         }
         watchHandle_ = std::make_shared<ExchangeHandle>();
@@ -137,6 +156,19 @@
     }
 }
 
+Task<void> StoreLink::follow()
+{
+    if (!isFollowing_) {
+        isFollowing_ = true;
+        log_.write(LogLine("store-watch-left-to-others").add("revision", view_.at()), LogImportance::Kept, bootNow());
+    }
+    const TimePoint now = bootNow();
+    co_await sleepFor(loop_, relayedAt_ + RelayTimeout - now);
+    if (!mayFollow(bootNow())) {
+        log_.write(LogLine("store-watch-resumed").add("revision", view_.at()).addAge("viewAgeMs", bootNow() - relayedAt_), LogImportance::Kept, bootNow());
+    }
+}
+
 void StoreLink::expectRevision(Platform::Revision revision, TimePoint now)
 {
     if (revision <= view_.at()) {
@@ -147,7 +179,7 @@
         expectedSince_ = now;
         return;
     }
-    if (now - expectedSince_ >= OutdatedTime && isLoaded_ && watchHandle_) {
+    if (now - expectedSince_ >= OutdatedTime && isWatching() && watchHandle_) {
         expectedSince_ = now;
         isWatchOutdated_ = true;
         watchHandle_->cancel();
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -8,7 +8,8 @@
 
 namespace Goldcrestwall::Gateway {
 
-// Watches the store, renews this instance's lease and writes its member entry.
+// Watches the store, renews this instance's lease and writes its member entry. While another instance of the failure domain watches
+// and passes on what changes, this one does not: calls to the store do not grow with the number of instances then.
 class StoreLink
 {
 public:
@@ -26,8 +27,25 @@
     // Ends the lease, so that the duties of this instance go to others at once.
     Task<void> leave();
 
-    // Whether the store answered within the span that makes the view current.
+    // Whether the view is complete up to a moment ago, by the store's answers or by those to other instances.
     bool isCurrent(TimePoint now) const;
+    // Until when the view was surely complete.
+    TimePoint confirmedAt() const
+    {
+        return isFollowing_ ? relayedAt_ : contactAt_;
+    }
+    // Whether this instance watches the store itself.
+    bool isWatching() const
+    {
+        return isLoaded_ && !isFollowing_;
+    }
+    // Whether another instance is there that watches the store and passes on what changes.
+    void setRelayed(bool isRelayed)
+    {
+        isRelayed_ = isRelayed;
+    }
+    // Another instance's view, which this one has, was complete at that time.
+    void noteRelayed(TimePoint confirmedAt);
     // Whether this instance's lease certainly stands.
     bool isLeaseValid(TimePoint now) const;
     Platform::LeaseId lease() const
@@ -42,6 +60,8 @@
 private:
     Task<void> watch();
     Task<bool> load();
+    Task<void> follow();
+    bool mayFollow(TimePoint now) const;
     Task<void> holdLease();
     Task<bool> registerMember();
     void noteContact(TimePoint now);
@@ -56,6 +76,9 @@
     Handlers handlers_;
     std::mt19937_64 random_;
     bool isLoaded_ = false;
+    bool isRelayed_ = false;
+    bool isFollowing_ = false;
+    TimePoint relayedAt_;
     std::shared_ptr<ExchangeHandle> watchHandle_;
     bool isWatchOutdated_ = false;
     Platform::Revision expectedRevision_ = 0;
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Goldcrestwall::Gateway {
 
 using Platform::Revision;
@@ -25,8 +27,13 @@
 {
     try {
         const auto document = Json::parse(text);
-        return MemberEntry{
-            document.at("name").get<std::string>(), document.at("incarnation").get<std::string>(), document.at("peerAddress").get<std::string>()};
+        MemberEntry member;
+        document.at("name").get_to(member.name_);
+        document.at("incarnation").get_to(member.incarnation_);
+        document.at("peerAddress").get_to(member.peerAddress_);
+        document.at("domain").get_to(member.domain_);
+        document.at("processorMilli").get_to(member.processorMilli_);
+        return member;
     } catch (const std::exception &) {
         return std::nullopt;
     }
@@ -51,7 +58,12 @@
 
 std::string encodeMember(const MemberEntry &member)
 {
-    return Json{{"name", member.name_}, {"incarnation", member.incarnation_}, {"peerAddress", member.peerAddress_}}.dump();
+    return Json{{"name", member.name_},
+                {"incarnation", member.incarnation_},
+                {"peerAddress", member.peerAddress_},
+                {"domain", member.domain_},
+                {"processorMilli", member.processorMilli_}}
+        .dump();
 }
 
 void StoreView::apply(const std::vector<Platform::StoreEvent> &events, Revision at, TimePoint now)
@@ -267,6 +279,19 @@
     return found == servers_.end() ? nullptr : &found->second.description_;
 }
 
+std::vector<InstanceProfile> StoreView::instances() const
+{
+    std::vector<InstanceProfile> profiles;
+    profiles.reserve(members_.size());
+    for (const auto &[name, member] : members_) {
+        const auto duties = std::ranges::count_if(leaders_, [&name](const auto &entry) {
+            return entry.second.member_.name_ == name;
+        });
+        profiles.push_back({name, member.domain_, member.processorMilli_, static_cast<std::uint32_t>(duties)});
+    }
+    return profiles;
+}
+
 const LeaderEntry *StoreView::leader(const std::string &service) const
 {
     const auto found = leaders_.find(service);
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -20,6 +20,9 @@
     // Tells two runs of one instance apart.
     std::string incarnation_;
     std::string peerAddress_;
+    std::string domain_;
+    // Its part of a processor, in thousandths of a core.
+    std::uint32_t processorMilli_ = 0;
 
     auto operator<=>(const MemberEntry &) const = default;
 };
@@ -101,6 +104,8 @@
     {
         return members_;
     }
+    // All members with the number of services that they coordinate.
+    std::vector<InstanceProfile> instances() const;
     const LeaderEntry *leader(const std::string &service) const;
     const AssignmentEntry *assignment(const std::string &service) const;
     const std::set<std::string> &evacuatedDomains() const
--- /dev/null
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -0,0 +1,156 @@
+#include "ViewRelay.h"
+
+namespace Goldcrestwall::Gateway {
+
+namespace {
+
+constexpr Duration RequestInterval = 250ms;
+// Instances of other failure domains are asked when the own one's watcher has had this time to report a change.
+constexpr Duration OwnDomainLead = 150ms;
+// Instances that watch the store and that each instance is connected to, at least.
+constexpr std::size_t MinWatchers = 2;
+
+} // namespace
+
+ViewRelay::ViewRelay(std::string instance, std::string domain, StoreView &view, StoreLink &storeLink, PeerNetwork &network, EventLog &log)
+    : instance_(std::move(instance))
+    , domain_(std::move(domain))
+    , view_(view)
+    , storeLink_(storeLink)
+    , network_(network)
+    , log_(log)
+{
+}
+
+std::set<std::string> ViewRelay::watcherAddresses() const
+{
+    std::set<std::string> addresses;
+    const auto add = [&](const std::string &name) {
+        const auto member = view_.members().find(name);
+        if (name != instance_ && member != view_.members().end()) {
+            addresses.insert(member->second.peerAddress_);
+        }
+    };
+    if (const auto configuration = view_.configuration()) {
+        for (const auto &service : configuration->services_) {
+            const auto *leader = view_.leader(service.name_);
+            if (leader != nullptr && leader->member_.name_ != instance_) {
+                addresses.insert(leader->member_.peerAddress_);
+            }
+        }
+    }
+    const auto watchers = watchersByDomain(view_.instances());
+    if (const auto own = watchers.find(domain_); own != watchers.end()) {
+        add(own->second);
+    }
+    for (const auto &[domain, watcher] : watchers) {
+        if (addresses.size() < MinWatchers) {
+            add(watcher);
+        }
+    }
+    return addresses;
+}
+
+std::set<std::string> ViewRelay::allAddresses(const std::vector<std::string> &seeds) const
+{
+    std::set<std::string> addresses(seeds.begin(), seeds.end());
+    for (const auto &[name, member] : view_.members()) {
+        addresses.insert(member.peerAddress_);
+    }
+    return addresses;
+}
+
+void ViewRelay::refresh(const std::vector<std::string> &seeds, TimePoint now)
+{
+    bool isRelayed = false;
+    const bool isCurrent = view_.configuration() && storeLink_.isCurrent(now);
+    if (isCurrent) {
+        const auto watchers = watchersByDomain(view_.instances());
+        const auto own = watchers.find(domain_);
+        const bool isCoordinator = std::ranges::any_of(view_.instances(), [this](const InstanceProfile &profile) {
+            return profile.name_ == instance_ && profile.duties_ > 0;
+        });
+        isRelayed = !isCoordinator && own != watchers.end() && own->second != instance_;
+    }
+    storeLink_.setRelayed(isRelayed);
+    // Without the store every instance that can be reached may have newer content.
+    auto addresses = isCurrent ? watcherAddresses() : allAddresses(seeds);
+    if (const auto self = view_.members().find(instance_); self != view_.members().end()) {
+        addresses.erase(self->second.peerAddress_);
+    }
+    network_.setNeeded(std::move(addresses), now);
+}
+
+void ViewRelay::follow(TimePoint now)
+{
+    const auto links = network_.openLinks(now);
+    bool isBehind = false;
+    for (const auto &link : links) {
+        storeLink_.expectRevision(link->revision(), now);
+        if (link->revision() > view_.at()) {
+            isBehind = true;
+        } else if (link->hasStore()) {
+            storeLink_.noteRelayed(link->confirmedAt());
+        }
+    }
+    if (!isBehind) {
+        behindSince_ = TimePoint();
+    } else if (behindSince_ == TimePoint()) {
+        behindSince_ = now;
+    }
+    const bool mustAsk = !storeLink_.isCurrent(now) || (isBehind && now - behindSince_ >= OwnDomainLead);
+    if (!mustAsk || now - requestedAt_ < RequestInterval) {
+        return;
+    }
+    for (const auto &link : links) {
+        if (link->revision() > view_.at() || !storeLink_.isCurrent(now)) {
+            requestedAt_ = now;
+            link->send(ViewRequestMessage{view_.at()});
+        }
+    }
+}
+
+PongMessage ViewRelay::makePong(std::int64_t pingSentAt, TimePoint now) const
+{
+    return {view_.at(), storeLink_.isCurrent(now), pingSentAt, (now - storeLink_.confirmedAt()).count()};
+}
+
+void ViewRelay::announce(TimePoint now)
+{
+    if (storeLink_.isWatching()) {
+        network_.announce(makePong(0, now));
+    }
+}
+
+void ViewRelay::handlePing(const std::shared_ptr<PeerLink> &link, const PingMessage &message, TimePoint now)
+{
+    link->send(makePong(message.sentAt_, now));
+}
+
+void ViewRelay::handlePong(const std::shared_ptr<PeerLink> &link, TimePoint now)
+{
+    if (link->domain() == domain_ && link->revision() > view_.at() && !storeLink_.isWatching() && now - requestedAt_ >= RequestInterval) {
+        requestedAt_ = now;
+        link->send(ViewRequestMessage{view_.at()});
+    }
+}
+
+void ViewRelay::handleRequest(const std::shared_ptr<PeerLink> &link, const ViewRequestMessage &message)
+{
+    if (view_.at() > message.revision_) {
+        link->send(toMessage(view_.changesSince(message.revision_)));
+    }
+}
+
+bool ViewRelay::handleUpdate(const std::shared_ptr<PeerLink> &link, ViewUpdateMessage message, TimePoint now)
+{
+    requestedAt_ = TimePoint();
+    if (message.at_ <= view_.at()) {
+        return false;
+    }
+    log_.write(LogLine("view-from-peer").add("peer", link->address()).add("revision", message.at_).add("known", view_.at()), LogImportance::Sampled, now);
+    view_.apply(toViewUpdate(std::move(message)), now);
+    return true;
+}
+
+} // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/InstanceRank.cpp
+++ b/Libraries/LibPlacement/InstanceRank.cpp
@@ -1,15 +1,52 @@
-#include "LeaderRank.h"
+#include "InstanceRank.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Goldcrestwall::Gateway {
 
-std::size_t leaderRank(const std::string &service, const std::string &instance, const std::vector<std::string> &instances)
+namespace {
+
+// Thousandths of a core for each duty if the instance took one more.
+std::uint32_t processorPerDuty(const InstanceProfile &instance)
+{
+    return instance.processorMilli_ / (instance.duties_ + 1);
+}
+
+} // namespace
+
+std::size_t coordinatorRank(const std::string &service, const std::string &instance, const std::vector<InstanceProfile> &instances)
 {
-    const auto own = rendezvousWeight(service, instance);
-    return static_cast<std::size_t>(std::ranges::count_if(instances, [&](const std::string &other) {
-        return other != instance && rendezvousWeight(service, other) > own;
+    const auto suitability = [&service](const InstanceProfile &each) {
+        return std::make_pair(processorPerDuty(each), rendezvousWeight(service, each.name_));
+    };
+    const auto self = std::ranges::find(instances, instance, &InstanceProfile::name_);
+    if (self == instances.end()) {
+        return instances.size();
+    }
+    const auto own = suitability(*self);
+    return static_cast<std::size_t>(std::ranges::count_if(instances, [&](const InstanceProfile &other) {
+        return suitability(other) > own;
     }));
 }
 
+std::map<std::string, std::string> watchersByDomain(const std::vector<InstanceProfile> &instances)
+{
+    const auto suitability = [](const InstanceProfile &each) {
+        return std::make_tuple(each.duties_ > 0, each.processorMilli_, rendezvousWeight(each.domain_, each.name_));
+    };
+    std::map<std::string, const InstanceProfile *> watchers;
+    for (const auto &instance : instances) {
+        auto &watcher = watchers[instance.domain_];
+        if (watcher == nullptr || suitability(instance) > suitability(*watcher)) {
+            watcher = &instance;
+        }
+    }
+    std::map<std::string, std::string> names;
+    for (const auto &[domain, watcher] : watchers) {
+        names[domain] = watcher->name_;
+    }
+    return names;
+}
+
 } // namespace Goldcrestwall::Gateway
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -57,8 +57,8 @@
         view_.apply({put("op/config", configurationText(3), 11),
                      put("servers/i-1", serverText(), 12),
                      put("op/evacuate/north", "{}", 13),
-                     put(memberKey("a"), encodeMember({"a", "7", "10.0.0.1:1"}), 14),
-                     put(leaderKey("one"), encodeMember({"a", "7", "10.0.0.1:1"}), 15)},
+                     put(memberKey("a"), encodeMember({"a", "7", "10.0.0.1:1", "north", 200}), 14),
+                     put(leaderKey("one"), encodeMember({"a", "7", "10.0.0.1:1", "north", 200}), 15)},
                     15,
                     at(0));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), view_.configuration()->version_);
@@ -180,7 +180,7 @@
     void strangeBytesAreNoMessages()
     {
         std::mt19937 random(3);
-        const auto frame = encodeFrame(PlacedMessage{5, "s1", "10.0.0.1:1"});
+        const auto frame = encodeFrame(PlacedMessage{"one", 5, "s1", "10.0.0.1:1"});
         for (int i = 0; i < 20000; ++i) {
             std::string bytes = frame.substr(4);
             bytes[random() % bytes.size()] = static_cast<char>(random());
--- a/Tests/LibPlacement/TestSmallDecisions.cpp
+++ b/Tests/LibPlacement/TestSmallDecisions.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(workAndSpeedAreLearned);
     CPPUNIT_TEST(keyLoadFades);
     CPPUNIT_TEST(leaderRanksAreAPermutation);
+    CPPUNIT_TEST(servicesAreCoordinatedByLargeAndUnburdenedInstances);
+    CPPUNIT_TEST(everyDomainHasOneWatcher);
     CPPUNIT_TEST(longestPrefixWins);
     CPPUNIT_TEST_SUITE_END();
 
@@ -124,14 +126,40 @@
 
     void leaderRanksAreAPermutation()
     {
-        const std::vector<std::string> instances{"a", "b", "c", "d"};
+        const std::vector<InstanceProfile> instances{{"a", "x", 200, 0}, {"b", "x", 200, 0}, {"c", "y", 200, 0}, {"d", "y", 200, 0}};
         std::set<std::size_t> ranks;
         for (const auto &instance : instances) {
-            ranks.insert(leaderRank("service", instance, instances));
+            ranks.insert(coordinatorRank("service", instance.name_, instances));
         }
         CPPUNIT_ASSERT(ranks == std::set<std::size_t>({0, 1, 2, 3}));
     }
 
+    void servicesAreCoordinatedByLargeAndUnburdenedInstances()
+    {
+        std::vector<InstanceProfile> instances{{"a", "x", 100, 0}, {"b", "x", 500, 0}, {"c", "y", 100, 0}, {"d", "y", 500, 1}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), coordinatorRank("service", "b", instances));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), coordinatorRank("service", "d", instances));
+        // With this many duties less is left for each than at a small instance that has none.
+        instances[1].duties_ = 5;
+        instances[3].duties_ = 5;
+        CPPUNIT_ASSERT(coordinatorRank("service", "a", instances) < 2);
+        CPPUNIT_ASSERT(coordinatorRank("service", "c", instances) < 2);
+        // One that is not registered comes last.
+        CPPUNIT_ASSERT_EQUAL(instances.size(), coordinatorRank("service", "e", instances));
+    }
+
+    void everyDomainHasOneWatcher()
+    {
+        std::vector<InstanceProfile> instances{{"a", "x", 100, 0}, {"b", "x", 500, 0}, {"c", "y", 100, 0}, {"d", "y", 100, 0}};
+        auto watchers = watchersByDomain(instances);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), watchers.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), watchers["x"]);
+        // A coordinator watches in any case.
+        instances[0].duties_ = 1;
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), watchersByDomain(instances)["x"]);
+        CPPUNIT_ASSERT(watchersByDomain({}).empty());
+    }
+
     void longestPrefixWins()
     {
         RoutingConfiguration configuration;
