LibPlacement: Take servers' speed from what they report

The load a server reports tells how long work takes there, its own speed included (0.5, 1.0 and 1.5 at the three kinds of servers, three times that beside a neighbour). It was taken for the neighbours' part only, so that the learned slowness came out as 1 with noise (1.2 at servers that took 80 ms, 0.8 at one that took 205 ms), and keys went to servers by that noise. Change: the mean of the reported factors over some seconds is the server's usual speed, for the planner and where the last report is old; a health request asks servers that have not reported; the first assignment follows speed; the rest is learned more slowly. The keys of requests are logged.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -348,6 +348,9 @@
         line.add("configuration", progress.configuration_->version_);
     }
     line.add("storeRevision", view_.at()).addAge("tookMs", now - progress.arrivedAt_);
+    if (progress.terms_.key_) {
+        line.add("key", *progress.terms_.key_);
+    }
     if (!progress.servers_.empty()) {
         line.add("server", progress.servers_.back());
     }
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -202,8 +202,7 @@
 void ServicePool::learn(PoolServer &server, const std::string &workKind, const PlaceReport &report, TimePoint now)
 {
     if (report.load_) {
-        server.speed_.delayFactor_ = report.load_->delayFactor_;
-        server.speed_.reportedAt_ = now;
+        server.speed_.noteReport(report.load_->delayFactor_, now);
         const std::uint32_t others = report.load_->running_ + report.load_->waiting_;
         const auto own = static_cast<std::uint32_t>(server.running_.size());
         server.foreign_ = others > own ? others - own : 0;
@@ -254,13 +253,13 @@
         return;
     }
     auto &known = found->second;
+    known.isChecked_ = true;
     known.suspectUntil_ = TimePoint();
     known.unreachableCount_ = 0;
     known.restsUntil_ = TimePoint();
     known.coldUntil_ = warmupLeft > Duration::zero() ? now + warmupLeft : TimePoint();
     if (load) {
-        known.speed_.delayFactor_ = load->delayFactor_;
-        known.speed_.reportedAt_ = now;
+        known.speed_.noteReport(load->delayFactor_, now);
     }
 }
 
@@ -516,7 +515,8 @@
 {
     std::vector<std::string> ids;
     for (const auto &[id, server] : servers_) {
-        if (isSuspect(server, now) && isUsable(server, now)) {
+        const bool isUnknown = !server.isChecked_ && !server.speed_.isReported();
+        if ((isSuspect(server, now) || isUnknown) && isUsable(server, now)) {
             ids.push_back(id);
         }
     }
@@ -529,7 +529,7 @@
     for (const auto &[id, server] : servers_) {
         const auto &description = server.input_.description_;
         const bool isLongSuspect = isSuspect(server, now) && now - server.suspectSince_ > MaxSuspicion;
-        views.push_back({id, description.born_, description.slots_, server.speed_.slowness_, isCold(server, now), isUsable(server, now) && !isLongSuspect});
+        views.push_back({id, description.born_, description.slots_, server.speed_.usualFactor(), isCold(server, now), isUsable(server, now) && !isLongSuspect});
     }
     return views;
 }
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -184,7 +184,8 @@
         return !waiting_.empty();
     }
     bool isWaiting(const AskId &id) const;
-    // Servers whose state must be asked for by a health request before they get their full share again.
+    // Servers whose state must be asked for by a health request: before they get their full share again, or because their speed is
+    // not known yet.
     std::vector<std::string> suspects(TimePoint now) const;
     std::vector<ServerLoadView> serverLoads(TimePoint now) const;
 
@@ -206,6 +207,8 @@
         ServerSpeed speed_;
         ColdRate coldRate_;
         TimePoint coldUntil_;
+        // Whether it has ever answered a health request.
+        bool isChecked_ = false;
         // Since when and until when it must be feared that the server has failed or started anew.
         TimePoint suspectSince_;
         TimePoint suspectUntil_;
--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t MaxRangesPerServer = 12;
 // Above 1: a slow server gets less than its part, because on it even a request that need not wait takes longer.
 constexpr double SlownessWeight = 1.5;
+// The same for the first assignment.
+constexpr double FirstSlownessWeight = 1.5;
 // A cold server bears little.
 constexpr double ColdSlowness = 3;
 // Keys without traffic count a little, so that ranges without any are spread evenly too.
@@ -36,6 +38,12 @@
     }
 };
 
+// Work that a server carries, relative to a slot of an average one.
+double capacityOf(const ServerLoadView &view)
+{
+    return view.slots_ / std::pow(view.slowness_, FirstSlownessWeight);
+}
+
 double rangeLoad(const KeyLoad &load, ShardKey first, ShardKey last, TimePoint now)
 {
     return load.load(first, last, now) + IdleLoadPerKey * (last - first + 1);
@@ -159,22 +167,24 @@
 ShardAssignment planFirst(const std::vector<ServerLoadView> &servers)
 {
     ShardAssignment assignment;
-    std::uint64_t slots = 0;
+    double capacity = 0;
     std::vector<const ServerLoadView *> eligible;
     for (const auto &view : servers) {
         if (view.isEligible_) {
             eligible.push_back(&view);
-            slots += view.slots_;
+            capacity += capacityOf(view);
         }
     }
-    std::uint64_t before = 0;
+    double before = 0;
+    std::uint32_t first = 0;
     for (const auto *view : eligible) {
-        const auto first = static_cast<std::uint32_t>(before * ShardKeyCount / slots);
-        before += view->slots_;
-        const auto next = static_cast<std::uint32_t>(before * ShardKeyCount / slots);
+        before += capacityOf(*view);
+        const bool isLast = view == eligible.back();
+        const auto next = isLast ? ShardKeyCount : static_cast<std::uint32_t>(before / capacity * ShardKeyCount);
         if (next > first) {
             assignment.ranges_.push_back(
                 {static_cast<ShardKey>(first), static_cast<ShardKey>(next - 1), {view->id_, view->born_, assignment.nextToken_++}, {}});
+            first = next;
         }
     }
     return assignment;
--- a/Libraries/LibPlacement/ShardPlanner.h
+++ b/Libraries/LibPlacement/ShardPlanner.h
@@ -9,7 +9,7 @@
 // neighbouring ranges of one holder are joined.
 ShardAssignment renewTokens(const ShardAssignment &assignment);
 
-// The first assignment: equal parts by number of slots. Empty when no server may hold keys.
+// The first assignment: parts by number of slots and speed. Empty when no server may hold keys.
 ShardAssignment planFirst(const std::vector<ServerLoadView> &servers);
 
 // Gives the ranges of servers that may no longer hold keys to the least busy of the others.
--- a/Libraries/LibPlacement/WorkEstimator.cpp
+++ b/Libraries/LibPlacement/WorkEstimator.cpp
@@ -9,9 +9,10 @@
 
 // After this time a reported factor says nothing more about the server's machine.
 constexpr Duration ReportLifetime = 400ms;
-// The expected factor of a server that has not reported lately.
+// The expected factor of a server that has never reported.
 constexpr double UnreportedFactor = 1.2;
-constexpr double SpeedLearningRate = 0.04;
+constexpr double MeanSeconds = 3;
+constexpr double SpeedLearningRate = 0.015;
 // How many samples the assumption that a server is as fast as the others counts for.
 constexpr std::uint32_t FirstSampleWeight = 4;
 constexpr double WorkLearningRate = 0.03;
@@ -23,9 +24,27 @@
 
 } // namespace
 
+void ServerSpeed::noteReport(double delayFactor, TimePoint now)
+{
+    if (isReported()) {
+        // Reports that come close together tell of the same moment.
+        const double age = std::chrono::duration<double>(now - reportedAt_).count();
+        meanFactor_ += (1 - std::exp(-age / MeanSeconds)) * (delayFactor - meanFactor_);
+    } else {
+        meanFactor_ = delayFactor;
+    }
+    delayFactor_ = delayFactor;
+    reportedAt_ = now;
+}
+
+double ServerSpeed::usualFactor() const
+{
+    return slowness_ * (isReported() ? meanFactor_ : UnreportedFactor);
+}
+
 double ServerSpeed::factor(TimePoint now) const
 {
-    return slowness_ * (now - reportedAt_ < ReportLifetime ? delayFactor_ : UnreportedFactor);
+    return isReported() && now - reportedAt_ < ReportLifetime ? slowness_ * delayFactor_ : usualFactor();
 }
 
 Duration WorkEstimator::usualWork(const std::string &kind, Duration fallback) const
--- a/Libraries/LibPlacement/WorkEstimator.h
+++ b/Libraries/LibPlacement/WorkEstimator.h
@@ -14,7 +14,8 @@
     std::uint32_t running_ = 0;
     std::uint32_t waiting_ = 0;
     std::uint32_t slots_ = 0;
-    // How long work takes at this moment, relative to the usual; 1 when the server does not say.
+    // How long work takes there at this moment, relative to an average server of the service: the server's own speed and what its
+    // neighbours take. 1 when the server does not say.
     double delayFactor_ = 1;
 
     auto operator<=>(const ReportedLoad &) const = default;
@@ -23,16 +24,25 @@
 // How fast one server works.
 struct ServerSpeed
 {
-    // Time that work takes here, relative to the other servers of the service.
+    // Time that work takes here, relative to what the server reports.
     double slowness_ = 1;
     // The factor last reported, which holds for a fraction of a second.
     double delayFactor_ = 1;
+    // The mean of the reported factors over some seconds.
+    double meanFactor_ = 1;
     TimePoint reportedAt_;
     // Requests that it was learned from.
     std::uint32_t samples_ = 0;
 
-    // The expected factor over the usual work time.
+    void noteReport(double delayFactor, TimePoint now);
+    bool isReported() const
+    {
+        return reportedAt_ != TimePoint();
+    }
+    // The expected factor over the usual work time at this moment.
     double factor(TimePoint now) const;
+    // The same over some seconds.
+    double usualFactor() const;
 };
 
 // Learns the usual work time of each kind of request and the speed of each server from finished requests.
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -99,9 +99,43 @@
     CPPUNIT_TEST(placesOfALostInstanceAreFreed);
     CPPUNIT_TEST(heldPlacesAreAdopted);
     CPPUNIT_TEST(overloadServesMoreThanTwoChoices);
+    CPPUNIT_TEST(plannersSeeTheSpeedThatServersReport);
+    CPPUNIT_TEST(serversOfUnknownSpeedAreAsked);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // A server that reports half the usual time and takes it is twice as fast, however well its report foretells each request.
+    void plannersSeeTheSpeedThatServersReport()
+    {
+        auto pool = makePool(2, 2);
+        std::uint64_t number = 0;
+        for (int now = 0; now < 5000; now += 100) {
+            const double factors[] = {0.5, 1.5};
+            for (int i = 0; i < 2; ++i) {
+                pool.ask(makeRequest(++number, at(now)), at(now));
+            }
+            for (const auto &placed : pool.decide(at(now)).placed_) {
+                const double factor = factors[placed.server_ == "s0" ? 0 : 1];
+                auto report = makeReport(PlaceOutcome::Answered, scaled(Duration(60ms), factor));
+                report.load_ = ReportedLoad{1, 0, 2, factor};
+                pool.finish(placed.id_, report, at(now + 90));
+            }
+        }
+        const auto loads = pool.serverLoads(at(5000));
+        CPPUNIT_ASSERT(loads[0].slowness_ < 0.7);
+    }
+
+    void serversOfUnknownSpeedAreAsked()
+    {
+        auto pool = makePool(2, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), pool.suspects(at(0)).size());
+        pool.noteHealth("s0", Duration::zero(), ReportedLoad{0, 0, 2, 0.5}, at(1));
+        // Some servers report no load: one good answer is enough.
+        pool.noteHealth("s1", Duration::zero(), std::nullopt, at(1));
+        CPPUNIT_ASSERT(pool.suspects(at(1)).empty());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, pool.serverLoads(at(2))[0].slowness_, 1e-9);
+    }
+
     void requestsBeyondTheSlotsWait()
     {
         auto pool = makePool(1, 2);
--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(serverThatStartedAnewGetsANewToken);
     CPPUNIT_TEST(termsFollowTheLongestHold);
     CPPUNIT_TEST(renewalsKeepKeysHeld);
+    CPPUNIT_TEST(fastServersGetMoreAtFirst);
     CPPUNIT_TEST(hotKeysAreSpread);
     CPPUNIT_TEST(calmKeysStay);
     CPPUNIT_TEST(newServerGetsKeys);
@@ -268,6 +269,20 @@
         }
     }
 
+    void fastServersGetMoreAtFirst()
+    {
+        auto servers = makeServers(4);
+        servers[1].slowness_ = 0.5;
+        servers[2].slowness_ = 1.5;
+        const auto assignment = planFirst(servers);
+        CPPUNIT_ASSERT(assignment.isComplete());
+        const auto size = [&assignment](std::size_t index) {
+            return assignment.ranges_[index].last_ - assignment.ranges_[index].first_ + 1;
+        };
+        CPPUNIT_ASSERT(size(1) > 2 * size(0));
+        CPPUNIT_ASSERT(size(2) < 0.7 * size(0));
+    }
+
     void hotKeysAreSpread()
     {
         const auto servers = makeServers(6);
--- a/Tests/LibPlacement/TestSmallDecisions.cpp
+++ b/Tests/LibPlacement/TestSmallDecisions.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(repeatBudgetSlides);
     CPPUNIT_TEST(repeatBudgetOfManyStaysWithinTheWhole);
     CPPUNIT_TEST(workAndSpeedAreLearned);
+    CPPUNIT_TEST(reportedSpeedOutlastsTheReport);
     CPPUNIT_TEST(keyLoadFades);
     CPPUNIT_TEST(leaderRanksAreAPermutation);
     CPPUNIT_TEST(servicesAreCoordinatedByLargeAndUnburdenedInstances);
@@ -112,6 +113,18 @@
         CPPUNIT_ASSERT(expected > 120 && expected < 180);
     }
 
+    // Servers report how long work takes there: their own speed, three times as long while a neighbour slows them.
+    void reportedSpeedOutlastsTheReport()
+    {
+        ServerSpeed speed;
+        for (int i = 0; i < 100; ++i) {
+            speed.noteReport(i / 4 % 5 == 4 ? 1.5 : 0.5, at(i * 100));
+        }
+        CPPUNIT_ASSERT(speed.usualFactor() > 0.5 && speed.usualFactor() < 1.0);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, speed.factor(at(9950)), 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(speed.usualFactor(), speed.factor(at(11000)), 1e-9);
+    }
+
     void keyLoadFades()
     {
         KeyLoad load;
