LibPlacement: Try servers that have had no request yet

Change: a server that has had no request gets one that it will end in time; a server without keys gets some with traffic.

--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -394,7 +394,6 @@
         return std::nullopt;
     }
     std::optional<Choice> best;
-    bool isBestAvoided = true;
     for (auto &outlook : outlooks) {
         const auto &server = *outlook.server_;
         const auto &id = server.input_.description_.id_;
@@ -412,10 +411,10 @@
         const bool isNear = request.domain_.empty() || request.domain_ == server.input_.description_.domain_;
         const Duration distance = isNear ? Duration::zero() : scaled(usualWork(request), DistancePart);
         choice.cost_ = choice.endAt_ + distance + scaled(FailurePenalty, server.failureShare_ * std::exp2(-age / FailureHalfLifeSeconds));
-        const bool isAvoided = std::ranges::find(request.avoid_, id) != request.avoid_.end();
-        if (!best || std::make_pair(isAvoided, choice.cost_) < std::make_pair(isBestAvoided, best->cost_)) {
+        choice.isAvoided_ = std::ranges::find(request.avoid_, id) != request.avoid_.end();
+        choice.isKnown_ = server.isTried_ || choice.startAt_ > now || choice.endAt_ > request.aimAt_;
+        if (!best || choice.rank() < best->rank()) {
             best = choice;
-            isBestAvoided = isAvoided;
         }
     }
     return best;
@@ -445,6 +444,7 @@
 void ServicePool::place(const PlaceRequest &request, Choice &choice, PlaceDecisions &decisions, TimePoint now)
 {
     auto &server = *choice.outlook_->server_;
+    server.isTried_ = true;
     if (isCold(server, now)) {
         server.coldRate_.take(now);
     }
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Goldcrestwall::Gateway {
@@ -207,6 +208,8 @@
         ServerSpeed speed_;
         ColdRate coldRate_;
         TimePoint coldUntil_;
+        // Whether it was ever given a request.
+        bool isTried_ = false;
         // Whether it has ever answered a health request.
         bool isChecked_ = false;
         // Since when and until when it must be feared that the server has failed or started anew.
@@ -238,6 +241,15 @@
         TimePoint endAt_;
         // The end, worsened by the server's recent failures and its distance.
         TimePoint cost_;
+        // Servers that the request was sent to before come last.
+        bool isAvoided_ = false;
+        // A server that has had no request yet comes first where it is good enough, so that its speed becomes known.
+        bool isKnown_ = true;
+
+        auto rank() const
+        {
+            return std::make_tuple(isAvoided_, isKnown_, cost_);
+        }
     };
 
     static bool isUsable(const PoolServer &server, TimePoint now);
--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -21,6 +21,8 @@
 constexpr double SlownessWeight = 1.5;
 // The same for the first assignment.
 constexpr double FirstSlownessWeight = 1.5;
+// Part of the mean load that a server that held nothing gets at least.
+constexpr double FirstLoadPart = 0.1;
 // A cold server bears little.
 constexpr double ColdSlowness = 3;
 // Keys without traffic count a little, so that ranges without any are spread evenly too.
@@ -91,7 +93,9 @@
     double peak_ = 0;
 };
 
-std::optional<Cut> findCut(const ShardAssignment &assignment, const PlannedServer &from, const PlannedServer &to, const KeyLoad &load, TimePoint now)
+// The best part to move, with a load of `minMoved` or more.
+std::optional<Cut>
+findCut(const ShardAssignment &assignment, const PlannedServer &from, const PlannedServer &to, double minMoved, const KeyLoad &load, TimePoint now)
 {
     std::optional<Cut> best;
     for (std::size_t index = 0; index < assignment.ranges_.size(); ++index) {
@@ -100,6 +104,9 @@
             continue;
         }
         const auto consider = [&](ShardKey first, ShardKey last, double moved) {
+            if (moved < minMoved) {
+                return;
+            }
             const double peak = std::max(from.utilization_ - from.costOf(moved), to.utilization_ + to.costOf(moved));
             if (!best || peak < best->peak_) {
                 best = Cut{index, first, last, moved, peak};
@@ -218,6 +225,7 @@
 ShardAssignment planBalance(ShardAssignment assignment, const std::vector<ServerLoadView> &servers, const KeyLoad &load, TimePoint now)
 {
     auto planned = measure(assignment, servers, load, now);
+    const double minMoved = planned.empty() ? 0 : FirstLoadPart * rangeLoad(load, 0, ShardKeyCount - 1, now) / static_cast<double>(planned.size());
     for (int move = 0; move < MaxMovesAtOnce && planned.size() > 1; ++move) {
         const auto busiest = std::ranges::max_element(planned, {}, &PlannedServer::utilization_);
         const auto idlest = std::ranges::min_element(planned, {}, &PlannedServer::utilization_);
@@ -234,9 +242,10 @@
             return server.costOf(1);
         });
         auto target = idlest;
-        auto cut = findCut(assignment, *busiest, *idlest, load, now);
+        // A server that holds nothing gets keys that are asked for.
+        auto cut = findCut(assignment, *busiest, *idlest, isUnheld ? minMoved : 0, load, now);
         if (!isUnheld && fastest != busiest && fastest != idlest) {
-            const auto other = findCut(assignment, *busiest, *fastest, load, now);
+            const auto other = findCut(assignment, *busiest, *fastest, 0, load, now);
             if (other && (!cut || other->peak_ < cut->peak_)) {
                 cut = other;
                 target = fastest;
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -123,6 +123,8 @@
         }
         const auto loads = pool.serverLoads(at(5000));
         CPPUNIT_ASSERT(loads[0].slowness_ < 0.7);
+        // It was given a request at least once.
+        CPPUNIT_ASSERT(loads[1].slowness_ > 1.2);
     }
 
     void serversOfUnknownSpeedAreAsked()
