Tests: Check that few instances watch the store and that the others take over

Six instances in two failure domains with two services keep at most three watches; when the instances that watch stand still, the others learn of a route.

--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -350,6 +350,12 @@
     return {200, document.dump()};
 }
 
+std::uint64_t PlatformStoreStandIn::waitingWatches() const
+{
+    const std::lock_guard lock(mutex_);
+    return waitingWatches_;
+}
+
 PlatformStoreStandIn::Reply PlatformStoreStandIn::watch(const std::string &prefix, std::uint64_t after, Duration wait)
 {
     std::unique_lock lock(mutex_);
@@ -376,7 +382,10 @@
         if (!document["events"].empty()) {
             return {200, document.dump()};
         }
-        if (changed_.wait_until(lock, until) == std::cv_status::timeout) {
+        ++waitingWatches_;
+        const auto waited = changed_.wait_until(lock, until);
+        --waitingWatches_;
+        if (waited == std::cv_status::timeout) {
             document["at"] = areWatchesDeaf_ ? after : revision_;
             return {200, document.dump()};
         }
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -63,6 +63,8 @@
     {
         return calls_;
     }
+    // Watches that wait for a change at this moment.
+    std::uint64_t waitingWatches() const;
 
     // Exposed for the handler.
     void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
@@ -120,6 +122,7 @@
     std::map<std::uint64_t, Lease> leases_;
     std::uint64_t lastLease_ = 100;
     std::uint64_t watchCuts_ = 0;
+    std::uint64_t waitingWatches_ = 0;
     std::uint64_t discards_ = 0;
     bool areWatchesDeaf_ = false;
     bool isStopping_ = false;
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -157,6 +157,7 @@
     CPPUNIT_TEST(storeOutageIsSurvived);
     CPPUNIT_TEST(routeChangeBehindDeafWatchesTakesEffect);
     CPPUNIT_TEST(instanceThatTheStoreTurnsAwayFollowsItsPeers);
+    CPPUNIT_TEST(fewInstancesWatchTheStore);
     CPPUNIT_TEST(leavingServersGetNothing);
     CPPUNIT_TEST(plannedStopCutsNothing);
     CPPUNIT_TEST(leavingCallerEndsItsWork);
@@ -377,6 +378,51 @@
         }
     }
 
+    // Two services have at most two coordinators, and a failure domain without one has a watcher: three of six instances watch. When
+    // those stand still, the others watch themselves.
+    void fewInstancesWatchTheStore()
+    {
+        Deployment deployment(6);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            return deployment.store().waitingWatches() <= 3;
+        }));
+        CallerRequest added;
+        added.path_ = "/added/";
+        deployment.putConfiguration(extraRoute("/added/"));
+        for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
+            CPPUNIT_ASSERT(Deployment::eventually([&] {
+                return deployment.call(i, added).status_ == 200;
+            }));
+        }
+        std::vector<std::size_t> followers;
+        for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
+            const auto lines = deployment.instance(i).logLines();
+            const auto left = std::ranges::count_if(lines, [](const std::string &line) {
+                return line.find("store-watch-left-to-others") != std::string::npos;
+            });
+            const auto resumed = std::ranges::count_if(lines, [](const std::string &line) {
+                return line.find("store-watch-resumed") != std::string::npos;
+            });
+            if (left > resumed) {
+                followers.push_back(i);
+            } else {
+                deployment.instance(i).signal(SIGSTOP);
+            }
+        }
+        CPPUNIT_ASSERT(followers.size() >= 3);
+        deployment.putConfiguration(extraRoute("/added-later/"));
+        added.path_ = "/added-later/";
+        for (const auto follower : followers) {
+            CPPUNIT_ASSERT(Deployment::eventually([&] {
+                return deployment.call(follower, added).status_ == 200;
+            }));
+        }
+        for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
+            deployment.instance(i).signal(SIGCONT);
+        }
+    }
+
     void instanceThatTheStoreTurnsAwayFollowsItsPeers()
     {
         Deployment deployment(3);
