LibHttp: Bound the memory of bodies

Cause: bodies are held whole and nothing bounded their sum; a few uploads of 64 MB at once would exceed an instance's 260 MB. Change: half of the memory of the settings is for bodies, each counted as read and as passed on.

--- a/Libraries/LibGateway/FrontServer.cpp
+++ b/Libraries/LibGateway/FrontServer.cpp
@@ -4,10 +4,11 @@
 
 namespace Goldcrestwall::Gateway {
 
-FrontServer::FrontServer(asio::io_context &loop, const StoreView &view, RequestFlow &flow, EventLog &log, MetricRegistry &metrics)
+FrontServer::FrontServer(asio::io_context &loop, const StoreView &view, RequestFlow &flow, BodyBudget &bodies, EventLog &log, MetricRegistry &metrics)
     : loop_(loop)
     , view_(view)
     , flow_(flow)
+    , bodies_(bodies)
     , log_(log)
     , metrics_(metrics)
     , listener_(loop, [this](Tcp::socket socket) {
--- a/Libraries/LibGateway/FrontServer.h
+++ b/Libraries/LibGateway/FrontServer.h
@@ -14,7 +14,7 @@
 class FrontServer
 {
 public:
-    FrontServer(asio::io_context &loop, const StoreView &view, RequestFlow &flow, EventLog &log, MetricRegistry &metrics);
+    FrontServer(asio::io_context &loop, const StoreView &view, RequestFlow &flow, BodyBudget &bodies, EventLog &log, MetricRegistry &metrics);
     ~FrontServer();
 
     // Errors: the address cannot be bound.
@@ -43,6 +43,7 @@
     asio::io_context &loop_;
     const StoreView &view_;
     RequestFlow &flow_;
+    BodyBudget &bodies_;
     EventLog &log_;
     MetricRegistry &metrics_;
     Listener listener_;
--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -13,6 +13,10 @@
 constexpr Duration DrainTimeout = 1s;
 constexpr std::size_t MaxDrained = 256U << 10U;
 constexpr std::size_t ReadSize = 4096;
+// A body is there as it was read and as it is passed on.
+constexpr std::uint64_t CopiesOfBody = 2;
+// In seconds: when other bodies will probably have been passed on.
+constexpr const char *MemoryRetryAfter = "0.3";
 constexpr std::string_view InterimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::chrono::microseconds toChrono(Duration duration)
@@ -22,6 +26,9 @@
 
 unsigned statusOfError(ErrorCode error)
 {
+    if (error == asio::error::no_memory) {
+        return 503;
+    }
     if (error == http::error::header_limit) {
         return 431;
     }
@@ -76,11 +83,12 @@
         parser.header_limit(limits_.maxHeaderBytes_);
         parser.body_limit(limits_.maxBodyBytes_);
         isIdle_ = true;
-        if (!co_await readRequest(parser)) {
+        BodyShare share(server_.bodies_);
+        if (!co_await readRequest(parser, share)) {
             co_return;
         }
         const HttpRequest request = parser.release();
-        const auto control = std::make_shared<RequestControl>();
+        const auto control = std::make_shared<RequestControl>(server_.bodies_);
         watchCaller(control);
         ++server_.requestsInProgress_;
         auto response = co_await server_.flow_.run(request, control, arrivedAt_);
@@ -99,7 +107,7 @@
     }
 }
 
-Task<bool> FrontSession::readRequest(Parser &parser)
+Task<bool> FrontSession::readRequest(Parser &parser, BodyShare &share)
 {
     ErrorCode error;
     if (buffer_.size() == 0) {
@@ -117,12 +125,14 @@
     if (!error && !isWellFramed(parser.get())) {
         error = http::error::bad_transfer_encoding;
     }
+    if (const auto length = parser.content_length(); !error && length && !share.tryGrowTo(CopiesOfBody * *length)) {
+        error = asio::error::no_memory;
+    }
     if (!error && boost::iequals(parser.get()[http::field::expect], "100-continue")) {
         co_await asio::async_write(stream_, asio::buffer(InterimAnswer), failingInto(error));
     }
-    while (!error && !parser.is_done()) {
-        stream_.expires_after(toChrono(limits_.idleTimeout_));
-        co_await http::async_read_some(stream_, buffer_, parser, failingInto(error));
+    if (!error) {
+        error = co_await readBody(parser, share);
     }
     if (!error) {
         co_return true;
@@ -135,6 +145,19 @@
     co_return false;
 }
 
+Task<ErrorCode> FrontSession::readBody(Parser &parser, BodyShare &share)
+{
+    ErrorCode error;
+    while (!error && !parser.is_done()) {
+        stream_.expires_after(toChrono(limits_.idleTimeout_));
+        co_await http::async_read_some(stream_, buffer_, parser, failingInto(error));
+        if (!error && !share.tryGrowTo(CopiesOfBody * parser.get().body().size())) {
+            co_return asio::error::no_memory;
+        }
+    }
+    co_return error;
+}
+
 Task<void> FrontSession::answerMalformed(ErrorCode error)
 {
     const unsigned status = statusOfError(error);
@@ -144,6 +167,9 @@
     response.version(11);
     response.result(status);
     response.content_length(0);
+    if (status == 503) {
+        response.set(http::field::retry_after, MemoryRetryAfter);
+    }
     co_await answer(std::move(response), false);
     co_await drain();
 }
--- a/Libraries/LibGateway/FrontSession.h
+++ b/Libraries/LibGateway/FrontSession.h
@@ -20,7 +20,9 @@
 
     Task<void> serve();
     // Reads one request; returns whether there is one. Answers what cannot be read.
-    Task<bool> readRequest(Parser &parser);
+    Task<bool> readRequest(Parser &parser, BodyShare &share);
+    // Reads the rest after the header, as far as memory is left for it.
+    Task<ErrorCode> readBody(Parser &parser, BodyShare &share);
     Task<void> answerMalformed(ErrorCode error);
     Task<bool> answer(HttpResponse response, bool isKept);
     Task<void> drain();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,6 +16,8 @@
 constexpr Duration SettingsInterval = 1s;
 // The platform stops sending new callers within this time after the instance has said that it is not ready.
 constexpr Duration RotationTime = 3s;
+// Part of the instance's memory that bodies may take; the rest is for the program, buffers of connections and the view.
+constexpr double BodyMemoryPart = 0.5;
 // What is left of the grace period when the process ends in any case.
 constexpr Duration StopMargin = 300ms;
 
@@ -26,6 +28,11 @@
     return std::to_string((high << 32U) | device());
 }
 
+std::uint64_t bodyMemory(const Platform::InstanceSettings &settings)
+{
+    return static_cast<std::uint64_t>(static_cast<double>(settings.memoryBytes_) * BodyMemoryPart);
+}
+
 std::int64_t changeTimeOf(const std::string &path)
 {
     struct stat status
@@ -83,7 +90,8 @@
     , client_(loop_)
     , duties_(loop_, self_, GrantTerms::within(settings_.maxHoldTime_), view_, store_, storeLink_, network_, placement_, log_)
     , flow_(loop_, view_, storeLink_, placement_, client_, log_, metrics_)
-    , front_(loop_, view_, flow_, log_, metrics_)
+    , bodies_(bodyMemory(settings_))
+    , front_(loop_, view_, flow_, bodies_, log_, metrics_)
     , ready_(loop_,
              [this](const HttpRequest &request) {
                  return answerStatus(request);
@@ -261,6 +269,7 @@
 void Gateway::updateMetrics()
 {
     metrics_.setGauge("goldcrestwall_waiting_requests", {}, static_cast<double>(placement_.waitingCount()));
+    metrics_.setGauge("goldcrestwall_body_bytes", {}, static_cast<double>(bodies_.taken()));
     metrics_.setGauge("goldcrestwall_caller_connections", {}, static_cast<double>(front_.connectionCount()));
     metrics_.setGauge("goldcrestwall_store_calls", {}, static_cast<double>(store_.counters().calls_));
     metrics_.setGauge("goldcrestwall_store_failures", {}, static_cast<double>(store_.counters().failures_));
@@ -314,6 +323,7 @@
     const bool needsRestart = reading.settings_.callerAddress_ != settings_.callerAddress_ || reading.settings_.peerAddress_ != settings_.peerAddress_;
     log_.write(LogLine("settings-reloaded").add("cause", cause).add("changed", isChanged).add("needsRestart", needsRestart), LogImportance::Kept, now);
     settings_ = reading.settings_;
+    bodies_.setLimit(bodyMemory(settings_));
     store_.setAddress(settings_.storeAddress_);
     relay_.refresh(settings_.seeds_, now);
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -67,6 +67,7 @@
     HttpClient client_;
     DutyManager duties_;
     RequestFlow flow_;
+    BodyBudget bodies_;
     FrontServer front_;
     StatusServer ready_;
     StatusServer metricsServer_;
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -12,6 +12,16 @@
 class RequestControl
 {
 public:
+    explicit RequestControl(BodyBudget &bodies)
+        : answerShare_(bodies)
+    {
+    }
+
+    // The memory of the answer's body, until the answer has been written.
+    BodyShare &answerShare()
+    {
+        return answerShare_;
+    }
     void abandon()
     {
         isAbandoned_ = true;
@@ -30,6 +40,7 @@
     }
 
 private:
+    BodyShare answerShare_;
     bool isAbandoned_ = false;
     std::function<void()> onAbandon_;
 };
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -61,6 +61,7 @@
         break;
     case ExchangeOutcome::NotSent:
         return PlaceOutcome::Unreachable;
+    case ExchangeOutcome::NoRoom:
     case ExchangeOutcome::Cancelled:
         return PlaceOutcome::Abandoned;
     case ExchangeOutcome::Lost:
@@ -246,6 +247,7 @@
     options.maxIdle_ = isIdempotent ? MaxIdleIdempotent : MaxIdleNonIdempotent;
     options.identifyingHeader_ = Platform::RequestIdHeader;
     options.identity_ = progress.terms_.requestId_;
+    options.bodyShare_ = &progress.control_->answerShare();
     auto handle = std::make_shared<ExchangeHandle>();
     progress.control_->setOnAbandon([handle, isIdempotent] {
         // What must not be lost goes on without its caller once a server may have begun.
--- /dev/null
+++ b/Libraries/LibHttp/BodyBudget.h
@@ -0,0 +1,83 @@
+// Bounds the memory that the bodies of requests and answers hold together.
+#pragma once
+
+#include <cstdint>
+#include <utility>
+
+namespace Goldcrestwall::Gateway {
+
+// How many bytes all bodies in progress may hold. Outlives its shares.
+class BodyBudget
+{
+public:
+    explicit BodyBudget(std::uint64_t limit)
+        : limit_(limit)
+    {
+    }
+
+    void setLimit(std::uint64_t limit)
+    {
+        limit_ = limit;
+    }
+    std::uint64_t taken() const
+    {
+        return taken_;
+    }
+    std::uint64_t available() const
+    {
+        return limit_ > taken_ ? limit_ - taken_ : 0;
+    }
+
+private:
+    friend class BodyShare;
+
+    std::uint64_t limit_;
+    std::uint64_t taken_ = 0;
+};
+
+// What one body holds of the budget; it is given back at the end of the share's life.
+class BodyShare
+{
+public:
+    explicit BodyShare(BodyBudget &budget)
+        : budget_(&budget)
+    {
+    }
+    BodyShare(BodyShare &&other) noexcept
+        : budget_(other.budget_)
+        , bytes_(std::exchange(other.bytes_, 0))
+    {
+    }
+    BodyShare &operator=(BodyShare &&other) noexcept
+    {
+        std::swap(budget_, other.budget_);
+        std::swap(bytes_, other.bytes_);
+        return *this;
+    }
+    BodyShare(const BodyShare &) = delete;
+    BodyShare &operator=(const BodyShare &) = delete;
+    ~BodyShare()
+    {
+        budget_->taken_ -= bytes_;
+    }
+
+    // Takes what is missing to `bytes`. Returns whether it was there; nothing is taken otherwise.
+    bool tryGrowTo(std::uint64_t bytes)
+    {
+        if (bytes <= bytes_) {
+            return true;
+        }
+        if (bytes - bytes_ > budget_->available()) {
+            return false;
+        }
+        budget_->taken_ += bytes - bytes_;
+        bytes_ = bytes;
+        return true;
+    }
+
+private:
+    BodyBudget *budget_;
+    std::uint64_t bytes_ = 0;
+};
+
+} // namespace Goldcrestwall::Gateway
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -13,6 +13,8 @@
 constexpr Duration DefaultKeepAlive = 5s;
 constexpr Duration KeepAliveMargin = 1s;
 constexpr std::size_t MaxIdlePerAddress = 8;
+// A body is there as it was read and as it is passed on.
+constexpr std::uint64_t CopiesOfBody = 2;
 constexpr unsigned LowestFinalStatus = 200;
 
 // Ends a connection on which nothing is under way.
@@ -65,6 +67,8 @@
         return "lost";
     case ExchangeOutcome::Malformed:
         return "malformed";
+    case ExchangeOutcome::NoRoom:
+        return "no-room";
     case ExchangeOutcome::Cancelled:
         return "cancelled";
     }
@@ -146,19 +150,38 @@
     co_return stream;
 }
 
+Task<ErrorCode> HttpClient::readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer, AnswerParser &parser, BodyShare *share)
+{
+    ErrorCode error;
+    co_await http::async_read_header(stream, buffer, parser, failingInto(error));
+    const auto length = parser.content_length();
+    if (!error && !parser.is_done() && share != nullptr && length && !share->tryGrowTo(CopiesOfBody * *length)) {
+        co_return ErrorCode(http::error::body_limit);
+    }
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(stream, buffer, parser, failingInto(error));
+        if (!error && share != nullptr && !share->tryGrowTo(CopiesOfBody * parser.get().body().size())) {
+            co_return ErrorCode(http::error::body_limit);
+        }
+    }
+    co_return error;
+}
+
 Task<ExchangeOutcome>
 HttpClient::readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response, bool &isReusable)
 {
     beast::flat_buffer buffer;
     for (;;) {
-        http::response_parser<http::string_body> parser;
+        AnswerParser parser;
         parser.body_limit(MaxAnswerBody);
         parser.header_limit(MaxAnswerHeader);
         if (request.method() == http::verb::head) {
             parser.skip(true);
         }
-        ErrorCode error;
-        co_await http::async_read(stream, buffer, parser, failingInto(error));
+        const ErrorCode error = co_await readBody(stream, buffer, parser, options.bodyShare_);
+        if (error == http::error::body_limit) {
+            co_return ExchangeOutcome::NoRoom;
+        }
         if (error) {
             const bool isProtocolError = error.category() == make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream
                 && error != http::error::partial_message;
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibHttp/Asio.h>
+#include <LibHttp/BodyBudget.h>
 
 #include <deque>
 #include <functional>
@@ -21,6 +22,8 @@
     Lost,
     // What came back is no answer in the protocol.
     Malformed,
+    // The answer's body would take more memory than is left for bodies.
+    NoRoom,
     // It was cut off by this side.
     Cancelled,
 };
@@ -70,6 +73,8 @@
     // An answer that names another request is skipped: the name of the header that identifies it, and this request's value.
     std::string identifyingHeader_;
     std::string identity_;
+    // Counts the memory of the answer's body; not counted without it. Outlives the exchange.
+    BodyShare *bodyShare_ = nullptr;
 };
 
 // Keeps connections by address. Connections that a server closed or that carry bytes nobody asked for are dropped.
@@ -93,6 +98,8 @@
     }
 
 private:
+    using AnswerParser = http::response_parser<http::string_body>;
+
     struct Idle
     {
         std::shared_ptr<beast::tcp_stream> stream_;
@@ -103,6 +110,7 @@
     std::shared_ptr<beast::tcp_stream> takeIdle(const std::string &address, Duration maxIdle, TimePoint now);
     void keep(const std::string &address, std::shared_ptr<beast::tcp_stream> stream, const HttpResponse &response, TimePoint now);
     Task<std::shared_ptr<beast::tcp_stream>> connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle);
+    static Task<ErrorCode> readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer, AnswerParser &parser, BodyShare *share);
     static Task<ExchangeOutcome>
     readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response, bool &isReusable);
 
--- a/Libraries/LibHttp/LibHttp.h
+++ b/Libraries/LibHttp/LibHttp.h
@@ -2,5 +2,6 @@
 #pragma once
 
 #include <LibHttp/Asio.h>
+#include <LibHttp/BodyBudget.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/Listener.h>
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -116,9 +116,40 @@
     CPPUNIT_TEST(unreachableServerWasNotSentAnything);
     CPPUNIT_TEST(cancelledExchangeEnds);
     CPPUNIT_TEST(timedOutExchangeIsReset);
+    CPPUNIT_TEST(bodiesStayWithinTheirMemory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void bodiesStayWithinTheirMemory()
+    {
+        BodyBudget budget(1000);
+        {
+            BodyShare first(budget);
+            CPPUNIT_ASSERT(first.tryGrowTo(600));
+            CPPUNIT_ASSERT(first.tryGrowTo(500));
+            BodyShare second(budget);
+            CPPUNIT_ASSERT(!second.tryGrowTo(401));
+            CPPUNIT_ASSERT(second.tryGrowTo(400));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.available());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.taken());
+        // A body is counted as it was read and as it is passed on, with a length, in chunks and up to the connection's end.
+        const std::string body(300, 'x');
+        const std::string chunked = "12c\r\n" + body + "\r\n0\r\n\r\n";
+        for (const auto &[limit, outcome] : {std::pair(599, ExchangeOutcome::NoRoom), std::pair(600, ExchangeOutcome::Answered)}) {
+            for (const auto &text :
+                 {answerWith("Content-Length: 300\r\n", body), answerWith("Transfer-Encoding: chunked\r\n", chunked), answerWith("", body)}) {
+                budget.setLimit(static_cast<std::uint64_t>(limit));
+                BodyShare share(budget);
+                auto options = makeOptions();
+                options.bodyShare_ = &share;
+                const auto results = play({Script{{text}}}, 1, options);
+                CPPUNIT_ASSERT(results.at(0).outcome_ == outcome);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.taken());
+    }
+
     // What a partition holds up after the timeout must not reach the server once the partition is over: only a reset discards it.
     void timedOutExchangeIsReset()
     {
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -99,7 +99,7 @@
         settings << '"' << seed << "\",";
     }
     settings << "]\n[listen]\nfront = \"" << loopback(callerPort_) << "\"\nready = \"" << loopback(readyPort_) << "\"\ncontrol = \"" << peerAddress()
-             << "\"\n[parameters]\nholdMaxS = " << std::chrono::duration<double>(maxHoldTime_).count()
+             << "\"\n[limits]\ncpuShare = 0.2\nmemoryMb = 0.3\n[parameters]\nholdMaxS = " << std::chrono::duration<double>(maxHoldTime_).count()
              << "\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 60\n[platform]\naddress = \"" << storeAddress_ << "\"\n";
     settings.close();
     const std::string settingsFlag = "--settings=" + settingsPath_.string();
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -227,6 +227,9 @@
             {"HTTP/1.1 400", "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nConnection: close\r\n\r\n"},
             {"HTTP/1.1 431", head + "X-Long: " + std::string(9000, 'x') + "\r\n\r\n"},
             {"HTTP/1.1 413", head + "Content-Length: 100001\r\n\r\n"},
+            // Half of the memory of 300,000 bytes is for bodies, and each is held twice.
+            {"HTTP/1.1 503", head + "Expect: 100-continue\r\nContent-Length: 90000\r\n\r\n"},
+            {"HTTP/1.1 503", head + "Transfer-Encoding: chunked\r\n\r\n15f90\r\n" + std::string(90000, 'x') + "\r\n0\r\n\r\n"},
         };
         for (const auto &[status, bytes] : cases) {
             const auto received = exchangeBytes(deployment.instance(0).callerPort(), bytes);
