--- a/Libraries/LibGateway/DutyManager.cpp
+++ b/Libraries/LibGateway/DutyManager.cpp
@@ -141,6 +141,9 @@
     if (!configuration) {
         return;
     }
+    std::erase_if(healthCheckedAt_, [this](const auto &entry) {
+        return view_.server(entry.first) == nullptr;
+    });
     for (const auto &service : configuration->services_) {
         auto *pool = placement_.pool(service.name_);
         if (pool == nullptr || !placement_.isCoordinating(service.name_)) {
--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -13,8 +13,6 @@
 constexpr Duration DrainTimeout = 1s;
 constexpr std::size_t MaxDrained = 256U << 10U;
 constexpr std::size_t ReadSize = 4096;
-// A body is there as it was read and as it is passed on.
-constexpr std::uint64_t CopiesOfBody = 2;
 // In seconds: when other bodies will probably have been passed on.
 constexpr const char *MemoryRetryAfter = "0.3";
 constexpr std::string_view InterimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -125,7 +123,7 @@
     if (!error && !isWellFramed(parser.get())) {
         error = http::error::bad_transfer_encoding;
     }
-    if (const auto length = parser.content_length(); !error && length && !share.tryGrowTo(CopiesOfBody * *length)) {
+    if (const auto length = parser.content_length(); !error && length && !share.tryHold(*length)) {
         error = asio::error::no_memory;
     }
     if (!error && boost::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -151,7 +149,7 @@
     while (!error && !parser.is_done()) {
         stream_.expires_after(toChrono(limits_.idleTimeout_));
         co_await http::async_read_some(stream_, buffer_, parser, failingInto(error));
-        if (!error && !share.tryGrowTo(CopiesOfBody * parser.get().body().size())) {
+        if (!error && !share.tryHold(parser.get().body().size())) {
             co_return asio::error::no_memory;
         }
     }
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -283,7 +283,8 @@
 {
     std::vector<InstanceProfile> profiles;
     profiles.reserve(members_.size());
-    for (const auto &[name, member] : members_) {
+    for (const auto &[key, member] : members_) {
+        const std::string &name = key;
         const auto duties = std::ranges::count_if(leaders_, [&name](const auto &entry) {
             return entry.second.member_.name_ == name;
         });
--- a/Libraries/LibHttp/BodyBudget.h
+++ b/Libraries/LibHttp/BodyBudget.h
@@ -61,9 +61,10 @@
         budget_->taken_ -= bytes_;
     }
 
-    // Takes what is missing to `bytes`. Returns whether it was there; nothing is taken otherwise.
-    bool tryGrowTo(std::uint64_t bytes)
+    // Takes what a body of this size needs in all. Returns whether it was there; nothing is taken otherwise.
+    bool tryHold(std::uint64_t bodySize)
     {
+        const std::uint64_t bytes = CopiesOfBody * bodySize;
         if (bytes <= bytes_) {
             return true;
         }
@@ -76,6 +77,9 @@
     }
 
 private:
+    // A body is there as it was read and as it is passed on.
+    static constexpr std::uint64_t CopiesOfBody = 2;
+
     BodyBudget *budget_;
     std::uint64_t bytes_ = 0;
 };
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -13,8 +13,6 @@
 constexpr Duration DefaultKeepAlive = 5s;
 constexpr Duration KeepAliveMargin = 1s;
 constexpr std::size_t MaxIdlePerAddress = 8;
-// A body is there as it was read and as it is passed on.
-constexpr std::uint64_t CopiesOfBody = 2;
 constexpr unsigned LowestFinalStatus = 200;
 
 // Ends a connection on which nothing is under way.
@@ -155,12 +153,12 @@
     ErrorCode error;
     co_await http::async_read_header(stream, buffer, parser, failingInto(error));
     const auto length = parser.content_length();
-    if (!error && !parser.is_done() && share != nullptr && length && !share->tryGrowTo(CopiesOfBody * *length)) {
+    if (!error && !parser.is_done() && share != nullptr && length && !share->tryHold(*length)) {
         co_return ErrorCode(http::error::body_limit);
     }
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(stream, buffer, parser, failingInto(error));
-        if (!error && share != nullptr && !share->tryGrowTo(CopiesOfBody * parser.get().body().size())) {
+        if (!error && share != nullptr && !share->tryHold(parser.get().body().size())) {
             co_return ErrorCode(http::error::body_limit);
         }
     }
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -125,11 +125,11 @@
         BodyBudget budget(1000);
         {
             BodyShare first(budget);
-            CPPUNIT_ASSERT(first.tryGrowTo(600));
-            CPPUNIT_ASSERT(first.tryGrowTo(500));
+            CPPUNIT_ASSERT(first.tryHold(300));
+            CPPUNIT_ASSERT(first.tryHold(250));
             BodyShare second(budget);
-            CPPUNIT_ASSERT(!second.tryGrowTo(401));
-            CPPUNIT_ASSERT(second.tryGrowTo(400));
+            CPPUNIT_ASSERT(!second.tryHold(201));
+            CPPUNIT_ASSERT(second.tryHold(200));
             CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.available());
         }
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.taken());
