--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -19,6 +19,16 @@
 grep -E 'MISSED|KNOWN-RED' "$log" || true
 passed=$(sed -nE 's/^.*: ([0-9]+) passed, [0-9]+ failed$/\1/p' "$log" | awk '{sum += $1} END {print sum + 0}')
 failed=$(sed -nE 's/^.*: [0-9]+ passed, ([0-9]+) failed$/\1/p' "$log" | awk '{sum += $1} END {print sum + 0}')
+# Failures are passed over only if KNOWN-RED.txt names each of them and every program that failed ended by itself with its count.
+known=$(sed -nE 's/^[0-9]+: Test name: (.*)$/\1/p' "$log" | sort -u | while read -r name; do grep -Fx "test: $name" KNOWN-RED.txt || true; done)
+known_count=$(printf '%s' "$known" | grep -c . || true)
+programs_failed=$(grep -cE '^ *[0-9]+/[0-9]+ Test +#[0-9]+: .*\*\*\*' "$log" || true)
+programs_counted=$(grep -cE '^[0-9]+: [0-9]+ passed, [1-9][0-9]* failed$' "$log" || true)
+if [ "$status" -ne 0 ] && [ "$failed" -gt 0 ] && [ "$failed" -eq "$known_count" ] && [ "$programs_failed" -eq "$programs_counted" ]; then
+    printf 'KNOWN-RED, failed: %s\n' "$known"
+    failed=0
+    status=0
+fi
 if [ "$status" -ne 0 ] && [ "$failed" -eq 0 ]; then
     failed=1
 fi
