LibTopology: Know downloads as a kind of request that may run again

Cause: the decoder knew two words and took each other one for requests that run at most once, so downloads were not repeated after a failure and not ended when their caller left. Unknown kinds still run once. kindsOfRequestsAreTold failed first (kind 'download' read as NonIdempotent).

--- a/Libraries/LibTopology/Topology.h
+++ b/Libraries/LibTopology/Topology.h
@@ -11,12 +11,29 @@
 
 namespace Goldcrestwall::Gateway {
 
-// Whether a request may run more than once.
-enum class RequestKind {
+// What a route's requests are, which decides how often they may run.
+enum class RequestKind : std::uint8_t {
+    // May run more than once.
     Idempotent,
+    // Runs at most once.
     NonIdempotent,
+    // Idempotent, with a large answer.
+    Download,
 };
 
+// Whether requests of this kind may be sent again after one that may have run.
+constexpr bool mayRunAgain(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Idempotent:
+    case RequestKind::Download:
+        return true;
+    case RequestKind::NonIdempotent:
+        return false;
+    }
+    return false;
+}
+
 // One of the services that a route sends its requests to.
 struct WeightedService
 {
--- a/Tests/Platform/TestDocuments.cpp
+++ b/Tests/Platform/TestDocuments.cpp
@@ -51,6 +51,7 @@
 {
     CPPUNIT_TEST_SUITE(TestDocuments);
     CPPUNIT_TEST(configurationIsDecoded);
+    CPPUNIT_TEST(kindsOfRequestsAreTold);
     CPPUNIT_TEST(unusableConfigurationsAreRefusedWithAReason);
     CPPUNIT_TEST(serverEntriesAreDecoded);
     CPPUNIT_TEST(unusableServerEntriesAreRefused);
@@ -76,6 +77,23 @@
         CPPUNIT_ASSERT(configuration.limits_.idleTimeout_ == 15s);
     }
 
+    void kindsOfRequestsAreTold()
+    {
+        using Gateway::RequestKind;
+        const std::vector<std::pair<std::string, RequestKind>> kinds{{"idempotent", RequestKind::Idempotent},
+                                                                     {"non_idempotent", RequestKind::NonIdempotent},
+                                                                     {"download", RequestKind::Download},
+                                                                     // Nothing is known of it: it runs once.
+                                                                     {"future", RequestKind::NonIdempotent}};
+        for (const auto &[word, kind] : kinds) {
+            const auto decoded = decodeConfiguration(replaced(GoodConfiguration, "\"kind\":\"idempotent\"", "\"kind\":\"" + word + "\""));
+            CPPUNIT_ASSERT_MESSAGE(word, decoded.value_);
+            CPPUNIT_ASSERT_MESSAGE(word, decoded.value_->routes_[1].kind_ == kind);
+        }
+        CPPUNIT_ASSERT(mayRunAgain(RequestKind::Download));
+        CPPUNIT_ASSERT(!mayRunAgain(RequestKind::NonIdempotent));
+    }
+
     void unusableConfigurationsAreRefusedWithAReason()
     {
         const std::vector<std::string> broken{
