LibHttp: Bound what one answer may take, in bytes and in answers passed over

Cause: only the memory of all bodies together bounded an answer, so a server that sends without an end could take all of it from the others, and its failure counted as a want of room (no-room), not as the server's fault; answers to health checks and orders were bounded by 64 MB only; interim answers and answers to other requests were passed over without a bound until the time-out.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -107,7 +107,7 @@
 
     bool isIdempotent() const
     {
-        return route_->kind_ == RequestKind::Idempotent;
+        return Gateway::mayRunAgain(route_->kind_);
     }
 };
 
@@ -128,6 +128,13 @@
 {
 }
 
+bool RequestFlow::mayRunAgain(const HttpRequest &request) const
+{
+    const auto configuration = view_.configuration();
+    const Route *route = configuration ? configuration->route(hostOf(request), pathOf(request)) : nullptr;
+    return route == nullptr || Gateway::mayRunAgain(route->kind_);
+}
+
 HttpResponse RequestFlow::makeAnswer(const Progress &progress, unsigned status, std::optional<Duration> retryAfter) const
 {
     HttpResponse answer;
@@ -248,6 +255,7 @@
     options.identifyingHeader_ = Platform::RequestIdHeader;
     options.identity_ = progress.terms_.requestId_;
     options.bodyShare_ = &progress.control_->answerShare();
+    options.maxAnswerBody_ = options.bodyShare_->budget().maxBody();
     auto handle = std::make_shared<ExchangeHandle>();
     progress.control_->setOnAbandon([handle, isIdempotent] {
         // What must not be lost goes on without its caller once a server may have begun.
@@ -263,7 +271,8 @@
     PlaceReport report;
     report.outcome_ = toPlaceOutcome(result, kind);
     const bool isTimeout = result.outcome_ == ExchangeOutcome::Answered && result.response_.result_int() == GatewayTimeout;
-    if (isTimeout || (report.outcome_ == PlaceOutcome::Lost && now >= progress.deadline_)) {
+    // Bytes without an end are the server's fault, not work that takes long.
+    if (isTimeout || (report.outcome_ == PlaceOutcome::Lost && now >= progress.deadline_ && !result.isEndless_)) {
         report.outcome_ = PlaceOutcome::TimedOut;
     }
     report.duration_ = now - startedAt;
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -23,6 +23,9 @@
     // The answer for the caller; nothing when the caller has left. `arrivedAt` is when the request's first bytes were read.
     Task<std::optional<HttpResponse>> run(const HttpRequest &request, std::shared_ptr<RequestControl> control, TimePoint arrivedAt);
 
+    // Whether the request may run more than once, or not at all because no route is known for it.
+    bool mayRunAgain(const HttpRequest &request) const;
+
 private:
     // What is known of one request while it is handled.
     struct Progress;
--- a/Libraries/LibHttp/BodyBudget.h
+++ b/Libraries/LibHttp/BodyBudget.h
@@ -27,14 +27,25 @@
     {
         return limit_ > taken_ ? limit_ - taken_ : 0;
     }
+    // The size of a body that one exchange may hold, so that a single endless one leaves room for others.
+    std::uint64_t maxBody() const;
 
 private:
     friend class BodyShare;
 
+    // A body is there as it was read and as it is passed on.
+    static constexpr std::uint64_t CopiesOfBody = 2;
+    static constexpr std::uint64_t MinExchanges = 4;
+
     std::uint64_t limit_;
     std::uint64_t taken_ = 0;
 };
 
+inline std::uint64_t BodyBudget::maxBody() const
+{
+    return limit_ / (CopiesOfBody * MinExchanges);
+}
+
 // What one body holds of the budget; it is given back at the end of the share's life.
 class BodyShare
 {
@@ -64,7 +75,7 @@
     // Takes what a body of this size needs in all. Returns whether it was there; nothing is taken otherwise.
     bool tryHold(std::uint64_t bodySize)
     {
-        const std::uint64_t bytes = CopiesOfBody * bodySize;
+        const std::uint64_t bytes = BodyBudget::CopiesOfBody * bodySize;
         if (bytes <= bytes_) {
             return true;
         }
@@ -76,10 +87,12 @@
         return true;
     }
 
-private:
-    // A body is there as it was read and as it is passed on.
-    static constexpr std::uint64_t CopiesOfBody = 2;
+    const BodyBudget &budget() const
+    {
+        return *budget_;
+    }
 
+private:
     BodyBudget *budget_;
     std::uint64_t bytes_ = 0;
 };
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr std::uint64_t MaxAnswerBody = 64U << 20U;
 constexpr std::uint32_t MaxAnswerHeader = 64U << 10U;
+// Interim answers and answers to other requests that are read before the one that is waited for.
+constexpr std::size_t MaxSkippedAnswers = 8;
 // How long a connection is kept when its server does not say, and by how much earlier than announced it is given up.
 constexpr Duration DefaultKeepAlive = 5s;
 constexpr Duration KeepAliveMargin = 1s;
@@ -52,6 +53,17 @@
     return std::max<Duration>(Duration::zero(), std::chrono::seconds(seconds) - KeepAliveMargin);
 }
 
+// What an error while an answer is read says about the exchange.
+ExchangeOutcome outcomeOf(ErrorCode error)
+{
+    if (error == asio::error::no_memory) {
+        return ExchangeOutcome::NoRoom;
+    }
+    const bool isProtocolError = error.category() == make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream
+        && error != http::error::partial_message;
+    return isProtocolError ? ExchangeOutcome::Malformed : ExchangeOutcome::Lost;
+}
+
 } // namespace
 
 const char *exchangeOutcomeName(ExchangeOutcome outcome)
@@ -148,57 +160,57 @@
     co_return stream;
 }
 
-Task<ErrorCode> HttpClient::readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer, AnswerParser &parser, BodyShare *share)
+Task<ErrorCode> HttpClient::readMessage(beast::tcp_stream &stream, beast::flat_buffer &buffer, AnswerParser &parser, BodyShare *share)
 {
     ErrorCode error;
     co_await http::async_read_header(stream, buffer, parser, failingInto(error));
     const auto length = parser.content_length();
     if (!error && !parser.is_done() && share != nullptr && length && !share->tryHold(*length)) {
-        co_return ErrorCode(http::error::body_limit);
+        co_return asio::error::no_memory;
     }
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(stream, buffer, parser, failingInto(error));
         if (!error && share != nullptr && !share->tryHold(parser.get().body().size())) {
-            co_return ErrorCode(http::error::body_limit);
+            co_return asio::error::no_memory;
         }
     }
     co_return error;
 }
 
-Task<ExchangeOutcome>
-HttpClient::readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response, bool &isReusable)
+Task<bool> HttpClient::readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result)
 {
     beast::flat_buffer buffer;
-    for (;;) {
+    for (std::size_t skipped = 0; skipped <= MaxSkippedAnswers; ++skipped) {
         AnswerParser parser;
-        parser.body_limit(MaxAnswerBody);
+        parser.body_limit(options.maxAnswerBody_);
         parser.header_limit(MaxAnswerHeader);
         if (request.method() == http::verb::head) {
             parser.skip(true);
         }
-        const ErrorCode error = co_await readBody(stream, buffer, parser, options.bodyShare_);
-        if (error == http::error::body_limit) {
-            co_return ExchangeOutcome::NoRoom;
-        }
+        const ErrorCode error = co_await readMessage(stream, buffer, parser, options.bodyShare_);
         if (error) {
-            const bool isProtocolError = error.category() == make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream
-                && error != http::error::partial_message;
-            co_return isProtocolError ? ExchangeOutcome::Malformed : ExchangeOutcome::Lost;
+            result.outcome_ = outcomeOf(error);
+            const bool hasBegun = parser.is_header_done() || buffer.size() > 0;
+            result.isEndless_ = error == beast::error::timeout && hasBegun && !parser.content_length();
+            co_return false;
         }
-        response = parser.release();
+        result.response_ = parser.release();
+        const auto &response = result.response_;
         if (response.result_int() < LowestFinalStatus) {
             continue;
         }
         const auto identity = options.identifyingHeader_.empty() ? boost::string_view() : response[options.identifyingHeader_];
-        if (!identity.empty() && identity != options.identity_) {
-            if (!response.keep_alive()) {
-                co_return ExchangeOutcome::Lost;
-            }
-            continue;
+        if (identity.empty() || identity == options.identity_) {
+            result.outcome_ = ExchangeOutcome::Answered;
+            co_return response.keep_alive() && buffer.size() == 0 && !response.need_eof();
+        }
+        if (!response.keep_alive()) {
+            result.outcome_ = ExchangeOutcome::Lost;
+            co_return false;
         }
-        isReusable = response.keep_alive() && buffer.size() == 0 && !response.need_eof();
-        co_return ExchangeOutcome::Answered;
     }
+    result.outcome_ = ExchangeOutcome::Malformed;
+    co_return false;
 }
 
 Task<ExchangeResult>
@@ -220,9 +232,8 @@
     stream->expires_after(std::chrono::microseconds(std::max<Duration>(1ms, options.timeout_ - (bootNow() - startedAt))));
     ErrorCode error;
     co_await http::async_write(*stream, request, failingInto(error));
-    bool isReusable = false;
     // A server may answer and close before it has read the whole request: after a failed write its answer may still be there.
-    result.outcome_ = co_await readAnswer(*stream, request, options, result.response_, isReusable);
+    const bool isReusable = co_await readAnswer(*stream, request, options, result);
     handle->stream_.reset();
     if (handle->isCancelled()) {
         result.outcome_ = ExchangeOutcome::Cancelled;
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -20,7 +20,7 @@
     NotSent,
     // The request may have arrived, and no whole answer came back.
     Lost,
-    // What came back is no answer in the protocol.
+    // What came back is no answer in the protocol, or has no end within the bounds of one.
     Malformed,
     // The answer's body would take more memory than is left for bodies.
     NoRoom,
@@ -36,6 +36,8 @@
     // Only after Answered.
     HttpResponse response_;
     bool isNewConnection_ = false;
+    // Time ran out while bytes came that announced no end: neither a whole head nor the length of a body.
+    bool isEndless_ = false;
 };
 
 // Lets the owner of an exchange cut it off while it runs.
@@ -73,6 +75,8 @@
     // An answer that names another request is skipped: the name of the header that identifies it, and this request's value.
     std::string identifyingHeader_;
     std::string identity_;
+    // A longer body is no answer.
+    std::uint64_t maxAnswerBody_ = 64U << 10U;
     // Counts the memory of the answer's body; not counted without it. Outlives the exchange.
     BodyShare *bodyShare_ = nullptr;
 };
@@ -110,9 +114,9 @@
     std::shared_ptr<beast::tcp_stream> takeIdle(const std::string &address, Duration maxIdle, TimePoint now);
     void keep(const std::string &address, std::shared_ptr<beast::tcp_stream> stream, const HttpResponse &response, TimePoint now);
     Task<std::shared_ptr<beast::tcp_stream>> connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle);
-    static Task<ErrorCode> readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer, AnswerParser &parser, BodyShare *share);
-    static Task<ExchangeOutcome>
-    readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response, bool &isReusable);
+    static Task<ErrorCode> readMessage(beast::tcp_stream &stream, beast::flat_buffer &buffer, AnswerParser &parser, BodyShare *share);
+    // Reads until the answer to this request. Sets the outcome and what was read; returns whether the connection may be used again.
+    static Task<bool> readAnswer(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result);
 
     asio::io_context &loop_;
     std::map<std::string, std::deque<Idle>> idle_;
--- a/Libraries/LibHttp/Listener.cpp
+++ b/Libraries/LibHttp/Listener.cpp
@@ -1,5 +1,7 @@
 #include "Listener.h"
 
+#include <glog/logging.h>
+
 namespace Goldcrestwall::Gateway {
 
 namespace {
@@ -58,7 +60,11 @@
             co_await sleepFor(loop_, ErrorPause);
             continue;
         }
-        handler_(std::move(socket));
+        try {
+            handler_(std::move(socket));
+        } catch (const std::exception &failure) {
+            LOG(ERROR) << "a new connection cannot be served: " << failure.what();
+        }
     }
 }
 
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -17,6 +17,8 @@
     std::vector<std::string> answers_;
     bool isClosed_ = true;
     bool isReset_ = false;
+    // Sent after the last answer, again and again until the connection is closed.
+    std::string endless_;
 };
 
 // Accepts connections and plays one script on each, in turn.
@@ -63,6 +65,9 @@
                 ++requests_;
                 co_await asio::async_write(socket, asio::buffer(answer), failingInto(error));
             }
+            while (!script.endless_.empty() && !error) {
+                co_await asio::async_write(socket, asio::buffer(script.endless_), failingInto(error));
+            }
             if (script.isReset_) {
                 socket.set_option(asio::socket_base::linger(true, 0), error);
             }
@@ -117,6 +122,8 @@
     CPPUNIT_TEST(cancelledExchangeEnds);
     CPPUNIT_TEST(timedOutExchangeIsReset);
     CPPUNIT_TEST(bodiesStayWithinTheirMemory);
+    CPPUNIT_TEST(bytesWithoutEndAreNoAnswer);
+    CPPUNIT_TEST(endlessTrickleIsTold);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +157,60 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.taken());
     }
 
+    // Ends long before the time-out: the bound on bytes is what cuts it off.
+    void bytesWithoutEndAreNoAnswer()
+    {
+        const std::string filler = "X: " + std::string(1000, 'x') + "\r\n";
+        const std::string chunk = "400\r\n" + std::string(1024, 'x') + "\r\n";
+        const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+        const std::string other = answerWith("Id: 7\r\nContent-Length: 5\r\n", "wrong");
+        struct Case
+        {
+            const char *name_;
+            std::string begin_;
+            std::string endless_;
+        };
+        const std::vector<Case> cases{
+            {"head", "HTTP/1.1 200 OK\r\n", filler},
+            {"head without a line", "x", std::string(1000, 'x')},
+            {"interim answers", interim, interim},
+            {"answers to others", other, other},
+            {"chunks", answerWith("Id: 1\r\nTransfer-Encoding: chunked\r\n", ""), chunk},
+            {"body until the end", answerWith("Id: 1\r\n", ""), filler},
+            {"announced size", answerWith("Id: 1\r\nContent-Length: 99999999\r\n", ""), filler},
+        };
+        BodyBudget budget(1U << 20U);
+        for (const auto &[name, begin, endless] : cases) {
+            BodyShare share(budget);
+            auto options = makeOptions(60s);
+            options.bodyShare_ = &share;
+            options.maxAnswerBody_ = budget.maxBody();
+            Script script{{begin}};
+            script.endless_ = endless;
+            const auto results = play({script}, 1, options);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("malformed"), std::string(exchangeOutcomeName(results.at(0).outcome_)));
+            CPPUNIT_ASSERT_MESSAGE(name, budget.available() >= budget.taken());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.taken());
+    }
+
+    void endlessTrickleIsTold()
+    {
+        const std::vector<std::pair<std::string, bool>> cases{
+            {"", false},
+            {"HTTP/1.1 200 OK\r\nX: ", true},
+            {answerWith("Id: 1\r\nTransfer-Encoding: chunked\r\n", "3\r\nabc\r\n"), true},
+            {answerWith("Id: 1\r\n", "abc"), true},
+            // Its length is known: it may just be slow.
+            {answerWith("Id: 1\r\nContent-Length: 9\r\n", "abc"), false},
+        };
+        for (const auto &[bytes, isEndless] : cases) {
+            const auto results = play({{{bytes}, false}}, 1, makeOptions(40ms));
+            CPPUNIT_ASSERT(results.at(0).outcome_ == ExchangeOutcome::Lost);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, isEndless, results.at(0).isEndless_);
+        }
+    }
+
     // What a partition holds up after the timeout must not reach the server once the partition is over: only a reset discards it.
     void timedOutExchangeIsReset()
     {
