LibGateway: Work out an instance's role only when the view has changed

Cause: the watchers of all failure domains and the connections were worked out three times in each tick of 50 ms, though they follow from the view alone.

--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -150,6 +150,7 @@
         return;
     }
     items_[item.key_] = item;
+    ++changeCount_;
     decode(item, now);
 }
 
@@ -160,6 +161,7 @@
         return;
     }
     items_.erase(known);
+    ++changeCount_;
     removals_.emplace_back(revision, key);
     if (removals_.size() > MaxRemovals) {
         removalsKnownSince_ = removals_.front().first;
@@ -256,6 +258,7 @@
             continue;
         }
         servers_.erase(lapsed->first);
+        ++changeCount_;
         lapsed = lapsed_.erase(lapsed);
         isChanged = true;
     }
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -78,6 +78,12 @@
         return at_;
     }
 
+    // Differs whenever the content may have changed.
+    std::uint64_t changeCount() const
+    {
+        return changeCount_;
+    }
+
     void apply(const std::vector<Platform::StoreEvent> &events, Platform::Revision at, TimePoint now);
     // Takes a complete reading. `at` is the lowest revision that any part of it was read at.
     void replace(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
@@ -129,6 +135,7 @@
 
     ProblemHandler handler_;
     Platform::Revision at_ = 0;
+    std::uint64_t changeCount_ = 0;
     std::map<std::string, Platform::StoreItem> items_;
     std::deque<std::pair<Platform::Revision, std::string>> removals_;
     // Removals after this revision are all in `removals_`.
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -22,7 +22,7 @@
 {
 }
 
-std::set<std::string> ViewRelay::watcherAddresses() const
+std::set<std::string> ViewRelay::watcherAddresses(const std::map<std::string, std::string> &watchers) const
 {
     std::set<std::string> addresses;
     const auto add = [&](const std::string &name) {
@@ -39,7 +39,6 @@
             }
         }
     }
-    const auto watchers = watchersByDomain(view_.instances());
     if (const auto own = watchers.find(domain_); own != watchers.end()) {
         add(own->second);
     }
@@ -60,21 +59,28 @@
     return addresses;
 }
 
+const ViewRelay::Role &ViewRelay::role()
+{
+    if (role_ && role_->changeCount_ == view_.changeCount()) {
+        return *role_;
+    }
+    const auto instances = view_.instances();
+    const auto watchers = watchersByDomain(instances);
+    const auto own = watchers.find(domain_);
+    const bool isCoordinator = std::ranges::any_of(instances, [this](const InstanceProfile &profile) {
+        return profile.name_ == instance_ && profile.duties_ > 0;
+    });
+    const bool isFollower = !isCoordinator && own != watchers.end() && own->second != instance_;
+    role_ = Role{view_.changeCount(), isFollower, watcherAddresses(watchers)};
+    return *role_;
+}
+
 void ViewRelay::refresh(const std::vector<std::string> &seeds, TimePoint now)
 {
-    bool isRelayed = false;
     const bool isCurrent = view_.configuration() && storeLink_.isCurrent(now);
-    if (isCurrent) {
-        const auto watchers = watchersByDomain(view_.instances());
-        const auto own = watchers.find(domain_);
-        const bool isCoordinator = std::ranges::any_of(view_.instances(), [this](const InstanceProfile &profile) {
-            return profile.name_ == instance_ && profile.duties_ > 0;
-        });
-        isRelayed = !isCoordinator && own != watchers.end() && own->second != instance_;
-    }
-    storeLink_.setRelayed(isRelayed);
+    storeLink_.setRelayed(isCurrent && role().isFollower_);
     // Without the store every instance that can be reached may have newer content.
-    auto addresses = isCurrent ? watcherAddresses() : allAddresses(seeds);
+    auto addresses = isCurrent ? role().watchers_ : allAddresses(seeds);
     if (const auto self = view_.members().find(instance_); self != view_.members().end()) {
         addresses.erase(self->second.peerAddress_);
     }
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -30,7 +30,19 @@
     bool handleUpdate(const std::shared_ptr<PeerLink> &link, ViewUpdateMessage message, TimePoint now);
 
 private:
-    std::set<std::string> watcherAddresses() const;
+    // What the instance is among the others, by the view.
+    struct Role
+    {
+        // The view's count of changes that it was worked out from.
+        std::uint64_t changeCount_ = 0;
+        // Whether another instance watches the store for this one.
+        bool isFollower_ = false;
+        // Where the instances listen that watch the store.
+        std::set<std::string> watchers_;
+    };
+
+    const Role &role();
+    std::set<std::string> watcherAddresses(const std::map<std::string, std::string> &watchers) const;
     std::set<std::string> allAddresses(const std::vector<std::string> &seeds) const;
     PongMessage makePong(std::int64_t pingSentAt, TimePoint now) const;
 
@@ -40,6 +52,7 @@
     StoreLink &storeLink_;
     PeerNetwork &network_;
     EventLog &log_;
+    std::optional<Role> role_;
     TimePoint requestedAt_;
     // When another failure domain was first seen to know more.
     TimePoint behindSince_;
