--- a/Libraries/LibGateway/DutyManager.cpp
+++ b/Libraries/LibGateway/DutyManager.cpp
@@ -1,5 +1,7 @@
 #include "DutyManager.h"
 
+#include "Tasks.h"
+
 namespace Goldcrestwall::Gateway {
 
 namespace {
@@ -119,7 +121,9 @@
         return;
     }
     claiming_.insert(service);
-    asio::co_spawn(loop_, claim(service), asio::detached);
+    spawn(loop_, log_, "claim", [this, service] {
+        return claim(service);
+    });
 }
 
 Task<void> DutyManager::claim(std::string service)
@@ -154,7 +158,9 @@
             auto &checkedAt = healthCheckedAt_[id];
             if (server != nullptr && now - checkedAt >= HealthInterval) {
                 checkedAt = now;
-                asio::co_spawn(loop_, checkHealth(service.name_, *server, service.healthPath_), asio::detached);
+                spawn(loop_, log_, "health-check", [this, name = service.name_, description = *server, path = service.healthPath_] {
+                    return checkHealth(name, description, path);
+                });
             }
         }
     }
--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -1,5 +1,7 @@
 #include "FrontSession.h"
 
+#include "Tasks.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/write.hpp>
 
@@ -13,8 +15,11 @@
 constexpr Duration DrainTimeout = 1s;
 constexpr std::size_t MaxDrained = 256U << 10U;
 constexpr std::size_t ReadSize = 4096;
+// Requests of one connection that are read before the first of them is answered.
+constexpr std::size_t MaxPipelined = 32;
 // In seconds: when other bodies will probably have been passed on.
 constexpr const char *MemoryRetryAfter = "0.3";
+constexpr unsigned UnknownOutcomeStatus = 502;
 constexpr std::string_view InterimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::chrono::microseconds toChrono(Duration duration)
@@ -33,6 +38,15 @@
     return error == http::error::body_limit ? 413 : 400;
 }
 
+HttpResponse makeOwnAnswer(unsigned status)
+{
+    HttpResponse response;
+    response.version(11);
+    response.result(status);
+    response.content_length(0);
+    return response;
+}
+
 // Whether the request's length is certain, so that nothing behind it can be taken for a request of its own.
 bool isWellFramed(const HttpRequest &request)
 {
@@ -46,103 +60,201 @@
 FrontSession::FrontSession(FrontServer &server, Tcp::socket socket)
     : server_(server)
     , stream_(std::move(socket))
+    , change_(server.loop_)
+    , idleTimer_(server.loop_)
+    , idleSince_(bootNow())
 {
     configureSocket(stream_.socket());
 }
 
 void FrontSession::start()
 {
-    asio::co_spawn(
-        server_.loop_,
-        [self = shared_from_this()]() -> Task<void> {
-            co_await self->serve();
-            ErrorCode error;
-            self->stream_.socket().close(error);
-            self->server_.sessions_.erase(self);
-        },
-        asio::detached);
+    watchIdleTime(limits_.idleTimeout_);
+    spawn(server_.loop_, server_.log_, "caller", [self = shared_from_this()] {
+        return self->serve();
+    });
 }
 
 void FrontSession::closeIfIdle()
 {
-    if (isIdle_) {
+    if (isBetweenRequests_ && exchanges_.empty()) {
         ErrorCode error;
         stream_.socket().shutdown(Tcp::socket::shutdown_both, error);
     }
 }
 
+void FrontSession::watchIdleTime(Duration wait)
+{
+    idleTimer_.expires_after(toChrono(wait));
+    idleTimer_.async_wait([self = shared_from_this()](ErrorCode error) {
+        if (error) {
+            return;
+        }
+        const Duration idle = bootNow() - self->idleSince_;
+        const Duration limit = self->limits_.idleTimeout_;
+        if (!self->exchanges_.empty() || !self->isBetweenRequests_) {
+            self->watchIdleTime(limit);
+        } else if (idle < limit) {
+            self->watchIdleTime(limit - idle);
+        } else {
+            self->closeIfIdle();
+        }
+    });
+}
+
+Task<void> FrontSession::changed()
+{
+    change_.expires_at(asio::steady_timer::time_point::max());
+    ErrorCode error;
+    co_await change_.async_wait(failingInto(error));
+}
+
+void FrontSession::notifyChange()
+{
+    change_.cancel();
+}
+
 Task<void> FrontSession::serve()
 {
-    for (;;) {
+    try {
+        co_await exchangeAll();
+    } catch (...) {
+        logUnexpected(server_.log_, "caller", std::current_exception());
+        leave();
+    }
+    idleTimer_.cancel();
+    ErrorCode error;
+    stream_.socket().close(error);
+    server_.sessions_.erase(shared_from_this());
+}
+
+Task<void> FrontSession::exchangeAll()
+{
+    // 1. Read requests until the caller or an answer ends the connection.
+    // 2. Wait for the answers of what is in progress.
+    // 3. Read on for a moment, so that the last answer is not lost to a reset.
+    co_await readRequests();
+    while (!exchanges_.empty()) {
+        co_await changed();
+    }
+    if (isEnded_ && !isCallerGone_) {
+        co_await drain();
+    }
+}
+
+Task<void> FrontSession::readRequests()
+{
+    while (!isEnded_ && !isCallerGone_) {
+        if (exchanges_.size() >= MaxPipelined) {
+            co_await changed();
+            continue;
+        }
         if (const auto configuration = server_.view_.configuration()) {
             limits_ = configuration->limits_;
         }
-        Parser parser;
-        parser.header_limit(limits_.maxHeaderBytes_);
-        parser.body_limit(limits_.maxBodyBytes_);
-        isIdle_ = true;
-        BodyShare share(server_.bodies_);
-        if (!co_await readRequest(parser, share)) {
+        auto exchange = std::make_shared<Exchange>(server_.bodies_);
+        if (!co_await readRequest(*exchange)) {
             co_return;
         }
-        const HttpRequest request = parser.release();
-        const auto control = std::make_shared<RequestControl>(server_.bodies_);
-        watchCaller(control);
-        ++server_.requestsInProgress_;
-        auto response = co_await server_.flow_.run(request, control, arrivedAt_);
-        ErrorCode error;
-        stream_.socket().cancel(error);
-        bool isOpen = response.has_value();
-        if (isOpen) {
-            const bool isKept = request.keep_alive() && request.version() == 11 && !server_.isStopping();
-            isOpen = co_await answer(std::move(*response), isKept) && isKept;
-        }
-        --server_.requestsInProgress_;
-        if (!isOpen) {
-            stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
-            co_return;
+        const bool isLast = !exchange->isKept_;
+        add(std::move(exchange));
+        if (isLast) {
+            co_await watchCaller();
         }
     }
 }
 
-Task<bool> FrontSession::readRequest(Parser &parser, BodyShare &share)
+Task<void> FrontSession::watchCaller()
 {
-    ErrorCode error;
-    if (buffer_.size() == 0) {
-        stream_.expires_after(toChrono(limits_.idleTimeout_));
-        const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(ReadSize), failingInto(error));
+    std::array<char, ReadSize> ignored{};
+    while (!isEnded_ && !isCallerGone_) {
+        stream_.expires_never();
+        ErrorCode error;
+        co_await stream_.async_read_some(asio::buffer(ignored), failingInto(error));
         if (error) {
-            co_return false;
+            leave();
         }
-        buffer_.commit(size);
     }
-    isIdle_ = false;
-    arrivedAt_ = bootNow();
+}
+
+Task<ErrorCode> FrontSession::awaitRequest()
+{
+    ErrorCode error;
+    if (buffer_.size() > 0) {
+        co_return error;
+    }
+    // What the socket holds already came while this connection had no room for it.
+    const bool isWaiting = stream_.socket().available(error) > 0;
+    const TimePoint pausedAt = receivedAt_;
+    stream_.expires_never();
+    const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(ReadSize), failingInto(error));
+    buffer_.commit(size);
+    receivedAt_ = isWaiting && !exchanges_.empty() ? pausedAt : bootNow();
+    co_return error;
+}
+
+Task<bool> FrontSession::readRequest(Exchange &exchange)
+{
+    Parser parser;
+    parser.header_limit(limits_.maxHeaderBytes_);
+    parser.body_limit(limits_.maxBodyBytes_);
+    isBetweenRequests_ = true;
+    ErrorCode error = co_await awaitRequest();
+    if (error) {
+        leave();
+        co_return false;
+    }
+    isBetweenRequests_ = false;
+    exchange.arrivedAt_ = receivedAt_;
     stream_.expires_after(toChrono(limits_.headerTimeout_));
     co_await http::async_read_header(stream_, buffer_, parser, failingInto(error));
     if (!error && !isWellFramed(parser.get())) {
         error = http::error::bad_transfer_encoding;
     }
-    if (const auto length = parser.content_length(); !error && length && !share.tryHold(*length)) {
+    if (const auto length = parser.content_length(); !error && length && !exchange.requestShare_.tryHold(*length)) {
         error = asio::error::no_memory;
     }
-    if (!error && boost::iequals(parser.get()[http::field::expect], "100-continue")) {
-        co_await asio::async_write(stream_, asio::buffer(InterimAnswer), failingInto(error));
+    if (!error) {
+        error = co_await confirmBody(parser.get());
     }
     if (!error) {
-        error = co_await readBody(parser, share);
+        error = co_await readBody(parser, exchange.requestShare_);
+    }
+    if (isEnded_ || isCallerGone_) {
+        co_return false;
     }
     if (!error) {
+        receivedAt_ = bootNow();
+        exchange.request_ = parser.release();
+        exchange.isKept_ = exchange.request_.keep_alive() && exchange.request_.version() == 11;
         co_return true;
     }
     const bool isCallerGone = error == http::error::end_of_stream || error == http::error::partial_message || error == asio::error::eof
         || error == asio::error::connection_reset || error == asio::error::operation_aborted || error == beast::error::timeout;
-    if (!isCallerGone) {
-        co_await answerMalformed(error);
+    if (isCallerGone) {
+        leave();
+    } else {
+        refuse(error);
     }
     co_return false;
 }
 
+Task<ErrorCode> FrontSession::confirmBody(const HttpRequest &request)
+{
+    ErrorCode error;
+    if (!boost::iequals(request[http::field::expect], "100-continue")) {
+        co_return error;
+    }
+    while (!exchanges_.empty() && !isEnded_) {
+        co_await changed();
+    }
+    if (isEnded_) {
+        co_return asio::error::operation_aborted;
+    }
+    co_await asio::async_write(stream_, asio::buffer(InterimAnswer), failingInto(error));
+    co_return error;
+}
+
 Task<ErrorCode> FrontSession::readBody(Parser &parser, BodyShare &share)
 {
     ErrorCode error;
@@ -156,23 +268,104 @@
     co_return error;
 }
 
-Task<void> FrontSession::answerMalformed(ErrorCode error)
+void FrontSession::refuse(ErrorCode error)
 {
     const unsigned status = statusOfError(error);
     server_.log_.write(LogLine("request-unreadable").add("status", status).add("reason", error.message()), LogImportance::Kept, bootNow());
     server_.metrics_.increment("goldcrestwall_unreadable_total", {{"status", std::to_string(status)}});
-    HttpResponse response;
-    response.version(11);
-    response.result(status);
-    response.content_length(0);
+    auto exchange = std::make_shared<Exchange>(server_.bodies_);
+    HttpResponse response = makeOwnAnswer(status);
     if (status == 503) {
         response.set(http::field::retry_after, MemoryRetryAfter);
     }
-    co_await answer(std::move(response), false);
-    co_await drain();
+    exchange->answer_ = std::move(response);
+    exchange->isStarted_ = true;
+    exchange->isDone_ = true;
+    add(std::move(exchange));
+    spawn(server_.loop_, server_.log_, "refusal", [self = shared_from_this()] {
+        return self->writeAnswers();
+    });
+}
+
+void FrontSession::add(std::shared_ptr<Exchange> exchange)
+{
+    ++server_.requestsInProgress_;
+    exchanges_.push_back(std::move(exchange));
+    startExchanges();
+}
+
+void FrontSession::startExchanges()
+{
+    for (std::size_t index = 0; index < exchanges_.size(); ++index) {
+        const auto &exchange = exchanges_[index];
+        if (exchange->isStarted_) {
+            continue;
+        }
+        // During a stop the answer before it ends the connection.
+        const bool mayStart = index == 0 || (!server_.isStopping() && server_.flow_.mayRunAgain(exchange->request_));
+        if (!mayStart) {
+            return;
+        }
+        exchange->isStarted_ = true;
+        spawn(server_.loop_, server_.log_, "request", [self = shared_from_this(), exchange] {
+            return self->run(exchange);
+        });
+    }
+}
+
+Task<void> FrontSession::run(std::shared_ptr<Exchange> exchange)
+{
+    try {
+        exchange->answer_ = co_await server_.flow_.run(exchange->request_, exchange->control_, exchange->arrivedAt_);
+    } catch (...) {
+        // Nobody knows how far the request came.
+        logUnexpected(server_.log_, "request", std::current_exception());
+        exchange->answer_ = makeOwnAnswer(UnknownOutcomeStatus);
+    }
+    exchange->isDone_ = true;
+    co_await writeAnswers();
+}
+
+Task<void> FrontSession::writeAnswers()
+{
+    if (isWriting_) {
+        co_return;
+    }
+    isWriting_ = true;
+    while (!exchanges_.empty() && exchanges_.front()->isDone_) {
+        const auto exchange = exchanges_.front();
+        co_await writeAnswer(*exchange);
+        exchanges_.pop_front();
+        --server_.requestsInProgress_;
+        if (isEnded_ || isCallerGone_) {
+            dropUnstarted();
+        }
+        startExchanges();
+        idleSince_ = bootNow();
+        notifyChange();
+    }
+    isWriting_ = false;
 }
 
-Task<bool> FrontSession::answer(HttpResponse response, bool isKept)
+Task<void> FrontSession::writeAnswer(Exchange &exchange)
+{
+    if (!exchange.answer_ || isCallerGone_) {
+        co_return;
+    }
+    const bool isFollowed = exchanges_.size() > 1 && exchanges_[1]->isStarted_;
+    const bool isKept = exchange.isKept_ && (isFollowed || !server_.isStopping());
+    if (!co_await write(std::move(*exchange.answer_), isKept)) {
+        leave();
+    } else if (!isKept) {
+        isEnded_ = true;
+        ErrorCode error;
+        stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
+        // Ends the wait for a further request.
+        stream_.cancel();
+    }
+}
+
+Task<bool> FrontSession::write(HttpResponse response, bool isKept)
 {
     response.keep_alive(isKept);
     if (!isKept) {
@@ -184,10 +377,31 @@
     co_return !error;
 }
 
+void FrontSession::leave()
+{
+    if (isEnded_ || isCallerGone_) {
+        return;
+    }
+    isCallerGone_ = true;
+    dropUnstarted();
+    const auto exchanges = exchanges_;
+    for (const auto &exchange : exchanges) {
+        exchange->control_->abandon();
+    }
+    notifyChange();
+}
+
+void FrontSession::dropUnstarted()
+{
+    while (!exchanges_.empty() && !exchanges_.back()->isStarted_) {
+        exchanges_.pop_back();
+        --server_.requestsInProgress_;
+    }
+}
+
 Task<void> FrontSession::drain()
 {
     ErrorCode error;
-    stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
     stream_.expires_after(toChrono(DrainTimeout));
     std::array<char, ReadSize> chunk{};
     for (std::size_t drained = 0; drained < MaxDrained && !error;) {
@@ -195,24 +409,4 @@
     }
 }
 
-void FrontSession::watchCaller(const std::shared_ptr<RequestControl> &control)
-{
-    if (buffer_.size() > 0) {
-        // The next request is here already; a caller that leaves is noticed when it is read.
-        return;
-    }
-    stream_.expires_never();
-    stream_.socket().async_wait(Tcp::socket::wait_read, [self = shared_from_this(), control](ErrorCode error) {
-        if (error) {
-            return;
-        }
-        char byte = 0;
-        const auto read = ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool isOpen = read > 0 || (read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-        if (!isOpen) {
-            control->abandon();
-        }
-    });
-}
-
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/FrontSession.h
+++ b/Libraries/LibGateway/FrontSession.h
@@ -3,9 +3,15 @@
 
 #include <LibGateway/FrontServer.h>
 
+#include <deque>
+
 namespace Goldcrestwall::Gateway {
 
-// Reads requests one after another and writes their answers. Notices when the caller leaves while a request is in progress.
+// Reads requests and writes their answers in the order of the requests.
+//
+// A caller may send further requests before the first is answered. Those that may run more than once are handled side by side; any
+// other waits until all before it are answered, so that a connection that ends never leaves it in doubt. What stands behind an answer
+// that ends the connection was never begun. The reader goes on while requests are in progress, so that it notices a caller who leaves.
 class FrontSession : public std::enable_shared_from_this<FrontSession>
 {
 public:
@@ -18,22 +24,75 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
+    // One request from its reading to the writing of its answer.
+    struct Exchange
+    {
+        explicit Exchange(BodyBudget &bodies)
+            : requestShare_(bodies)
+            , control_(std::make_shared<RequestControl>(bodies))
+        {
+        }
+
+        HttpRequest request_;
+        BodyShare requestShare_;
+        std::shared_ptr<RequestControl> control_;
+        TimePoint arrivedAt_;
+        // Whether the caller lets the connection be used again.
+        bool isKept_ = false;
+        bool isStarted_ = false;
+        bool isDone_ = false;
+        // Nothing for a caller who has left.
+        std::optional<HttpResponse> answer_;
+    };
+
     Task<void> serve();
-    // Reads one request; returns whether there is one. Answers what cannot be read.
-    Task<bool> readRequest(Parser &parser, BodyShare &share);
+    Task<void> exchangeAll();
+    Task<void> readRequests();
+    // Notices that the caller leaves after its last request; what it sends is ignored.
+    Task<void> watchCaller();
+    // Reads one request; returns whether there is one. What cannot be read gets an answer that ends the connection.
+    Task<bool> readRequest(Exchange &exchange);
+    // Waits for the first bytes of a request.
+    Task<ErrorCode> awaitRequest();
     // Reads the rest after the header, as far as memory is left for it.
     Task<ErrorCode> readBody(Parser &parser, BodyShare &share);
-    Task<void> answerMalformed(ErrorCode error);
-    Task<bool> answer(HttpResponse response, bool isKept);
+    Task<ErrorCode> confirmBody(const HttpRequest &request);
+    void refuse(ErrorCode error);
+
+    void add(std::shared_ptr<Exchange> exchange);
+    // Begins all requests that may be in progress beside those before them.
+    void startExchanges();
+    Task<void> run(std::shared_ptr<Exchange> exchange);
+    // Writes all answers whose turn it is.
+    Task<void> writeAnswers();
+    Task<void> writeAnswer(Exchange &exchange);
+    Task<bool> write(HttpResponse response, bool isKept);
+    // The caller has left: ends what is in progress as far as it may be ended.
+    void leave();
+    void dropUnstarted();
     Task<void> drain();
-    void watchCaller(const std::shared_ptr<RequestControl> &control);
+    // Waits until an answer was written or the connection is to end.
+    Task<void> changed();
+    void notifyChange();
+    void watchIdleTime(Duration wait);
 
     FrontServer &server_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    asio::steady_timer change_;
+    asio::steady_timer idleTimer_;
     RequestLimits limits_;
-    TimePoint arrivedAt_;
-    bool isIdle_ = true;
+    // In the order in which they were read.
+    std::deque<std::shared_ptr<Exchange>> exchanges_;
+    // When the bytes came that are not parsed yet.
+    TimePoint receivedAt_;
+    TimePoint idleSince_;
+    // Whether no request is being read.
+    bool isBetweenRequests_ = true;
+    bool isWriting_ = false;
+    // An answer has ended the connection.
+    bool isEnded_ = false;
+    bool isCallerGone_ = false;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,5 +1,7 @@
 #include "Gateway.h"
 
+#include "Tasks.h"
+
 #include <sys/stat.h>
 
 #include <algorithm>
@@ -129,13 +131,29 @@
     settingsChangedAt_ = changeTimeOf(options_.settingsPath_);
     tickedAt_ = now;
     storeLink_.start();
-    asio::co_spawn(loop_, tick(), asio::detached);
-    asio::co_spawn(loop_, awaitSignals(), asio::detached);
-    loop_.run();
+    spawnSupervised(loop_, log_, "tick", [this] {
+        return tick();
+    });
+    spawnSupervised(loop_, log_, "signals", [this] {
+        return awaitSignals();
+    });
+    runLoop();
     log_.write(LogLine("stopped"), LogImportance::Kept, bootNow());
     log_.flush();
 }
 
+void Gateway::runLoop()
+{
+    // An exception out of a handler ends that handler only.
+    while (!loop_.stopped()) {
+        try {
+            loop_.run();
+        } catch (...) {
+            logUnexpected(log_, "handler", std::current_exception());
+        }
+    }
+}
+
 PeerNetwork::Handlers Gateway::makePeerHandlers()
 {
     PeerNetwork::Handlers handlers;
@@ -292,7 +310,9 @@
             reloadSettings("signal");
         } else if (!isStopping_) {
             isStopping_ = true;
-            asio::co_spawn(loop_, stop(), asio::detached);
+            spawnSupervised(loop_, log_, "stop", [this] {
+                return stop();
+            });
         }
     }
 }
@@ -346,7 +366,9 @@
     const TimePoint startedAt = bootNow();
     log_.write(LogLine("stopping").add("requests", front_.requestsInProgress()), LogImportance::Kept, startedAt);
     front_.beginStop();
-    asio::co_spawn(loop_, leave(), asio::detached);
+    spawn(loop_, log_, "leave", [this] {
+        return leave();
+    });
     co_await sleepFor(loop_, RotationTime);
     front_.closeIdle();
     const TimePoint endsAt = startedAt + settings_.gracePeriod_ - StopMargin;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -41,6 +41,8 @@
     bool isReady(TimePoint now) const;
 
     void viewChanged();
+    // Runs all handlers until the loop is stopped.
+    void runLoop();
     Task<void> tick();
     void checkForFreeze(TimePoint now);
     void updateMetrics();
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -1,5 +1,7 @@
 #include "PeerLink.h"
 
+#include "Tasks.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -19,8 +21,9 @@
 
 } // namespace
 
-PeerLink::PeerLink(asio::io_context &loop, Tcp::socket socket, Handlers handlers)
+PeerLink::PeerLink(asio::io_context &loop, Tcp::socket socket, Handlers handlers, EventLog &log)
     : loop_(loop)
+    , log_(log)
     , socket_(std::move(socket))
     , handlers_(std::move(handlers))
     , heardAt_(bootNow())
@@ -31,12 +34,9 @@
 
 void PeerLink::start()
 {
-    asio::co_spawn(
-        loop_,
-        [self = shared_from_this()]() -> Task<void> {
-            co_await self->receive();
-        },
-        asio::detached);
+    spawn(loop_, log_, "peer-receive", [self = shared_from_this()] {
+        return self->receive();
+    });
 }
 
 void PeerLink::send(const PeerMessage &message)
@@ -54,12 +54,9 @@
     }
     isTransmitting_ = true;
     asio::post(loop_, [self = shared_from_this()] {
-        asio::co_spawn(
-            self->loop_,
-            [self]() -> Task<void> {
-                co_await self->transmit();
-            },
-            asio::detached);
+        spawn(self->loop_, self->log_, "peer-transmit", [self] {
+            return self->transmit();
+        });
     });
 }
 
@@ -87,7 +84,7 @@
         }
         heardAt_ = bootNow();
         incoming_.append(chunk.data(), size);
-        if (!takeFrames()) {
+        if (!tryTakeFrames()) {
             break;
         }
     }
@@ -104,6 +101,17 @@
     }
 }
 
+bool PeerLink::tryTakeFrames()
+{
+    try {
+        return takeFrames();
+    } catch (...) {
+        // What follows may rest on what was not handled: the connection begins anew.
+        logUnexpected(log_, "peer-message", std::current_exception());
+        return false;
+    }
+}
+
 bool PeerLink::takeFrames()
 {
     std::size_t position = 0;
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -1,6 +1,7 @@
 // A connection between two instances.
 #pragma once
 
+#include <LibGateway/EventLog.h>
 #include <LibGateway/PeerMessages.h>
 
 #include <LibHttp/LibHttp.h>
@@ -20,7 +21,8 @@
         std::function<void(const std::shared_ptr<PeerLink> &)> closed_;
     };
 
-    PeerLink(asio::io_context &loop, Tcp::socket socket, Handlers handlers);
+    // The log outlives the connection.
+    PeerLink(asio::io_context &loop, Tcp::socket socket, Handlers handlers, EventLog &log);
 
     // Begins to receive.
     void start();
@@ -79,9 +81,13 @@
     Task<void> receive();
     Task<void> transmit();
     void notePong(const PongMessage &pong);
+    // Handles all whole messages; returns whether the connection may go on.
     bool takeFrames();
+    // The same, also if handling one fails unexpectedly.
+    bool tryTakeFrames();
 
     asio::io_context &loop_;
+    EventLog &log_;
     Tcp::socket socket_;
     Handlers handlers_;
     std::string outgoing_;
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -1,5 +1,7 @@
 #include "PeerNetwork.h"
 
+#include "Tasks.h"
+
 namespace Goldcrestwall::Gateway {
 
 namespace {
@@ -44,7 +46,7 @@
         incoming_.erase(link);
         handlers_.incomingClosed_(link);
     };
-    auto link = std::make_shared<PeerLink>(loop_, std::move(socket), std::move(handlers));
+    auto link = std::make_shared<PeerLink>(loop_, std::move(socket), std::move(handlers), log_);
     incoming_.insert(link);
     link->start();
     link->send(self_);
@@ -84,7 +86,9 @@
             if (!outgoing.isConnecting_ && now >= outgoing.nextTryAt_) {
                 outgoing.isConnecting_ = true;
                 outgoing.nextTryAt_ = now + RetryInterval;
-                asio::co_spawn(loop_, connect(address), asio::detached);
+                spawn(loop_, log_, "peer-connect", [this, address = address] {
+                    return connect(address);
+                });
             }
             continue;
         }
@@ -137,7 +141,7 @@
             log_.write(LogLine("peer-lost").add("address", address), LogImportance::Kept, bootNow());
         }
     };
-    auto link = std::make_shared<PeerLink>(loop_, stream.release_socket(), std::move(handlers));
+    auto link = std::make_shared<PeerLink>(loop_, stream.release_socket(), std::move(handlers), log_);
     link->setAddress(address);
     found->second.link_ = link;
     link->start();
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -1,5 +1,7 @@
 #include "ShardService.h"
 
+#include "Tasks.h"
+
 namespace Goldcrestwall::Gateway {
 
 using Platform::StoreOutcome;
@@ -99,29 +101,20 @@
         plannedAt_ = now;
         if (auto next = granter_->plan(pool->serverLoads(now), *load, now)) {
             isWriting_ = true;
-            asio::co_spawn(
-                loop_,
-                [self = shared_from_this(), assignment = std::move(*next)]() mutable -> Task<void> {
-                    co_await self->writeAssignment(std::move(assignment));
-                },
-                asio::detached);
+            spawn(loop_, log_, "write-assignment", [self = shared_from_this(), assignment = std::move(*next)] {
+                return self->writeAssignment(assignment);
+            });
         }
     }
     for (auto &call : granter_->takeReleases(now)) {
-        asio::co_spawn(
-            loop_,
-            [self = shared_from_this(), call]() -> Task<void> {
-                co_await self->sendRelease(call);
-            },
-            asio::detached);
+        spawn(loop_, log_, "release", [self = shared_from_this(), call] {
+            return self->sendRelease(call);
+        });
     }
     for (auto &call : granter_->takeGrants(now)) {
-        asio::co_spawn(
-            loop_,
-            [self = shared_from_this(), call]() -> Task<void> {
-                co_await self->sendGrant(call);
-            },
-            asio::detached);
+        spawn(loop_, log_, "grant", [self = shared_from_this(), call] {
+            return self->sendGrant(call);
+        });
     }
     publishHeld(now);
 }
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -1,5 +1,7 @@
 #include "StoreLink.h"
 
+#include "Tasks.h"
+
 namespace Goldcrestwall::Gateway {
 
 using Platform::StoreOutcome;
@@ -42,8 +44,12 @@
 
 void StoreLink::start()
 {
-    asio::co_spawn(loop_, watch(), asio::detached);
-    asio::co_spawn(loop_, holdLease(), asio::detached);
+    spawnSupervised(loop_, log_, "watch", [this] {
+        return watch();
+    });
+    spawnSupervised(loop_, log_, "lease", [this] {
+        return holdLease();
+    });
 }
 
 bool StoreLink::isCurrent(TimePoint now) const
--- /dev/null
+++ b/Libraries/LibGateway/Tasks.cpp
@@ -0,0 +1,61 @@
+#include "Tasks.h"
+
+namespace Goldcrestwall::Gateway {
+
+namespace {
+
+// A task that fails again and again must not take the whole processor.
+constexpr Duration RestartPause = 100ms;
+
+std::string reasonOf(const std::exception_ptr &failure)
+{
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception &error) {
+        return error.what();
+    } catch (...) {
+        return "not a standard exception";
+    }
+}
+
+Task<void> supervise(asio::io_context &loop, EventLog &log, const char *name, TaskFunction task)
+{
+    for (;;) {
+        std::exception_ptr failure;
+        try {
+            co_await task();
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        if (!failure) {
+            co_return;
+        }
+        logUnexpected(log, name, failure);
+        co_await sleepFor(loop, RestartPause);
+    }
+}
+
+} // namespace
+
+void logUnexpected(EventLog &log, const char *task, const std::exception_ptr &failure)
+{
+    log.write(LogLine("unexpected-error").add("task", task).add("reason", reasonOf(failure)), LogImportance::Kept, bootNow());
+}
+
+void spawn(asio::io_context &loop, EventLog &log, const char *name, TaskFunction task)
+{
+    asio::co_spawn(loop, std::move(task), [&log, name](const std::exception_ptr &failure) {
+        if (failure) {
+            logUnexpected(log, name, failure);
+        }
+    });
+}
+
+void spawnSupervised(asio::io_context &loop, EventLog &log, const char *name, TaskFunction task)
+{
+    spawn(loop, log, name, [&loop, &log, name, task = std::move(task)] {
+        return supervise(loop, log, name, task);
+    });
+}
+
+} // namespace Goldcrestwall::Gateway
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr int MaxThreads = 300;
+constexpr auto PairPollInterval = std::chrono::milliseconds(1);
 constexpr auto LateGrantDelay = std::chrono::milliseconds(1500);
 // The bound on requests to a cold server within a second: a multiple of its rate, and a number besides.
 constexpr double ColdOver = 1.5;
@@ -69,10 +70,17 @@
 
 } // namespace
 
-void PlatformWitness::noteRun(PlatformRun run)
+std::size_t PlatformWitness::noteRun(PlatformRun run)
 {
     const std::lock_guard lock(mutex_);
     runs_.push_back(std::move(run));
+    return runs_.size();
+}
+
+std::size_t PlatformWitness::runCount() const
+{
+    const std::lock_guard lock(mutex_);
+    return runs_.size();
 }
 
 void PlatformWitness::noteViolation(std::string what)
@@ -154,6 +162,7 @@
 {
     const std::lock_guard lock(mutex_);
     fault_ = fault;
+    runsBeforeFault_ = witness_.runCount();
     freed_.notify_all();
 }
 
@@ -343,7 +352,7 @@
         ++running_;
         fault = fault_;
     }
-    witness_.noteRun({requestId, id_, request.getMethod(), request.getURI(), body});
+    const std::size_t number = witness_.noteRun({requestId, id_, request.getMethod(), request.getURI(), body});
     std::this_thread::sleep_for(std::chrono::microseconds(behaviour_.work_));
     {
         std::unique_lock lock(mutex_);
@@ -352,10 +361,16 @@
                 return fault_ != PlatformServerFault::Silent;
             });
         }
+        if (fault == PlatformServerFault::AnswersInPairs) {
+            const bool isSecond = (number - runsBeforeFault_) % 2 == 0;
+            while (fault_ == PlatformServerFault::AnswersInPairs && !isSecond && witness_.runCount() == number) {
+                freed_.wait_for(lock, PairPollInterval);
+            }
+        }
         --running_;
         freed_.notify_all();
     }
-    const std::string text = id_ + " ran " + request.getURI() + "\n";
+    const std::string text = id_ + " ran " + request.getURI() + " for " + requestId + "\n";
     switch (fault) {
     case PlatformServerFault::LosesAnswers:
     case PlatformServerFault::Silent:
@@ -376,6 +391,17 @@
     case PlatformServerFault::ForgetsConnections:
         sendRaw(request, answerText(requestId, text, text.size()), false);
         return;
+    case PlatformServerFault::AnswersLateAgain:
+        answerWithCopyOfLast(request, answerText(requestId, text, text.size()));
+        return;
+    case PlatformServerFault::EndlessHead:
+        sendEndless(request, "HTTP/1.1 200 OK\r\n", "X-More: " + std::string(1000, 'x') + "\r\n");
+        return;
+    case PlatformServerFault::EndlessBody:
+        sendEndless(request,
+                    "HTTP/1.1 200 OK\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nGoldcrestwall-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "400\r\n" + std::string(1024, 'x') + "\r\n");
+        return;
     default:
         break;
     }
@@ -390,6 +416,38 @@
     response.sendBuffer(text.data(), text.size());
 }
 
+void PlatformServerStandIn::answerWithCopyOfLast(Poco::Net::HTTPServerRequest &request, const std::string &answer)
+{
+    // Written past the response object, so that the connection stays open.
+    auto &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    std::string bytes = answer;
+    {
+        const std::lock_guard lock(mutex_);
+        auto &last = lastAnswers_[request.clientAddress().port()];
+        bytes = last + answer;
+        last = answer;
+    }
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+void PlatformServerStandIn::sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler)
+{
+    auto socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket();
+    socket.sendBytes(head.data(), static_cast<int>(head.size()));
+    try {
+        for (;;) {
+            socket.sendBytes(filler.data(), static_cast<int>(filler.size()));
+            const std::lock_guard lock(mutex_);
+            if (fault_ == PlatformServerFault::None) {
+                break;
+            }
+        }
+    } catch (const Poco::Exception &) {
+        ++closedEndlessCount_;
+    }
+    socket.close();
+}
+
 void PlatformServerStandIn::sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset)
 {
     auto socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket();
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -49,6 +49,14 @@
     GrantsLate,
     // Closes connections after each answer without saying so.
     ForgetsConnections,
+    // Sends a head without an end until the connection is closed.
+    EndlessHead,
+    // Sends a body in chunks without an end until the connection is closed.
+    EndlessBody,
+    // Answers only when another request has begun at any server, in pairs.
+    AnswersInPairs,
+    // Sends a second copy of each answer just before the next one on the connection.
+    AnswersLateAgain,
 };
 
 // One request that a server began to run.
@@ -67,7 +75,9 @@
 class PlatformWitness
 {
 public:
-    void noteRun(PlatformRun run);
+    // Returns how many runs there are now.
+    std::size_t noteRun(PlatformRun run);
+    std::size_t runCount() const;
     void noteViolation(std::string what);
     std::vector<PlatformRun> runs() const;
     std::size_t runsOf(const std::string &requestId) const;
@@ -106,6 +116,12 @@
         return healthCount_;
     }
 
+    // Answers without an end that the other side has cut off.
+    std::size_t closedEndlessCount() const
+    {
+        return closedEndlessCount_;
+    }
+
     // Servers of the same service, among which a key may have one holder only.
     void setSiblings(std::vector<PlatformServerStandIn *> siblings);
 
@@ -125,6 +141,9 @@
     void release(const std::string &body, Poco::Net::HTTPServerResponse &response);
     bool isRefused(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
+    void answerWithCopyOfLast(Poco::Net::HTTPServerRequest &request, const std::string &answer);
+    // Sends the head and then the filler again and again until the connection is closed.
+    void sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler);
     void sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset);
     void reject(Poco::Net::HTTPServerResponse &response, int status) const;
     std::string load() const;
@@ -139,6 +158,10 @@
     std::condition_variable freed_;
     PlatformServerFault fault_ = PlatformServerFault::None;
     std::uint32_t running_ = 0;
+    // Runs at all servers when the fault began.
+    std::size_t runsBeforeFault_ = 0;
+    // The last answer of each connection, by its port at the other side.
+    std::map<std::uint16_t, std::string> lastAnswers_;
     std::uint32_t waiting_ = 0;
     std::int64_t born_ = 0;
     std::uint64_t sequence_ = 0;
@@ -147,6 +170,7 @@
     std::vector<Hold> holds_;
     std::uint64_t highestToken_ = 0;
     std::atomic<std::size_t> healthCount_ = 0;
+    std::atomic<std::size_t> closedEndlessCount_ = 0;
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
 
--- /dev/null
+++ b/Tests/OnPlatform/Callers.cpp
@@ -0,0 +1,173 @@
+#include "Callers.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Goldcrestwall::OnPlatform {
+
+namespace {
+
+constexpr int ReceiveTimeoutSeconds = 5;
+
+} // namespace
+
+CallerRequest makeBooking()
+{
+    CallerRequest request;
+    request.method_ = "POST";
+    request.path_ = "/book/visit?day=2";
+    request.body_ = "visit on Tuesday";
+    return request;
+}
+
+CallerRequest makeKeyed(std::uint32_t key)
+{
+    CallerRequest request;
+    request.host_ = "keyed.example";
+    request.path_ = "/keyed/x";
+    request.key_ = key;
+    return request;
+}
+
+RawConnection::RawConnection(std::uint16_t port)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
+        ::close(descriptor);
+        return;
+    }
+    const timeval timeout{ReceiveTimeoutSeconds, 0};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    descriptor_ = descriptor;
+}
+
+RawConnection::~RawConnection()
+{
+    close();
+}
+
+void RawConnection::send(const std::string &bytes) const
+{
+    for (std::size_t sent = 0; sent < bytes.size();) {
+        const auto size = ::send(descriptor_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (size <= 0) {
+            return;
+        }
+        sent += static_cast<std::size_t>(size);
+    }
+}
+
+std::string RawConnection::receiveAll() const
+{
+    std::string received;
+    char chunk[2000];
+    for (;;) {
+        const auto size = ::recv(descriptor_, chunk, sizeof chunk, 0);
+        if (size == 0) {
+            return received;
+        }
+        if (size < 0) {
+            return received + "(no end)";
+        }
+        received.append(chunk, static_cast<std::size_t>(size));
+    }
+}
+
+void RawConnection::close()
+{
+    if (descriptor_ >= 0) {
+        ::close(descriptor_);
+        descriptor_ = -1;
+    }
+}
+
+std::string exchangeBytes(std::uint16_t port, const std::string &bytes)
+{
+    const RawConnection connection(port);
+    if (!connection.isOpen()) {
+        return "(no connection)";
+    }
+    connection.send(bytes);
+    return connection.receiveAll();
+}
+
+Load::Load(Deployment &deployment, const std::vector<std::size_t> &instances)
+{
+    for (const auto instance : instances) {
+        for (int kind = 0; kind < 3; ++kind) {
+            callers_.emplace_back([this, &deployment, instance, kind] {
+                run(deployment, instance, kind);
+            });
+        }
+    }
+}
+
+Load::~Load()
+{
+    stop();
+}
+
+void Load::stop()
+{
+    isStopped_ = true;
+    for (auto &caller : callers_) {
+        if (caller.joinable()) {
+            caller.join();
+        }
+    }
+}
+
+std::map<int, std::size_t> Load::statuses() const
+{
+    const std::lock_guard lock(mutex_);
+    return statuses_;
+}
+
+std::vector<CallerAnswer> Load::bookings() const
+{
+    const std::lock_guard lock(mutex_);
+    return bookings_;
+}
+
+void Load::run(Deployment &deployment, std::size_t instance, int kind)
+{
+    for (std::uint32_t i = 0; !isStopped_; ++i) {
+        const auto request = kind == 0 ? CallerRequest() : kind == 1 ? makeBooking() : makeKeyed(i * 6151 % 65536);
+        const auto answer = deployment.call(instance, request);
+        const std::lock_guard lock(mutex_);
+        ++statuses_[answer.status_];
+        if (kind == 1) {
+            bookings_.push_back(answer);
+        }
+    }
+}
+
+void checkBookings(Deployment &deployment, const std::vector<CallerAnswer> &bookings)
+{
+    for (const auto &booking : bookings) {
+        const auto runs = deployment.witness().runsOf(booking.requestId_);
+        CPPUNIT_ASSERT_MESSAGE(booking.requestId_ + " ran twice", runs <= 1);
+        if (booking.status_ == 200) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), runs);
+        }
+        if (booking.status_ == 503 || booking.status_ == 429) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(booking.requestId_ + " was said not to have run", std::size_t(0), runs);
+        }
+    }
+}
+
+void checkNoViolations(Deployment &deployment)
+{
+    for (const auto &violation : deployment.witness().violations()) {
+        CPPUNIT_FAIL(violation);
+    }
+}
+
+} // namespace Goldcrestwall::OnPlatform
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -68,6 +68,14 @@
     {
         return callerPort_;
     }
+    std::uint16_t readyPort() const
+    {
+        return readyPort_;
+    }
+    std::uint16_t metricsPort() const
+    {
+        return metricsPort_;
+    }
     std::string peerAddress() const;
     // The structured lines that it has written so far.
     std::vector<std::string> logLines() const;
--- /dev/null
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -0,0 +1,248 @@
+#include "Callers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <random>
+
+using namespace Goldcrestwall;
+using namespace Goldcrestwall::OnPlatform;
+
+namespace {
+
+std::string get(const std::string &id, const std::string &headers = "")
+{
+    return "GET /plain/" + id + " HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: " + id + "\r\n" + headers + "\r\n";
+}
+
+std::string book(const std::string &id, const std::string &headers = "")
+{
+    return "POST /book/" + id + " HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: " + id + "\r\nContent-Length: 3\r\n" + headers + "\r\nabc";
+}
+
+const std::string Close = "Connection: close\r\n";
+
+void setFault(Deployment &deployment, PlatformServerFault fault)
+{
+    for (std::size_t i = 0; i < 4; ++i) {
+        deployment.plain(i).setFault(fault);
+    }
+}
+
+bool awaitRun(Deployment &deployment, const std::string &id)
+{
+    return Deployment::eventually([&] {
+        return deployment.witness().runsOf(id) == 1;
+    });
+}
+
+} // namespace
+
+// What happens on the connections of callers and of servers.
+class TestConnections : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestConnections);
+    CPPUNIT_TEST(pipelinedRequestsRunSideBySideAndAreAnsweredInOrder);
+    CPPUNIT_TEST(bookingWaitsForTheAnswersBeforeIt);
+    CPPUNIT_TEST(nothingBehindAClosingAnswerIsRun);
+    CPPUNIT_TEST(plannedStopAnswersAllThatWasBegun);
+    CPPUNIT_TEST(leavingCallerEndsAllThatMayBeEnded);
+    CPPUNIT_TEST(answersWithoutEndAreCutOff);
+    CPPUNIT_TEST(serversThatNeverEndAreAvoided);
+    CPPUNIT_TEST(lateSecondAnswersReachNobody);
+    CPPUNIT_TEST(bytesThatAreNoMessagesEndNoProcess);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void pipelinedRequestsRunSideBySideAndAreAnsweredInOrder()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        // Neither ends without the other.
+        setFault(deployment, PlatformServerFault::AnswersInPairs);
+        const auto received = exchangeBytes(deployment.instance(0).callerPort(), get("one") + get("two", Close));
+        const auto first = received.find("ran /plain/one");
+        const auto second = received.find("ran /plain/two");
+        CPPUNIT_ASSERT_MESSAGE(received, first != std::string::npos && second != std::string::npos && first < second);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.witness().runsOf("one"));
+    }
+
+    void bookingWaitsForTheAnswersBeforeIt()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        setFault(deployment, PlatformServerFault::Silent);
+        RawConnection connection(deployment.instance(0).callerPort());
+        connection.send(get("one") + book("two") + get("three"));
+        CPPUNIT_ASSERT(awaitRun(deployment, "one"));
+        // What comes after it on another connection begins as well.
+        RawConnection other(deployment.instance(0).callerPort());
+        other.send(get("four"));
+        CPPUNIT_ASSERT(awaitRun(deployment, "four"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.witness().runsOf("two"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.witness().runsOf("three"));
+        connection.close();
+        other.close();
+        setFault(deployment, PlatformServerFault::None);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        // The caller left before its turn came.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.witness().runsOf("two"));
+    }
+
+    void nothingBehindAClosingAnswerIsRun()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        const auto received = exchangeBytes(deployment.instance(0).callerPort(), get("one", Close) + get("two") + book("three"));
+        CPPUNIT_ASSERT(received.find("ran /plain/one") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(received, received.find("HTTP/1.1", 1) == std::string::npos);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.witness().runsOf("two"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.witness().runsOf("three"));
+        // The same behind a request that cannot be read.
+        const auto refused = exchangeBytes(deployment.instance(0).callerPort(), get("four") + "nonsense\r\n\r\n" + get("five"));
+        CPPUNIT_ASSERT(refused.find("ran /plain/four") < refused.find("HTTP/1.1 400"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.witness().runsOf("five"));
+    }
+
+    void plannedStopAnswersAllThatWasBegun()
+    {
+        Deployment deployment(2);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        setFault(deployment, PlatformServerFault::Silent);
+        RawConnection connection(deployment.instance(0).callerPort());
+        connection.send(get("one") + get("two") + get("three"));
+        for (const char *id : {"one", "two", "three"}) {
+            CPPUNIT_ASSERT(awaitRun(deployment, id));
+        }
+        deployment.instance(0).signal(SIGTERM);
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            return !deployment.instance(0).isReady();
+        }));
+        // Arrives during the stop: it may be left to another instance, but not be begun and cut off.
+        connection.send(book("four"));
+        setFault(deployment, PlatformServerFault::None);
+        const auto received = connection.receiveAll();
+        std::size_t answers = 0;
+        for (auto at = received.find("HTTP/1.1 "); at != std::string::npos; at = received.find("HTTP/1.1 ", at + 1)) {
+            ++answers;
+        }
+        const auto bookings = deployment.witness().runsOf("four");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(received, 3 + bookings, answers);
+        CPPUNIT_ASSERT_MESSAGE(received, received.find("Connection: close") > received.rfind("HTTP/1.1 "));
+        CPPUNIT_ASSERT_EQUAL(std::make_optional(0).value(), deployment.instance(0).wait(10s).value_or(-1));
+        checkNoViolations(deployment);
+    }
+
+    void leavingCallerEndsAllThatMayBeEnded()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        setFault(deployment, PlatformServerFault::Silent);
+        RawConnection connection(deployment.instance(0).callerPort());
+        // The connection's last request is watched as well.
+        connection.send(get("one") + get("two", Close));
+        CPPUNIT_ASSERT(awaitRun(deployment, "one"));
+        CPPUNIT_ASSERT(awaitRun(deployment, "two"));
+        connection.close();
+        for (const char *id : {"one", "two"}) {
+            CPPUNIT_ASSERT(Deployment::eventually([&] {
+                const auto lines = deployment.linesAbout(id);
+                return std::ranges::any_of(lines, [](const std::string &line) {
+                    return line.find("\"reason\":\"caller-left\"") != std::string::npos;
+                });
+            }));
+        }
+        setFault(deployment, PlatformServerFault::None);
+        CPPUNIT_ASSERT(deployment.awaitService());
+    }
+
+    void answersWithoutEndAreCutOff()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        for (const auto fault : {PlatformServerFault::EndlessHead, PlatformServerFault::EndlessBody}) {
+            setFault(deployment, fault);
+            const auto lookup = deployment.call(0, CallerRequest());
+            CPPUNIT_ASSERT_EQUAL(502, lookup.status_);
+            const auto booking = deployment.call(0, makeBooking());
+            CPPUNIT_ASSERT_EQUAL(502, booking.status_);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.witness().runsOf(booking.requestId_));
+            const auto lines = deployment.linesAbout(booking.requestId_);
+            CPPUNIT_ASSERT(Deployment::eventually([&] {
+                std::size_t closed = 0;
+                for (std::size_t i = 0; i < 4; ++i) {
+                    closed += deployment.plain(i).closedEndlessCount();
+                }
+                return closed >= 2;
+            }));
+            CPPUNIT_ASSERT(deployment.instance(0).metrics().find("goldcrestwall_body_bytes 0") != std::string::npos);
+            setFault(deployment, PlatformServerFault::None);
+            CPPUNIT_ASSERT(deployment.awaitService());
+        }
+    }
+
+    void serversThatNeverEndAreAvoided()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        deployment.plain(0).setFault(PlatformServerFault::EndlessBody);
+        std::size_t served = 0;
+        for (int i = 0; i < 40; ++i) {
+            served += deployment.call(0, CallerRequest()).status_ == 200 ? 1U : 0U;
+        }
+        // Requests that may run again are served elsewhere, and few are sent to the server at all.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(40), served);
+        CPPUNIT_ASSERT(deployment.plain(0).closedEndlessCount() <= 20);
+        deployment.plain(0).setFault(PlatformServerFault::None);
+    }
+
+    void lateSecondAnswersReachNobody()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        setFault(deployment, PlatformServerFault::AnswersLateAgain);
+        for (int i = 0; i < 30; ++i) {
+            const auto lookup = deployment.call(0, CallerRequest());
+            CPPUNIT_ASSERT_MESSAGE(lookup.body_, lookup.status_ != 200 || lookup.body_.find("for " + lookup.requestId_ + "\n") != std::string::npos);
+            const auto booking = deployment.call(0, makeBooking());
+            CPPUNIT_ASSERT_MESSAGE(booking.body_, booking.status_ != 200 || booking.body_.find("for " + booking.requestId_ + "\n") != std::string::npos);
+            checkBookings(deployment, {booking});
+        }
+        checkNoViolations(deployment);
+    }
+
+    void bytesThatAreNoMessagesEndNoProcess()
+    {
+        Deployment deployment(2);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        auto &instance = deployment.instance(0);
+        std::mt19937 random(20261204);
+        const auto portOf = [](const std::string &address) {
+            return static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+        };
+        const std::vector<std::uint16_t> ports{instance.callerPort(), instance.readyPort(), instance.metricsPort(), portOf(instance.peerAddress())};
+        const std::string request = book("none", "Transfer-Encoding: chunked\r\n");
+        // A frame of two bytes, one of no length, one that is announced larger than any.
+        const std::vector<std::string> frames{std::string("\0\0\0\2\x93\x01", 6), std::string("\0\0\0\0", 4), std::string("\x7f\xff\xff\xff zzz", 8)};
+        for (int round = 0; round < 60; ++round) {
+            for (const auto port : ports) {
+                std::string bytes = round % 3 == 0 ? frames[random() % frames.size()] : request;
+                for (int change = 0; change < 4; ++change) {
+                    bytes[random() % bytes.size()] = static_cast<char>(random());
+                }
+                RawConnection connection(port);
+                CPPUNIT_ASSERT(connection.isOpen());
+                connection.send(bytes);
+            }
+        }
+        CPPUNIT_ASSERT(deployment.awaitService());
+        for (const auto &line : instance.logLines()) {
+            CPPUNIT_ASSERT_MESSAGE(line, line.find("unexpected-error") == std::string::npos);
+        }
+        instance.signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(0, instance.wait(10s).value_or(-1));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestConnections);
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -1,148 +1,21 @@
-#include "Deployment.h"
-
-#include <Poco/Net/StreamSocket.h>
+#include "Callers.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
 #include <set>
-#include <thread>
 
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::OnPlatform;
 
 namespace {
 
-CallerRequest makeBooking()
-{
-    CallerRequest request;
-    request.method_ = "POST";
-    request.path_ = "/book/visit?day=2";
-    request.body_ = "visit on Tuesday";
-    return request;
-}
-
-CallerRequest makeKeyed(std::uint32_t key)
-{
-    CallerRequest request;
-    request.host_ = "keyed.example";
-    request.path_ = "/keyed/x";
-    request.key_ = key;
-    return request;
-}
-
 std::string extraRoute(const std::string &prefix)
 {
     return R"({"resourceType":"routes","metadata":{"name":"r-extra"},"spec":{"host":"plain.example","prefix":")" + prefix
         + R"(","kind":"idempotent","timeoutS":2,"aimS":0.3,"priority":1,"service":"plain","maxAttempts":2}},)";
 }
 
-// Sends bytes to an instance and returns all that comes back until it closes the connection.
-std::string exchangeBytes(std::uint16_t port, const std::string &bytes)
-{
-    Poco::Net::StreamSocket socket;
-    try {
-        socket.connect(Poco::Net::SocketAddress("127.0.0.1", port));
-    } catch (const Poco::Exception &) {
-        return "(no connection)";
-    }
-    socket.setReceiveTimeout(Poco::Timespan(5, 0));
-    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
-    std::string received;
-    char chunk[2000];
-    try {
-        for (int size = 0; (size = socket.receiveBytes(chunk, sizeof chunk)) > 0;) {
-            received.append(chunk, static_cast<std::size_t>(size));
-        }
-    } catch (const Poco::Exception &) {
-        received += "(no end)";
-    }
-    return received;
-}
-
-// Callers that ask one request after another until they are stopped.
-class Load
-{
-public:
-    Load(Deployment &deployment, const std::vector<std::size_t> &instances)
-    {
-        for (const auto instance : instances) {
-            for (int kind = 0; kind < 3; ++kind) {
-                callers_.emplace_back([this, &deployment, instance, kind] {
-                    run(deployment, instance, kind);
-                });
-            }
-        }
-    }
-    ~Load()
-    {
-        stop();
-    }
-
-    void stop()
-    {
-        isStopped_ = true;
-        for (auto &caller : callers_) {
-            if (caller.joinable()) {
-                caller.join();
-            }
-        }
-    }
-
-    std::map<int, std::size_t> statuses() const
-    {
-        const std::lock_guard lock(mutex_);
-        return statuses_;
-    }
-    std::vector<CallerAnswer> bookings() const
-    {
-        const std::lock_guard lock(mutex_);
-        return bookings_;
-    }
-
-private:
-    void run(Deployment &deployment, std::size_t instance, int kind)
-    {
-        for (std::uint32_t i = 0; !isStopped_; ++i) {
-            const auto request = kind == 0 ? CallerRequest() : kind == 1 ? makeBooking() : makeKeyed(i * 6151 % 65536);
-            const auto answer = deployment.call(instance, request);
-            const std::lock_guard lock(mutex_);
-            ++statuses_[answer.status_];
-            if (kind == 1) {
-                bookings_.push_back(answer);
-            }
-        }
-    }
-
-    std::atomic<bool> isStopped_ = false;
-    mutable std::mutex mutex_;
-    std::map<int, std::size_t> statuses_;
-    std::vector<CallerAnswer> bookings_;
-    std::vector<std::thread> callers_;
-};
-
-// What callers were told of their bookings must agree with what ran.
-void checkBookings(Deployment &deployment, const std::vector<CallerAnswer> &bookings)
-{
-    for (const auto &booking : bookings) {
-        const auto runs = deployment.witness().runsOf(booking.requestId_);
-        CPPUNIT_ASSERT_MESSAGE(booking.requestId_ + " ran twice", runs <= 1);
-        if (booking.status_ == 200) {
-            CPPUNIT_ASSERT_EQUAL(std::size_t(1), runs);
-        }
-        if (booking.status_ == 503 || booking.status_ == 429) {
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(booking.requestId_ + " was said not to have run", std::size_t(0), runs);
-        }
-    }
-}
-
-void checkNoViolations(Deployment &deployment)
-{
-    for (const auto &violation : deployment.witness().violations()) {
-        CPPUNIT_FAIL(violation);
-    }
-}
-
 } // namespace
 
 class TestOnPlatform : public CppUnit::TestFixture
