LibPlacement: Expect a server's momentary slowness to pass for what begins later

A request was rejected as if every request before it took three times as long, although most of them begin when the slowness is over. Ruled out: two hot keys alone (1,989 of the rejections). Change: the expected factor returns to the server's mean with the time constant for which a report is taken to hold. momentarySlownessRejectsNothingThatBeginsLater has the load pattern.

--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -305,10 +305,10 @@
     return estimator_.usualWork(request.workKind_, request.assumedWork_);
 }
 
-Duration ServicePool::expectedWork(const PlaceRequest &request, const PoolServer &server, TimePoint now) const
+Duration ServicePool::expectedWork(const PlaceRequest &request, const PoolServer &server, TimePoint begin, TimePoint now) const
 {
     const double cold = isCold(server, now) && service_.warmup_ > Duration::zero() ? ColdSlowness : 1;
-    return scaled(usualWork(request), server.speed_.factor(now) * cold);
+    return scaled(usualWork(request), server.speed_.factorAt(begin, now) * cold);
 }
 
 std::vector<ServicePool::Outlook> ServicePool::foresee(TimePoint now)
@@ -406,7 +406,7 @@
         if (range != nullptr && !isHeld(request)) {
             choice.startAt_ = std::max(choice.startAt_, now + HandoverTime);
         }
-        choice.endAt_ = choice.startAt_ + expectedWork(request, server, now);
+        choice.endAt_ = choice.startAt_ + expectedWork(request, server, choice.startAt_, now);
         const double age = std::chrono::duration<double>(now - server.failedAt_).count();
         const bool isNear = request.domain_.empty() || request.domain_ == server.input_.description_.domain_;
         const Duration distance = isNear ? Duration::zero() : scaled(usualWork(request), DistancePart);
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -257,7 +257,7 @@
     static void setSuspect(PoolServer &server, TimePoint now);
     static bool isCold(const PoolServer &server, TimePoint now);
     double coldShare() const;
-    Duration expectedWork(const PlaceRequest &request, const PoolServer &server, TimePoint now) const;
+    Duration expectedWork(const PlaceRequest &request, const PoolServer &server, TimePoint begin, TimePoint now) const;
     void learn(PoolServer &server, const std::string &workKind, const PlaceReport &report, TimePoint now);
     void noteFailure(PoolServer &server, PlaceOutcome outcome, TimePoint now);
     std::vector<Outlook> foresee(TimePoint now);
--- a/Libraries/LibPlacement/WorkEstimator.cpp
+++ b/Libraries/LibPlacement/WorkEstimator.cpp
@@ -47,6 +47,13 @@
     return isReported() && now - reportedAt_ < ReportLifetime ? slowness_ * delayFactor_ : usualFactor();
 }
 
+double ServerSpeed::factorAt(TimePoint begin, TimePoint now) const
+{
+    const double usual = usualFactor();
+    const double ahead = std::chrono::duration<double>(begin - now) / std::chrono::duration<double>(ReportLifetime);
+    return usual + (factor(now) - usual) * std::exp(-std::max(0.0, ahead));
+}
+
 Duration WorkEstimator::usualWork(const std::string &kind, Duration fallback) const
 {
     const auto found = work_.find(kind);
--- a/Libraries/LibPlacement/WorkEstimator.h
+++ b/Libraries/LibPlacement/WorkEstimator.h
@@ -41,6 +41,8 @@
     }
     // The expected factor over the usual work time at this moment.
     double factor(TimePoint now) const;
+    // The same for work that begins later: what slows a server at this moment does so for a fraction of a second.
+    double factorAt(TimePoint begin, TimePoint now) const;
     // The same over some seconds.
     double usualFactor() const;
 };
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(lateRequestsGiveWay);
     CPPUNIT_TEST(slowServerIsPassedOverUntilItIsTheBest);
     CPPUNIT_TEST(neighboursNoiseIsAvoided);
+    CPPUNIT_TEST(momentarySlownessRejectsNothingThatBeginsLater);
     CPPUNIT_TEST(roomIsLeftForUrgentRequests);
     CPPUNIT_TEST(coldServerGetsItsRateOnly);
     CPPUNIT_TEST(suspectServerCountsAsCold);
@@ -127,6 +128,27 @@
         CPPUNIT_ASSERT(loads[1].slowness_ > 1.2);
     }
 
+    // Neighbours slow a server threefold for some hundred milliseconds, and all of its keys' requests must wait for it.
+    void momentarySlownessRejectsNothingThatBeginsLater()
+    {
+        auto pool = makePool(1, 1);
+        for (int now = 0; now <= 10000; now += 500) {
+            pool.noteHealth("s0", Duration::zero(), ReportedLoad{0, 0, 1, now == 10000 ? 3.0 : 1.0}, at(now));
+        }
+        for (std::uint64_t number = 1; number <= 3; ++number) {
+            pool.ask(makeRequest(number, at(10000)), at(10000));
+        }
+        const auto decisions = pool.decide(at(10000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.placed_.size());
+        CPPUNIT_ASSERT(decisions.rejected_.empty());
+        // What begins now takes three times as long: it is rejected if that ends too late.
+        pool.finish(decisions.placed_.front().id_, makeReport(PlaceOutcome::Abandoned), at(10001));
+        pool.cancel({"a", 2});
+        pool.cancel({"a", 3});
+        pool.ask(makeRequest(4, at(10001), 100ms, 150ms), at(10001));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool.decide(at(10001)).rejected_.size());
+    }
+
     void serversOfUnknownSpeedAreAsked()
     {
         auto pool = makePool(2, 2);
