LibGateway: Renew keys while the outcome of a write of the assignment is in doubt

Change: what stood before the write is renewed meanwhile. Nobody acts on the new assignment until the store has told which one holds. keysAreServedWhileAWriteIsInDoubt failed first (503 for key 16384).

--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -91,13 +91,14 @@
     mayGrant_ = mayGrant && !isStopped_;
     auto *pool = placement_.pool(service_);
     auto *load = placement_.keyLoad(service_);
-    if (!mayGrant_ || pool == nullptr || isReloading_) {
+    if (!mayGrant_ || pool == nullptr) {
         return;
     }
     if (!granter_) {
         create(now);
     }
-    if (mayMove && !isWriting_ && now - plannedAt_ >= PlanInterval) {
+    // Until the store has told what became of a write, what stood before it is renewed: nobody acts on the new assignment yet.
+    if (mayMove && !isWriting_ && !isReloading_ && now - plannedAt_ >= PlanInterval) {
         plannedAt_ = now;
         if (auto next = granter_->plan(pool->serverLoads(now), *load, now)) {
             isWriting_ = true;
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -266,7 +266,9 @@
         }
         reply = answer(request.getMethod(), uri.getPath(), query, body);
     }
-    if (fault == PlatformStoreFault::LosesAnswers || reply.status_ == 0) {
+    const bool isLost =
+        fault == PlatformStoreFault::LosesAnswers || (fault == PlatformStoreFault::LosesWriteAnswers && request.getURI().starts_with("/-/kv-txn"));
+    if (isLost || reply.status_ == 0) {
         cut();
         return;
     }
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -27,6 +27,8 @@
     Limited,
     // Does what it is asked and closes the connection without an answer.
     LosesAnswers,
+    // The same for writes; all else is answered.
+    LosesWriteAnswers,
     // Answers, but not with JSON.
     Garbles,
     // Leaves each call without an answer.
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(serversFaultsAreToldTruthfully);
     CPPUNIT_TEST(lostCoordinatorLosesNoBooking);
     CPPUNIT_TEST(storeOutageIsSurvived);
+    CPPUNIT_TEST(keysAreServedWhileAWriteIsInDoubt);
     CPPUNIT_TEST(routeChangeBehindDeafWatchesTakesEffect);
     CPPUNIT_TEST(instanceThatTheStoreTurnsAwayFollowsItsPeers);
     CPPUNIT_TEST(fewInstancesWatchTheStore);
@@ -232,6 +233,41 @@
         checkNoViolations(deployment);
     }
 
+    // The store goes away before it has said what became of a move of keys.
+    void keysAreServedWhileAWriteIsInDoubt()
+    {
+        Deployment deployment(2);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        std::vector<std::uint32_t> keys;
+        for (std::uint32_t key = 0; key < 65536; key += 4096) {
+            if (!deployment.sharded(0).holds(key)) {
+                keys.push_back(key);
+            }
+        }
+        deployment.store().setFault(PlatformStoreFault::LosesWriteAnswers);
+        deployment.sharded(0).removeEntry();
+        const auto isInDoubt = [&deployment] {
+            for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
+                for (const auto &line : deployment.instance(i).logLines()) {
+                    if (line.find("\"assignment-written\"") != std::string::npos && line.find("\"outcome\":\"unknown\"") != std::string::npos) {
+                        return true;
+                    }
+                }
+            }
+            return false;
+        };
+        CPPUNIT_ASSERT(Deployment::eventually(isInDoubt));
+        deployment.store().setFault(PlatformStoreFault::Silent);
+        // Longer than a server holds keys that are not renewed.
+        std::this_thread::sleep_for(std::chrono::seconds(5));
+        for (const auto key : keys) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("key " + std::to_string(key), 200, deployment.call(0, makeKeyed(key)).status_);
+        }
+        deployment.store().setFault(PlatformStoreFault::None);
+        CPPUNIT_ASSERT(deployment.awaitService());
+        checkNoViolations(deployment);
+    }
+
     // The store discards its history: watches hear nothing of a change, are cut, and watches opened right then hear nothing either.
     void routeChangeBehindDeafWatchesTakesEffect()
     {
