LibGateway: Take no answer to another order for that to a release

Cause, from reading: answers to orders and health requests name no request, and all were read from the same kept connections. A second copy of an earlier answer that comes late would be taken for the answer to the next order; taken for that of a release, keys would be given to another server while the first still holds them. Change: a release has a connection of its own, health requests have a client of their own. Tests: failedRequestsAreExplained restarts the key's server before each call, as its granter's renewal gives the keys back within 0.8 s and then no call fails any more; the assertions are the same.

--- a/Libraries/LibGateway/DutyManager.cpp
+++ b/Libraries/LibGateway/DutyManager.cpp
@@ -31,7 +31,8 @@
     , network_(network)
     , placement_(placement)
     , log_(log)
-    , client_(loop)
+    , orderClient_(loop)
+    , healthClient_(loop)
 {
 }
 
@@ -72,7 +73,7 @@
     for (const auto &service : coordinated) {
         const auto *description = configuration->service(service);
         if (description->isSharded_ && !shards_.contains(service)) {
-            shards_[service] = std::make_shared<ShardService>(loop_, service, grantTerms_, view_, store_, client_, placement_, log_);
+            shards_[service] = std::make_shared<ShardService>(loop_, service, grantTerms_, view_, store_, orderClient_, placement_, log_);
         }
     }
     placement_.setCoordinated(std::move(coordinated), now);
@@ -171,7 +172,7 @@
     ExchangeOptions options;
     options.timeout_ = HealthTimeout;
     const auto result =
-        co_await client_.exchange(server.address_, Platform::makeHealthRequest(server.address_, path), options, std::make_shared<ExchangeHandle>());
+        co_await healthClient_.exchange(server.address_, Platform::makeHealthRequest(server.address_, path), options, std::make_shared<ExchangeHandle>());
     const TimePoint now = bootNow();
     auto *pool = placement_.pool(service);
     if (pool == nullptr) {
--- a/Libraries/LibGateway/DutyManager.h
+++ b/Libraries/LibGateway/DutyManager.h
@@ -43,8 +43,10 @@
     PeerNetwork &network_;
     PlacementService &placement_;
     EventLog &log_;
-    // For orders and health requests, apart from callers' requests.
-    HttpClient client_;
+    // Answers to orders and to health requests name no request: each has its own connections, so that a second copy of one is never
+    // taken for the other.
+    HttpClient orderClient_;
+    HttpClient healthClient_;
     std::map<std::string, std::shared_ptr<ShardService>> shards_;
     // Since when a service has no coordinator.
     std::map<std::string, TimePoint> vacantSince_;
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -12,6 +12,10 @@
 constexpr Duration OrderConnectTimeout = 300ms;
 // A release is answered when the work on its keys has ended.
 constexpr Duration ReleaseTimeout = 2500ms;
+constexpr Duration GrantMaxIdle = 4s;
+// Keys are given to others on the strength of the answer to a release, which names no request. On a kept connection a second copy of
+// an earlier answer might be taken for it.
+constexpr Duration ReleaseMaxIdle = 0s;
 constexpr Duration PlanInterval = 100ms;
 constexpr Duration ReloadPause = 500ms;
 
@@ -191,11 +195,12 @@
     }
 }
 
-Task<ExchangeResult> ShardService::sendOrder(std::string address, HttpRequest request, Duration timeout)
+Task<ExchangeResult> ShardService::sendOrder(std::string address, HttpRequest request, Duration timeout, Duration maxIdle)
 {
     ExchangeOptions options;
     options.connectTimeout_ = OrderConnectTimeout;
     options.timeout_ = timeout;
+    options.maxIdle_ = maxIdle;
     if (address.empty() || !mayGrant_) {
         co_return ExchangeResult();
     }
@@ -206,7 +211,7 @@
 {
     const TimePoint sentAt = bootNow();
     const std::string address = addressOf(call.holder_.server_);
-    const auto result = co_await sendOrder(address, Platform::makeGrantRequest(address, call), GrantTimeout);
+    const auto result = co_await sendOrder(address, Platform::makeGrantRequest(address, call), GrantTimeout, GrantMaxIdle);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readOrderOutcome(result);
     if (outcome != OrderOutcome::Accepted) {
@@ -224,7 +229,7 @@
 Task<void> ShardService::sendRelease(ReleaseCall call)
 {
     const std::string address = addressOf(call.holder_.server_);
-    const auto result = co_await sendOrder(address, Platform::makeReleaseRequest(address, call), ReleaseTimeout);
+    const auto result = co_await sendOrder(address, Platform::makeReleaseRequest(address, call), ReleaseTimeout, ReleaseMaxIdle);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readOrderOutcome(result);
     const std::string handover = outcome == OrderOutcome::Accepted ? Platform::readHandover(result.response_) : std::string();
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -27,7 +27,7 @@
 private:
     Task<void> writeAssignment(ShardAssignment assignment);
     // An order that may not be sent any more counts as not sent.
-    Task<ExchangeResult> sendOrder(std::string address, HttpRequest request, Duration timeout);
+    Task<ExchangeResult> sendOrder(std::string address, HttpRequest request, Duration timeout, Duration maxIdle);
     Task<void> sendGrant(GrantCall call);
     Task<void> sendRelease(ReleaseCall call);
     Task<void> reload();
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -25,11 +25,24 @@
 
 constexpr auto PollInterval = std::chrono::milliseconds(20);
 
+// Below the ports that the system gives to outgoing connections, so that none of these takes the port before the process listens there.
+constexpr int FirstPort = 10000;
+constexpr int PortCount = 20000;
+
+// Test programs that run side by side begin at different ports.
 std::uint16_t findFreePort()
 {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), false);
-    return socket.address().port();
+    static int next = ::getpid() * 37;
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(FirstPort + next++ % PortCount);
+        try {
+            Poco::Net::ServerSocket socket;
+            socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), false);
+            return port;
+        } catch (const Poco::Exception &) {
+            // Somebody listens there.
+        }
+    }
 }
 
 std::string loopback(std::uint16_t port)
@@ -301,11 +314,16 @@
 }
 
 std::vector<std::string> Deployment::linesAbout(const std::string &requestId) const
+{
+    return linesWith("\"" + requestId + "\"");
+}
+
+std::vector<std::string> Deployment::linesWith(const std::string &text) const
 {
     std::vector<std::string> found;
     for (const auto &instance : instances_) {
         for (const auto &line : instance->logLines()) {
-            if (line.find("\"" + requestId + "\"") != std::string::npos) {
+            if (line.find(text) != std::string::npos) {
                 found.push_back(line);
             }
         }
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -141,6 +141,8 @@
 
     // All lines of all instances that name the request.
     std::vector<std::string> linesAbout(const std::string &requestId) const;
+    // All lines of all instances that hold the text.
+    std::vector<std::string> linesWith(const std::string &text) const;
 
 private:
     std::filesystem::path folder_;
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -218,6 +218,9 @@
             for (const auto &[status, count] : statuses) {
                 counts += " " + std::to_string(status) + "x" + std::to_string(count);
             }
+            for (const auto &line : deployment.linesWith("\"status\":503")) {
+                counts += "\n" + line;
+            }
             CPPUNIT_ASSERT_MESSAGE(counts, statuses.size() == 1 && statuses.contains(200));
             deployment.store().setFault(PlatformStoreFault::None);
             CPPUNIT_ASSERT(deployment.awaitService());
@@ -550,12 +553,17 @@
         }
         // 3. A 503 around a key whose server is gone: the granter's lines name the server and the range.
         std::size_t index = 0;
-        while (!deployment.sharded(index).holds(100)) {
-            ++index;
-        }
-        deployment.sharded(index).restart();
         CallerAnswer misdirected;
         CPPUNIT_ASSERT(Deployment::eventually([&] {
+            // The granter's next renewal gives the keys back to the server: the request must come before it.
+            index = 0;
+            while (index < 4 && !deployment.sharded(index).holds(100)) {
+                ++index;
+            }
+            if (index == 4) {
+                return false;
+            }
+            deployment.sharded(index).restart();
             misdirected = deployment.call(0, makeKeyed(100));
             return misdirected.status_ != 200;
         }));
