--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -18,7 +18,7 @@
     bool isClosed_ = true;
     bool isReset_ = false;
     // Sent after the last answer, again and again until the connection is closed.
-    std::string endless_;
+    std::optional<std::string> endless_ = std::nullopt;
 };
 
 // Accepts connections and plays one script on each, in turn.
@@ -65,8 +65,8 @@
                 ++requests_;
                 co_await asio::async_write(socket, asio::buffer(answer), failingInto(error));
             }
-            while (!script.endless_.empty() && !error) {
-                co_await asio::async_write(socket, asio::buffer(script.endless_), failingInto(error));
+            while (script.endless_ && !error) {
+                co_await asio::async_write(socket, asio::buffer(*script.endless_), failingInto(error));
             }
             if (script.isReset_) {
                 socket.set_option(asio::socket_base::linger(true, 0), error);
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -130,7 +130,7 @@
         const auto bookings = deployment.witness().runsOf("four");
         CPPUNIT_ASSERT_EQUAL_MESSAGE(received, 3 + bookings, answers);
         CPPUNIT_ASSERT_MESSAGE(received, received.find("Connection: close") > received.rfind("HTTP/1.1 "));
-        CPPUNIT_ASSERT_EQUAL(std::make_optional(0).value(), deployment.instance(0).wait(10s).value_or(-1));
+        CPPUNIT_ASSERT_EQUAL(0, deployment.instance(0).wait(10s).value_or(-1));
         checkNoViolations(deployment);
     }
 
@@ -168,7 +168,6 @@
             const auto booking = deployment.call(0, makeBooking());
             CPPUNIT_ASSERT_EQUAL(502, booking.status_);
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.witness().runsOf(booking.requestId_));
-            const auto lines = deployment.linesAbout(booking.requestId_);
             CPPUNIT_ASSERT(Deployment::eventually([&] {
                 std::size_t closed = 0;
                 for (std::size_t i = 0; i < 4; ++i) {
