LibPlacement: Let a much larger instance take over coordination

Ruled out: a lost lease and a failed claim; each large instance was back by second 13.9. Change: an instance that ranks first and would have more than twice the coordinator's CPU time per service replaces its entry, under a condition on the entry's revision, after 2 s.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -9,6 +9,9 @@
 
 // Extra time that an instance waits for each instance ranked before it, before it claims a service.
 constexpr Duration RankDelay = 250ms;
+// How long an instance must be much better suited than the coordinator before it takes over, so that an instance that has just started
+// is connected to its peers.
+constexpr Duration TakeoverDelay = 2s;
 constexpr Duration HealthInterval = 500ms;
 constexpr Duration HealthTimeout = 400ms;
 
@@ -106,32 +109,57 @@
     }
 }
 
+std::vector<InstanceProfile> CoordinationManager::instancesWithClaims() const
+{
+    auto instances = view_.instances();
+    if (const auto own = std::ranges::find(instances, self_.name_, &InstanceProfile::name_); own != instances.end()) {
+        own->coordinatedServices_ += static_cast<std::uint32_t>(claiming_.size());
+    }
+    return instances;
+}
+
 void CoordinationManager::elect(const std::string &service, TimePoint now)
 {
-    if (view_.coordinator(service) != nullptr) {
+    if (const auto *coordinator = view_.coordinator(service)) {
         vacantSince_.erase(service);
+        considerTakeover(service, *coordinator, now);
         return;
     }
+    betterSince_.erase(service);
     const auto [vacant, isNew] = vacantSince_.try_emplace(service, now);
-    auto instances = view_.instances();
-    if (const auto own = std::ranges::find(instances, self_.name_, &InstanceProfile::name_); own != instances.end()) {
-        own->coordinatedServices_ += static_cast<std::uint32_t>(claiming_.size());
-    }
     // The previous coordinator claims first: it already has the state that a successor would have to rebuild.
-    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + coordinatorRank(service, self_.name_, instances);
-    if (claiming_.contains(service) || now - vacant->second < RankDelay * static_cast<Duration::rep>(rank)) {
+    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + coordinatorRank(service, self_.name_, instancesWithClaims());
+    if (now - vacant->second >= RankDelay * static_cast<Duration::rep>(rank)) {
+        startClaim(service, 0);
+    }
+}
+
+void CoordinationManager::considerTakeover(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now)
+{
+    if (!isMuchBetterCoordinator(service, self_.name_, coordinator.member_.name_, instancesWithClaims())) {
+        betterSince_.erase(service);
+        return;
+    }
+    const auto better = betterSince_.try_emplace(service, now).first;
+    if (now - better->second >= TakeoverDelay) {
+        startClaim(service, coordinator.revision_);
+    }
+}
+
+void CoordinationManager::startClaim(const std::string &service, Platform::Revision expectedRevision)
+{
+    if (!claiming_.insert(service).second) {
         return;
     }
-    claiming_.insert(service);
-    spawn(loop_, log_, "claim", [this, service] {
-        return claim(service);
+    spawn(loop_, log_, "claim", [this, service, expectedRevision] {
+        return claim(service, expectedRevision);
     });
 }
 
-Task<void> CoordinationManager::claim(std::string service)
+Task<void> CoordinationManager::claim(std::string service, Platform::Revision expectedRevision)
 {
     Platform::StoreWrite write;
-    write.conditions_.push_back({coordinatorKey(service), 0});
+    write.conditions_.push_back({coordinatorKey(service), expectedRevision});
     write.puts_.push_back({coordinatorKey(service), encodeMember(self_), 0, storeLink_.lease()});
     const auto commit = co_await store_.commit(std::move(write));
     log_.write(
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -30,7 +30,13 @@
     // Whether this instance may act as the granter although its lease may have expired.
     bool isConfirmedByPeers(TimePoint now) const;
     void elect(const std::string &service, TimePoint now);
-    Task<void> claim(std::string service);
+    // Returns the profiles of all instances, with the claims in progress counted for this one.
+    std::vector<InstanceProfile> instancesWithClaims() const;
+    // Starts a takeover from a coordinator that is much less suitable, once that has been so for some time.
+    void considerTakeover(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now);
+    // Claims a service if its coordinator entry still has the revision; 0 if there must be none.
+    void startClaim(const std::string &service, Platform::Revision expectedRevision);
+    Task<void> claim(std::string service, Platform::Revision expectedRevision);
     void checkSuspects(TimePoint now);
     Task<void> checkHealth(std::string service, ServerDescription server, std::string path);
 
@@ -50,6 +56,8 @@
     std::map<std::string, std::shared_ptr<ShardService>> shards_;
     // Since when each service without a coordinator has had none.
     std::map<std::string, TimePoint> vacantSince_;
+    // Since when this instance has been much better suited to each service than its coordinator.
+    std::map<std::string, TimePoint> betterSince_;
     std::set<std::string> claiming_;
     std::map<std::string, TimePoint> healthCheckedAt_;
     bool hasSteppedDown_ = false;
--- a/Libraries/LibPlacement/InstanceRank.cpp
+++ b/Libraries/LibPlacement/InstanceRank.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// How many times the coordinator's CPU time per service another instance must have to take over: a change of coordinator has a cost.
+constexpr std::uint32_t MinTakeoverRatio = 2;
+
 // Thousandths of a core per coordinated service if the instance took on one more.
 std::uint32_t processorPerService(const InstanceProfile &instance)
 {
@@ -31,6 +34,20 @@
     }));
 }
 
+bool isMuchBetterCoordinator(const std::string &service,
+                             const std::string &instance,
+                             const std::string &coordinator,
+                             const std::vector<InstanceProfile> &instances)
+{
+    const auto self = std::ranges::find(instances, instance, &InstanceProfile::name_);
+    const auto present = std::ranges::find(instances, coordinator, &InstanceProfile::name_);
+    if (self == instances.end() || present == instances.end() || coordinatorRank(service, instance, instances) > 0) {
+        return false;
+    }
+    const std::uint32_t presentShare = present->cpuMillicores_ / std::max(1U, present->coordinatedServices_);
+    return processorPerService(*self) > MinTakeoverRatio * presentShare;
+}
+
 std::map<std::string, std::string> watchersByDomain(const std::vector<InstanceProfile> &instances)
 {
     const auto suitability = [](const InstanceProfile &each) {
--- a/Libraries/LibPlacement/InstanceRank.h
+++ b/Libraries/LibPlacement/InstanceRank.h
@@ -27,6 +27,14 @@
 // only a few instances try to coordinate one service at the same time.
 std::size_t coordinatorRank(const std::string &service, const std::string &instance, const std::vector<InstanceProfile> &instances);
 
+// Returns whether the instance should take over the service from its present coordinator: it ranks first and would have more than
+// twice the coordinator's CPU time per service. After a fault of all large instances, a small one would otherwise keep a service that
+// it is too slow to coordinate.
+bool isMuchBetterCoordinator(const std::string &service,
+                             const std::string &instance,
+                             const std::string &coordinator,
+                             const std::vector<InstanceProfile> &instances);
+
 // Returns, by failure domain, the instance that watches the store on behalf of the others. A coordinator is preferred because it
 // watches the store anyway, then the instance with the most CPU time.
 std::map<std::string, std::string> watchersByDomain(const std::vector<InstanceProfile> &instances);
--- a/Tests/LibPlacement/TestPlacementComponents.cpp
+++ b/Tests/LibPlacement/TestPlacementComponents.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(keyLoadDecays);
     CPPUNIT_TEST(coordinatorRanksAreAPermutation);
     CPPUNIT_TEST(instancesWithMostProcessorPerServiceCoordinate);
+    CPPUNIT_TEST(muchLargerInstanceTakesOver);
     CPPUNIT_TEST(everyDomainHasOneWatcher);
     CPPUNIT_TEST(longestPrefixWins);
     CPPUNIT_TEST_SUITE_END();
@@ -162,6 +163,21 @@
         CPPUNIT_ASSERT_EQUAL(instances.size(), coordinatorRank("service", "e", instances));
     }
 
+    // Guards against a small instance that keeps a service which it claimed while all large ones were cut off.
+    void muchLargerInstanceTakesOver()
+    {
+        std::vector<InstanceProfile> instances{{"small", "x", 100, 1}, {"large", "x", 500, 0}, {"other", "y", 500, 1}};
+        CPPUNIT_ASSERT(isMuchBetterCoordinator("service", "large", "small", instances));
+        // Only the best of the candidates takes over.
+        CPPUNIT_ASSERT(!isMuchBetterCoordinator("service", "other", "small", instances));
+        CPPUNIT_ASSERT(!isMuchBetterCoordinator("service", "unregistered", "small", instances));
+        CPPUNIT_ASSERT(!isMuchBetterCoordinator("service", "large", "unregistered", instances));
+        // A change of coordinator is not worth it between instances of similar size, or to even out the number of services.
+        CPPUNIT_ASSERT(!isMuchBetterCoordinator("service", "large", "other", instances));
+        instances[2].coordinatedServices_ = 2;
+        CPPUNIT_ASSERT(!isMuchBetterCoordinator("service", "large", "other", instances));
+    }
+
     void everyDomainHasOneWatcher()
     {
         std::vector<InstanceProfile> instances{{"a", "x", 100, 0}, {"b", "x", 500, 0}, {"c", "y", 100, 0}, {"d", "y", 100, 0}};
