LibPlacement: Balance the other servers beside one that cannot be relieved

No move lowers the utilization of its holder, so planBalance ended there and balanced nothing else for as long as the key was hot; nor did it clear the holder of its other keys, since each such move gains less than 4% of so large a difference. Change: a server that no move relieves is passed over, and a difference above one busy slot per slot counts as one.

--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -14,8 +14,10 @@
 constexpr double MinBusiestUtilization = 0.45;
 constexpr double MinUtilizationDifference = 0.15;
 constexpr double MinRelativeDifference = 0.3;
-// Fraction of the difference by which a single move must lower the highest utilization.
+// Fraction of the difference by which a single move must lower the highest utilization. A difference above the limit counts as the limit, so
+// that the other keys of an overloaded server are moved away although each move gains little.
 constexpr double MinGainFraction = 0.04;
+constexpr double MaxDifferenceForGain = 1;
 constexpr int MaxMovesAtOnce = 6;
 constexpr std::size_t MaxRangesPerServer = 12;
 // Above 1 so that a slow server gets less than its proportional share: requests take longer there even without queueing.
@@ -34,6 +36,8 @@
 {
     const ServerLoadView *view_ = nullptr;
     double utilization_ = 0;
+    // False if no move lowers its utilization enough, such as for the holder of a key that needs more than all its slots.
+    bool canBeRelieved_ = true;
 
     double costOf(double load) const
     {
@@ -227,8 +231,10 @@
 {
     auto planned = measureUtilization(assignment, servers, load, now);
     const double minMoved = planned.empty() ? 0 : MinInitialLoadFraction * rangeLoad(load, 0, ShardKeyCount - 1, now) / static_cast<double>(planned.size());
-    for (int move = 0; move < MaxMovesAtOnce && planned.size() > 1; ++move) {
-        const auto busiest = std::ranges::max_element(planned, {}, &PlannedServer::utilization_);
+    for (int moves = 0; moves < MaxMovesAtOnce && planned.size() > 1;) {
+        const auto busiest = std::ranges::max_element(planned, {}, [](const PlannedServer &server) {
+            return std::make_pair(server.canBeRelieved_, server.utilization_);
+        });
         const auto leastBusy = std::ranges::min_element(planned, {}, &PlannedServer::utilization_);
         const double difference = busiest->utilization_ - leastBusy->utilization_;
         const bool holdsNoKeys = std::ranges::none_of(assignment.ranges_, [&leastBusy](const ShardRange &range) {
@@ -236,7 +242,7 @@
         });
         const bool isWorthIt = busiest->utilization_ > MinBusiestUtilization && difference > MinUtilizationDifference
             && difference > MinRelativeDifference * busiest->utilization_;
-        if ((!isWorthIt && !holdsNoKeys) || assignment.ranges_.size() >= MaxRangesPerServer * planned.size()) {
+        if (!busiest->canBeRelieved_ || (!isWorthIt && !holdsNoKeys) || assignment.ranges_.size() >= MaxRangesPerServer * planned.size()) {
             break;
         }
         // A hot group of keys is best held by a fast server, even if that is not the least busy one.
@@ -253,12 +259,15 @@
                 target = fastest;
             }
         }
-        if (!rangeMove || (!holdsNoKeys && rangeMove->peakUtilization_ > busiest->utilization_ - MinGainFraction * difference)) {
-            break;
+        const double minGain = MinGainFraction * std::min(difference, MaxDifferenceForGain);
+        if (!rangeMove || (!holdsNoKeys && rangeMove->peakUtilization_ > busiest->utilization_ - minGain)) {
+            busiest->canBeRelieved_ = false;
+            continue;
         }
         busiest->utilization_ -= busiest->costOf(rangeMove->load_);
         target->utilization_ += target->costOf(rangeMove->load_);
         applyMove(assignment, *rangeMove, *target->view_);
+        ++moves;
     }
     return assignment;
 }
--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(renewalsKeepKeysHeld);
     CPPUNIT_TEST(fastServersGetMoreKeysInitially);
     CPPUNIT_TEST(hotKeysAreSpread);
+    CPPUNIT_TEST(singleHotKeyDoesNotStopTheBalance);
     CPPUNIT_TEST(evenLoadMovesNoKeys);
     CPPUNIT_TEST(newServerGetsKeys);
     CPPUNIT_TEST(randomLivesNeverHaveTwoHolders);
@@ -317,6 +318,41 @@
         CPPUNIT_ASSERT(peakOf(assignment) < 1.5 * total / 6);
     }
 
+    // Guards against a planner that gives up because the busiest server, whose single hot key needs more than all its slots, cannot be
+    // relieved: the other keys of that server and the load of the other servers must be balanced all the same.
+    void singleHotKeyDoesNotStopTheBalance()
+    {
+        const auto servers = makeServers(8);
+        auto assignment = planInitialAssignment(servers);
+        constexpr ShardKey hotKey = 20000;
+        KeyLoad load;
+        KeyLoad loadWithoutHotKey;
+        for (int i = 0; i < 2000; ++i) {
+            load.record(hotKey, 10ms, at(i));
+            // A quarter of the keys has three quarters of the other work.
+            const auto key = static_cast<ShardKey>(i % 4 == 0 ? i * 32 : i * 8);
+            load.record(key, 16ms, at(i));
+            loadWithoutHotKey.record(key, 16ms, at(i));
+        }
+        const auto now = at(2000);
+        for (int round = 0; round < 8; ++round) {
+            assignment = planBalance(assignment, servers, load, now);
+            for (auto &range : assignment.ranges_) {
+                range.previous_.clear();
+            }
+        }
+        const std::string &hotServer = assignment.rangeOf(hotKey)->holder_.server_;
+        double total = 0;
+        double highest = 0;
+        for (const auto &server : servers) {
+            const double own = utilization(assignment, server, loadWithoutHotKey, now);
+            total += own;
+            highest = std::max(highest, own);
+            CPPUNIT_ASSERT(server.id_ != hotServer || own < 0.1);
+        }
+        CPPUNIT_ASSERT(highest < 1.4 * total / 7);
+    }
+
     void evenLoadMovesNoKeys()
     {
         const auto servers = makeServers(4);
