LibPlacement: Balance keys by the slots they keep busy

Cause: load on a server counted with the 1.5th power of its slowness. Change: the planner counts the time that slots are busy.

--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -20,9 +20,8 @@
 constexpr double MaxDifferenceForGain = 1;
 constexpr int MaxMovesAtOnce = 6;
 constexpr std::size_t MaxRangesPerServer = 12;
-// Above 1 so that a slow server gets less than its proportional share: requests take longer there even without queueing.
-constexpr double SlownessExponent = 1.5;
-// The same for the initial assignment.
+// Above 1 so that a slow server gets less than its proportional share of the keys initially, while their load is unknown: requests take
+// longer there even without queueing.
 constexpr double InitialSlownessExponent = 1.5;
 // Minimum load moved to a server that holds no keys, as a fraction of the mean load.
 constexpr double MinInitialLoadFraction = 0.1;
@@ -41,7 +40,7 @@
 
     double costOf(double load) const
     {
-        return load * std::pow(view_->slowness_, SlownessExponent) * (view_->isCold_ ? ColdSlowness : 1) / view_->slots_;
+        return load * view_->slowness_ * (view_->isCold_ ? ColdSlowness : 1) / view_->slots_;
     }
 };
 
--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(fastServersGetMoreKeysInitially);
     CPPUNIT_TEST(hotKeysAreSpread);
     CPPUNIT_TEST(singleHotKeyDoesNotStopTheBalance);
+    CPPUNIT_TEST(slowServersCarryTheirShareUnderFullLoad);
     CPPUNIT_TEST(evenLoadMovesNoKeys);
     CPPUNIT_TEST(newServerGetsKeys);
     CPPUNIT_TEST(randomLivesNeverHaveTwoHolders);
@@ -353,6 +354,36 @@
         CPPUNIT_ASSERT(highest < 1.4 * total / 7);
     }
 
+    // Guards against slots of slow servers that stay idle while requests wait for the fast ones: under full load, all servers must be about
+    // equally busy.
+    void slowServersCarryTheirShareUnderFullLoad()
+    {
+        auto servers = makeServers(6);
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            servers[index].slowness_ = index < 4 ? 0.9 : 2.1;
+        }
+        auto assignment = planInitialAssignment(servers);
+        KeyLoad load;
+        for (int i = 0; i < 4000; ++i) {
+            load.record(static_cast<ShardKey>(i * 16), 12ms, at(i));
+        }
+        const auto now = at(4000);
+        for (int round = 0; round < 8; ++round) {
+            assignment = planBalance(assignment, servers, load, now);
+            for (auto &range : assignment.ranges_) {
+                range.previous_.clear();
+            }
+        }
+        double lowest = 1e9;
+        double highest = 0;
+        for (const auto &server : servers) {
+            const double busy = server.slowness_ * utilization(assignment, server, load, now);
+            lowest = std::min(lowest, busy);
+            highest = std::max(highest, busy);
+        }
+        CPPUNIT_ASSERT(lowest > 0.7 * highest);
+    }
+
     void evenLoadMovesNoKeys()
     {
         const auto servers = makeServers(4);
