LibPlacement: Store completed moves within 300 ms

Cause: after a move the store listed the former holder for up to 3 s. Change: CleanupInterval 3 s to 300 ms, one more write per move.

--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -14,8 +14,9 @@
 // Before the initial assignment, the number of servers must have been unchanged for this long.
 constexpr Duration InitialStabilityTime = 700ms;
 constexpr Duration BalanceInterval = 1s;
-// How long the store may still list former holders that no longer hold their keys.
-constexpr Duration CleanupInterval = 3s;
+// How long the store may still list former holders that no longer hold their keys. A granter that takes over meanwhile must wait until
+// the grants of its predecessor have expired before it renews such keys.
+constexpr Duration CleanupInterval = 300ms;
 
 Duration maxGrantLifetime(const GrantTimings &timings)
 {
--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(hotKeysAreSpread);
     CPPUNIT_TEST(singleHotKeyDoesNotStopTheBalance);
     CPPUNIT_TEST(slowServersCarryTheirShareUnderFullLoad);
+    CPPUNIT_TEST(successorRenewsKeysThatHaveJustMoved);
     CPPUNIT_TEST(evenLoadMovesNoKeys);
     CPPUNIT_TEST(newServerGetsKeys);
     CPPUNIT_TEST(randomLivesNeverHaveTwoHolders);
@@ -384,6 +385,27 @@
         CPPUNIT_ASSERT(lowest > 0.7 * highest);
     }
 
+    // Guards against a hot key without a holder after a change of granter: the store must not list the former holder for seconds after the
+    // move, because the successor waits for that holder's grants to expire.
+    void successorRenewsKeysThatHaveJustMoved()
+    {
+        KeyLoad load;
+        auto servers = makeServers(2);
+        auto granter = makeGranterWithGrants(servers, load);
+        removeSecondServer(granter, servers, load, at(1200));
+        const auto releases = granter.takeReleases(at(1200));
+        granter.recordReleaseResult(releases.front(), ShardCallOutcome::Accepted, "", at(1250));
+        for (const auto &call : granter.takeGrants(at(1250))) {
+            granter.recordGrantResult(call, at(1250), ShardCallOutcome::Accepted, at(1255));
+        }
+        const auto cleaned = granter.plan(servers, load, at(1600));
+        CPPUNIT_ASSERT(cleaned);
+        granter.recordStored(*cleaned, at(1605));
+        ShardGranter successor(GrantTimings(), granter.assignment(), at(1700));
+        successor.recordStored(*successor.plan(servers, load, at(1700)), at(1705));
+        CPPUNIT_ASSERT_EQUAL(successor.assignment().ranges_.size(), successor.takeGrants(at(1710)).size());
+    }
+
     void evenLoadMovesNoKeys()
     {
         const auto servers = makeServers(4);
