--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -326,11 +326,11 @@
     {
         const auto servers = makeServers(8);
         auto assignment = planInitialAssignment(servers);
-        constexpr ShardKey hotKey = 20000;
+        constexpr ShardKey HotKey = 20000;
         KeyLoad load;
         KeyLoad loadWithoutHotKey;
         for (int i = 0; i < 2000; ++i) {
-            load.record(hotKey, 10ms, at(i));
+            load.record(HotKey, 10ms, at(i));
             // A quarter of the keys has three quarters of the other work.
             const auto key = static_cast<ShardKey>(i % 4 == 0 ? i * 32 : i * 8);
             load.record(key, 16ms, at(i));
@@ -343,7 +343,7 @@
                 range.previous_.clear();
             }
         }
-        const std::string &hotServer = assignment.rangeOf(hotKey)->holder_.server_;
+        const std::string &hotServer = assignment.rangeOf(HotKey)->holder_.server_;
         double total = 0;
         double highest = 0;
         for (const auto &server : servers) {
