LibGateway: Log when an instance learns that a server is leaving, and requests sent to it nevertheless

The logs could not tell the three hypotheses on requests to leaving servers apart. Now each instance says when it learnt, from whom and by which revision, and a placement carries the coordinator's revision and the run of the server that is meant (two fields appended; older instances ignore them). No decision changes.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -72,9 +72,13 @@
     , self_{settings_.name_, makeIncarnation(), settings_.peerAddress_, settings_.domain_, settings_.cpuMillicores_}
     , loop_(1)
     , log_(settings_.name_)
-    , view_([this](const std::string &key, const std::string &reason) {
-        log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason), LogImportance::Kept, bootNow());
-    })
+    , view_(
+          [this](const std::string &key, const std::string &reason) {
+              log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason), LogImportance::Kept, bootNow());
+          },
+          [this](const ServerChange &change, TimePoint now) {
+              reportServerChange(change, now);
+          })
     , store_(loop_, settings_.storeAddress_)
     , storeLink_(loop_,
                  store_,
@@ -256,6 +260,20 @@
     coordination_.run(isStopping_, now);
 }
 
+void Gateway::reportServerChange(const ServerChange &change, TimePoint now)
+{
+    LogLine line(change.notice_ ? "server-leaving" : "server-ready-again");
+    line.add("server", change.server_.id_).add("incarnation", change.server_.startTime_);
+    if (change.notice_) {
+        line.add("reason", leavingReasonName(change.notice_->reason_))
+            .add("from", viewSourceName(change.notice_->source_))
+            .add("revision", change.notice_->revision_);
+    } else {
+        line.add("sequenceBefore", change.sequenceBefore_).add("sequence", change.sequence_);
+    }
+    log_.write(line.add("storeRevision", view_.at()), LogImportance::Kept, now);
+}
+
 void Gateway::checkForSuspension(TimePoint now)
 {
     const Duration gap = now - tickedAt_;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -41,6 +41,7 @@
     bool isReady(TimePoint now) const;
 
     void viewChanged();
+    void reportServerChange(const ServerChange &change, TimePoint now);
     // Runs all handlers until the loop is stopped.
     void runLoop();
     Task<void> tick();
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -55,8 +55,12 @@
     std::uint64_t number_ = 0;
     std::string server_;
     std::string address_;
+    // Which run of the server is meant.
+    UnixMilliseconds startTime_ = 0;
+    // The revision of the coordinator's view.
+    Platform::Revision revision_ = 0;
 
-    MSGPACK_DEFINE(service_, number_, server_, address_)
+    MSGPACK_DEFINE(service_, number_, server_, address_, startTime_, revision_)
 };
 
 struct RejectionMessage
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -332,6 +332,8 @@
     result.isPlaced_ = true;
     result.server_ = message.server_;
     result.address_ = message.address_;
+    result.startTime_ = message.startTime_;
+    result.revision_ = message.revision_;
     result.source_ = PlacementSource::RemoteCoordinator;
     resolve(message.number_, result);
 }
@@ -415,11 +417,14 @@
 {
     const auto *server = view_.server(placed.server_);
     const std::string address = server == nullptr ? std::string() : server->address_;
+    const UnixMilliseconds startTime = server == nullptr ? 0 : server->startTime_;
     if (placed.id_.instance_ == instance_) {
         PlacementResult result;
         result.isPlaced_ = true;
         result.server_ = placed.server_;
         result.address_ = address;
+        result.startTime_ = startTime;
+        result.revision_ = view_.at();
         result.source_ = isCoordinating(state.pool_->service().name_) ? PlacementSource::Coordinator : PlacementSource::Local;
         if (!pending_.contains(placed.id_.number_)) {
             state.pool_->finish(placed.id_, PlacementReport(), now);
@@ -430,7 +435,7 @@
     const auto requester = state.requesters_.find(placed.id_.instance_);
     const auto link = requester == state.requesters_.end() ? nullptr : requester->second.lock();
     if (link) {
-        link->send(PlacementMessage{state.pool_->service().name_, placed.id_.number_, placed.server_, address});
+        link->send(PlacementMessage{state.pool_->service().name_, placed.id_.number_, placed.server_, address, startTime, view_.at()});
     } else {
         state.pool_->finish(placed.id_, PlacementReport(), now);
     }
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -63,6 +63,10 @@
     std::uint64_t number_ = 0;
     std::string server_;
     std::string address_;
+    // Which run of the server is meant.
+    UnixMilliseconds startTime_ = 0;
+    // The revision of the view by which the server was chosen.
+    Platform::Revision revision_ = 0;
     RejectReason reason_ = RejectReason::NoServer;
     Duration retryAfter_ = Duration::zero();
     PlacementSource source_ = PlacementSource::Local;
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -264,6 +264,7 @@
             handle->cancel();
         }
     });
+    reportKnownLeaving(progress, place, startedAt);
     const auto serverRequest = Platform::makeServerRequest(request, place.server_, progress.deadline_ - startedAt);
     auto result = co_await client_.exchange(place.address_, serverRequest, options, handle);
     progress.control_->setOnAbandon({});
@@ -304,6 +305,26 @@
     co_return step;
 }
 
+void RequestFlow::reportKnownLeaving(const Progress &progress, const PlacementResult &place, TimePoint now)
+{
+    const auto *notice = view_.leavingNotice({place.server_, place.startTime_});
+    if (notice == nullptr) {
+        return;
+    }
+    metrics_.observe("goldcrestwall_sent_to_leaving_seconds", {{"service", progress.service_}}, now - notice->learntAt_);
+    log_.write(LogLine("sent-to-leaving-server")
+                   .add("request", progress.headers_.requestId_)
+                   .add("server", place.server_)
+                   .add("reason", leavingReasonName(notice->reason_))
+                   .addDuration("knownForMs", now - notice->learntAt_)
+                   .add("leavingRevision", notice->revision_)
+                   .add("placedAtRevision", place.revision_)
+                   .add("storeRevision", view_.at())
+                   .add("placedBy", placementSourceName(place.source_)),
+               LogImportance::Kept,
+               now);
+}
+
 RequestFlow::NextStep RequestFlow::decideNextStep(Progress &progress, const ExchangeResult &result, ResponseKind kind) const
 {
     if (result.outcome_ == ExchangeOutcome::NotSent) {
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -43,6 +43,8 @@
 
     std::optional<HttpResponse> checkRoute(const HttpRequest &request, Progress &progress, TimePoint now);
     Task<NextStep> attempt(const HttpRequest &request, Progress &progress, const PlacementResult &place);
+    // Reports a request that is about to be sent to a server that this instance knows to be leaving.
+    void reportKnownLeaving(const Progress &progress, const PlacementResult &place, TimePoint now);
     NextStep decideNextStep(Progress &progress, const ExchangeResult &result, Platform::ResponseKind kind) const;
     // Estimates how long ago the caller made the request for the first time: a caller that retries has less of its time limit left than
     // other callers of the route.
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -17,6 +17,7 @@
 constexpr const char *CoordinatorPrefix = "goldcrestwall/leaders/";
 constexpr const char *AssignmentPrefix = "goldcrestwall/shards/";
 constexpr std::size_t MaxRemovals = 2000;
+constexpr std::size_t MaxLeavingNotices = 4000;
 
 // Returns the rest of the key after the prefix, or nothing if the key does not start with it.
 std::optional<std::string> withoutPrefix(const std::string &key, std::string_view prefix)
@@ -42,6 +43,32 @@
 
 } // namespace
 
+const char *viewSourceName(ViewSource source)
+{
+    switch (source) {
+    case ViewSource::Watch:
+        return "watch";
+    case ViewSource::Read:
+        return "read";
+    case ViewSource::Peer:
+        return "peer";
+    }
+    return "unknown";
+}
+
+const char *leavingReasonName(LeavingReason reason)
+{
+    switch (reason) {
+    case LeavingReason::Draining:
+        return "draining";
+    case LeavingReason::Removed:
+        return "removed";
+    case LeavingReason::Restarted:
+        return "restarted";
+    }
+    return "unknown";
+}
+
 std::string memberKey(const std::string &instance)
 {
     return MemberPrefix + instance;
@@ -69,6 +96,7 @@
 
 void StoreView::apply(const std::vector<Platform::StoreEvent> &events, Revision at, TimePoint now)
 {
+    source_ = ViewSource::Watch;
     for (const auto &event : events) {
         if (event.isRemoved_) {
             remove(event.item_.key_, event.item_.revision_, now);
@@ -80,6 +108,12 @@
 }
 
 void StoreView::replace(const std::vector<StoreItem> &items, Revision at, TimePoint now)
+{
+    source_ = ViewSource::Read;
+    replaceItems(items, at, now);
+}
+
+void StoreView::replaceItems(const std::vector<StoreItem> &items, Revision at, TimePoint now)
 {
     if (at < at_) {
         return;
@@ -111,8 +145,9 @@
     if (update.at_ <= at_) {
         return;
     }
+    source_ = ViewSource::Peer;
     if (update.isSnapshot_) {
-        replace(update.items_, update.at_, now);
+        replaceItems(update.items_, update.at_, now);
         return;
     }
     for (const auto &key : update.removedKeys_) {
@@ -168,7 +203,7 @@
         removalHistoryStart_ = removals_.front().first;
         removals_.pop_front();
     }
-    removeDecoded(key, now);
+    removeDecoded(key, revision, now);
 }
 
 void StoreView::decode(const StoreItem &item, TimePoint now)
@@ -209,9 +244,47 @@
         servers_.erase(id);
         return;
     }
+    updateNotices(*decoded.value_, item.revision_, now);
     servers_[id] = {std::move(*decoded.value_), now};
 }
 
+void StoreView::updateNotices(const ServerDescription &description, Revision revision, TimePoint now)
+{
+    const auto known = servers_.find(description.id_);
+    if (known != servers_.end() && known->second.description_.startTime_ < description.startTime_) {
+        recordLeaving(known->second.description_, LeavingReason::Restarted, revision, now);
+    }
+    if (description.state_ == ServerState::Draining) {
+        recordLeaving(description, LeavingReason::Draining, revision, now);
+        return;
+    }
+    if (leavingNotices_.erase(description.incarnation()) > 0) {
+        const auto sequenceBefore = known == servers_.end() ? 0 : known->second.description_.sequence_;
+        serverChangeHandler_({description.incarnation(), std::nullopt, sequenceBefore, description.sequence_}, now);
+    }
+}
+
+void StoreView::recordLeaving(const ServerDescription &server, LeavingReason reason, Revision revision, TimePoint now)
+{
+    const auto incarnation = server.incarnation();
+    const LeavingNotice notice{reason, source_, now, revision};
+    if (!leavingNotices_.try_emplace(incarnation, notice).second) {
+        return;
+    }
+    leavingOrder_.push_back(incarnation);
+    if (leavingOrder_.size() > MaxLeavingNotices) {
+        leavingNotices_.erase(leavingOrder_.front());
+        leavingOrder_.pop_front();
+    }
+    serverChangeHandler_({incarnation, notice, server.sequence_, server.sequence_}, now);
+}
+
+const LeavingNotice *StoreView::leavingNotice(const ServerIncarnation &server) const
+{
+    const auto found = leavingNotices_.find(server);
+    return found == leavingNotices_.end() ? nullptr : &found->second;
+}
+
 void StoreView::decodeConfiguration(const StoreItem &item)
 {
     auto decoded = Platform::decodeConfiguration(item.value_);
@@ -226,9 +299,12 @@
     configuration_ = std::make_shared<const RoutingConfiguration>(std::move(*decoded.value_));
 }
 
-void StoreView::removeDecoded(const std::string &key, TimePoint now)
+void StoreView::removeDecoded(const std::string &key, Revision revision, TimePoint now)
 {
     if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
+        if (const auto known = servers_.find(*id); known != servers_.end()) {
+            recordLeaving(known->second.description_, LeavingReason::Removed, revision, now);
+        }
         if (now < expiryGraceUntil_) {
             expired_[*id] = expiryGraceUntil_;
         } else {
--- a/Libraries/LibTopology/Topology.h
+++ b/Libraries/LibTopology/Topology.h
@@ -116,6 +116,16 @@
     Draining,
 };
 
+// One run of a backend server's process: a server may start again under the same id.
+struct ServerIncarnation
+{
+    std::string id_;
+    // Start of the process in Unix milliseconds.
+    UnixMilliseconds startTime_ = 0;
+
+    auto operator<=>(const ServerIncarnation &) const = default;
+};
+
 // Description that a backend server publishes of itself.
 struct ServerDescription
 {
@@ -130,8 +140,15 @@
     Duration warmupLeft_ = Duration::zero();
     // Start of the process in Unix milliseconds; distinguishes a restarted server with the same id.
     UnixMilliseconds startTime_ = 0;
+    // Grows with each description of one process; 0 if the description has none.
+    std::uint64_t sequence_ = 0;
 
     auto operator<=>(const ServerDescription &) const = default;
+
+    ServerIncarnation incarnation() const
+    {
+        return {id_, startTime_};
+    }
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -21,9 +21,9 @@
     return R"({"version":)" + std::to_string(version) + R"(,"resources":[]})";
 }
 
-std::string serverText(const std::string &state = "ready")
+std::string serverText(const std::string &state = "ready", UnixMilliseconds startTime = 0)
 {
-    return R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":")" + state + R"("})";
+    return R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":")" + state + R"(","born":)" + std::to_string(startTime) + "}";
 }
 
 StoreEvent put(const std::string &key, const std::string &value, Revision revision)
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST(snapshotRemovesMissingEntries);
     CPPUNIT_TEST(expiredServersAreKeptDuringGracePeriod);
+    CPPUNIT_TEST(leavingServersAreNoticed);
     CPPUNIT_TEST(updatesBringOthersUpToDate);
     CPPUNIT_TEST(messagesRoundTrip);
     CPPUNIT_TEST(malformedFramesAreRejected);
@@ -135,6 +136,31 @@
         CPPUNIT_ASSERT(view_.server("i-1") == nullptr);
     }
 
+    void leavingServersAreNoticed()
+    {
+        view_.replace({{"servers/i-1", serverText("ready", 5), 11, 0}, {"servers/i-2", serverText("ready", 6), 12, 0}}, 12, at(0));
+        CPPUNIT_ASSERT(view_.leavingNotice({"i-1", 5}) == nullptr);
+        view_.apply({put("servers/i-1", serverText("draining", 5), 13)}, 13, at(1));
+        CPPUNIT_ASSERT((*view_.leavingNotice({"i-1", 5}) == LeavingNotice{LeavingReason::Draining, ViewSource::Watch, at(1), 13}));
+        // A later sign does not make the notice younger.
+        view_.apply({removal("servers/i-1", 14)}, 14, at(2));
+        CPPUNIT_ASSERT(view_.leavingNotice({"i-1", 5})->learntAt_ == at(1));
+        ViewUpdate update;
+        update.at_ = 15;
+        update.removedKeys_ = {"servers/i-2"};
+        view_.apply(update, at(3));
+        CPPUNIT_ASSERT((*view_.leavingNotice({"i-2", 6}) == LeavingNotice{LeavingReason::Removed, ViewSource::Peer, at(3), 15}));
+        // A server that starts again under its id is another run.
+        view_.apply({put("servers/i-2", serverText("ready", 7), 16), put("servers/i-2", serverText("ready", 8), 17)}, 17, at(4));
+        CPPUNIT_ASSERT(view_.leavingNotice({"i-2", 7})->reason_ == LeavingReason::Restarted);
+        CPPUNIT_ASSERT(view_.leavingNotice({"i-2", 8}) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), changes_.size());
+        // An entry that is ready again ends the notice, and is reported.
+        view_.apply({put("servers/i-1", serverText("ready", 5), 18)}, 18, at(5));
+        CPPUNIT_ASSERT(view_.leavingNotice({"i-1", 5}) == nullptr);
+        CPPUNIT_ASSERT(!changes_.back().notice_);
+    }
+
     void updatesBringOthersUpToDate()
     {
         view_.replace({{"servers/i-1", serverText(), 11, 0}, {"servers/i-2", serverText(), 12, 0}}, 12, at(0));
@@ -181,7 +207,7 @@
     void malformedFramesAreRejected()
     {
         std::mt19937 random(3);
-        const auto frame = encodeFrame(PlacementMessage{"one", 5, "s1", "10.0.0.1:1"});
+        const auto frame = encodeFrame(PlacementMessage{"one", 5, "s1", "10.0.0.1:1", 7, 42});
         for (int i = 0; i < 20000; ++i) {
             std::string bytes = frame.substr(4);
             bytes[random() % bytes.size()] = static_cast<char>(random());
@@ -201,7 +227,10 @@
     }
 
     std::vector<std::string> problems_;
-    StoreView view_{handler()};
+    std::vector<ServerChange> changes_;
+    StoreView view_{handler(), [this](const ServerChange &change, TimePoint) {
+                        changes_.push_back(change);
+                    }};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreView);
