--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -25,6 +25,7 @@
                                          const StoreLink &storeLink,
                                          PeerNetwork &network,
                                          PlacementService &placement,
+                                         AnnouncementRecorder &announcements,
                                          EventLog &log)
     : loop_(loop)
     , self_(std::move(self))
@@ -34,6 +35,7 @@
     , storeLink_(storeLink)
     , network_(network)
     , placement_(placement)
+    , announcements_(announcements)
     , log_(log)
     , shardCallClient_(loop)
     , healthClient_(loop)
@@ -77,7 +79,7 @@
     for (const auto &service : coordinated) {
         const auto *description = configuration->service(service);
         if (description->isSharded_ && !shards_.contains(service)) {
-            shards_[service] = std::make_shared<ShardService>(loop_, service, grantTimings_, view_, store_, shardCallClient_, placement_, log_);
+            shards_[service] = std::make_shared<ShardService>(loop_, service, grantTimings_, view_, store_, shardCallClient_, placement_, announcements_, log_);
         }
     }
     placement_.setCoordinated(std::move(coordinated), now);
@@ -186,7 +188,8 @@
         for (const auto &id : pool->serversToProbe(now)) {
             const auto *server = view_.server(id);
             auto &checkedAt = healthCheckedAt_[id];
-            if (server != nullptr && now - checkedAt >= HealthInterval) {
+            const bool isDue = now - checkedAt >= HealthInterval;
+            if (server != nullptr && isDue && announcements_.decide(server->incarnation(), false, now).isAllowed()) {
                 checkedAt = now;
                 spawn(loop_, log_, "health-check", [this, name = service.name_, description = *server, path = service.healthPath_] {
                     return checkHealth(name, description, path);
@@ -210,6 +213,7 @@
     Platform::HealthReport report;
     if (result.outcome_ == ExchangeOutcome::Answered) {
         report = Platform::readHealth(result.response_);
+        announcements_.record(server.incarnation(), result.response_, now);
     }
     const bool isHealthy = report.isHealthy_ && report.serverId_ == server.id_;
     log_.write(LogLine("health-checked")
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -17,6 +17,7 @@
                         const StoreLink &storeLink,
                         PeerNetwork &network,
                         PlacementService &placement,
+                        AnnouncementRecorder &announcements,
                         EventLog &log);
 
     // Starts and ends coordination to match the view.
@@ -48,6 +49,7 @@
     const StoreLink &storeLink_;
     PeerNetwork &network_;
     PlacementService &placement_;
+    AnnouncementRecorder &announcements_;
     EventLog &log_;
     // Responses to grants, releases and health checks carry no request id. Separate clients, and so separate connections, keep a duplicate
     // response of one kind from being taken for a response of the other.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -72,13 +72,15 @@
     , self_{settings_.name_, makeIncarnation(), settings_.peerAddress_, settings_.domain_, settings_.cpuMillicores_}
     , loop_(1)
     , log_(settings_.name_)
+    , notices_(std::make_shared<ServerNotices>([this](const ServerChange &change, TimePoint now) {
+        reportServerChange(change, now);
+    }))
+    , announcements_(self_.name_, notices_, log_, metrics_)
     , view_(
           [this](const std::string &key, const std::string &reason) {
               log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason), LogImportance::Kept, bootNow());
           },
-          [this](const ServerChange &change, TimePoint now) {
-              reportServerChange(change, now);
-          })
+          notices_)
     , store_(loop_, settings_.storeAddress_)
     , storeLink_(loop_,
                  store_,
@@ -92,11 +94,12 @@
                       coordination_.refresh(bootNow());
                   }})
     , network_(loop_, HelloMessage{self_.name_, self_.incarnation_, settings_.domain_}, log_, makePeerHandlers())
-    , relay_(self_.name_, settings_.domain_, view_, storeLink_, network_, log_)
-    , placement_(loop_, self_.name_, settings_.domain_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, log_)
+    , relay_(self_.name_, settings_.domain_, view_, storeLink_, network_, notices_, log_)
+    , placement_(
+          loop_, self_.name_, settings_.domain_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, notices_, log_)
     , client_(loop_)
-    , coordination_(loop_, self_, GrantTimings::within(settings_.maxHoldTime_), view_, store_, storeLink_, network_, placement_, log_)
-    , flow_(loop_, view_, storeLink_, placement_, client_, log_, metrics_)
+    , coordination_(loop_, self_, GrantTimings::within(settings_.maxHoldTime_), view_, store_, storeLink_, network_, placement_, announcements_, log_)
+    , flow_(loop_, view_, storeLink_, placement_, client_, announcements_, log_, metrics_)
     , bodies_(bodyMemory(settings_))
     , front_(loop_, view_, flow_, bodies_, log_, metrics_)
     , readyServer_(loop_,
@@ -210,8 +213,8 @@
         placement_.handlePlacement(link, *placed);
     } else if (const auto *rejected = std::get_if<RejectionMessage>(&message)) {
         placement_.handleRejection(*rejected);
-    } else if (std::holds_alternative<PongMessage>(message)) {
-        relay_.handlePong(link, now);
+    } else if (const auto *pong = std::get_if<PongMessage>(&message)) {
+        relay_.handlePong(link, *pong, now);
     } else if (auto *update = std::get_if<ViewUpdateMessage>(&message)) {
         if (relay_.handleUpdate(link, std::move(*update), now)) {
             viewChanged();
@@ -266,10 +269,10 @@
     line.add("server", change.server_.id_).add("incarnation", change.server_.startTime_);
     if (change.notice_) {
         line.add("reason", leavingReasonName(change.notice_->reason_))
-            .add("from", viewSourceName(change.notice_->source_))
-            .add("revision", change.notice_->revision_);
-    } else {
-        line.add("sequenceBefore", change.sequenceBefore_).add("sequence", change.sequence_);
+            .add("from", noticeSourceName(change.notice_->source_))
+            .add("revision", change.notice_->revision_)
+            .addDuration("bindsInMs", change.notice_->bindsFrom_ - now)
+            .add("requestsThere", placement_.heldPlacementCount(change.server_.id_));
     }
     log_.write(line.add("storeRevision", view_.at()), LogImportance::Kept, now);
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,6 +1,7 @@
 // A running router instance on the platform.
 #pragma once
 
+#include <LibGateway/AnnouncementRecorder.h>
 #include <LibGateway/CoordinationManager.h>
 #include <LibGateway/FrontServer.h>
 #include <LibGateway/StatusServer.h>
@@ -61,6 +62,8 @@
     asio::io_context loop_;
     EventLog log_;
     MetricRegistry metrics_;
+    std::shared_ptr<ServerNotices> notices_;
+    AnnouncementRecorder announcements_;
     StoreView view_;
     Platform::PlatformStore store_;
     StoreLink storeLink_;
--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -91,7 +91,7 @@
     return request;
 }
 
-FinishMessage toMessage(const std::string &service, std::uint64_t number, const PlacementReport &report)
+FinishMessage toMessage(const std::string &service, std::uint64_t number, const ServerIncarnation &server, const PlacementReport &report)
 {
     FinishMessage message;
     message.service_ = service;
@@ -105,6 +105,12 @@
         message.slots_ = report.load_->slots_;
         message.delayFactor_ = report.load_->delayFactor_;
     }
+    if (report.isServerLeaving_ || report.heldBackFor_ > Duration::zero()) {
+        message.server_ = server.id_;
+        message.startTime_ = server.startTime_;
+        message.isServerLeaving_ = report.isServerLeaving_;
+        message.heldBackFor_ = report.heldBackFor_.count();
+    }
     return message;
 }
 
@@ -117,6 +123,8 @@
     if (message.hasLoad_) {
         report.load_ = ReportedLoad{message.running_, message.waiting_, message.slots_, message.delayFactor_};
     }
+    report.isServerLeaving_ = message.isServerLeaving_;
+    report.heldBackFor_ = std::max(Duration::zero(), Duration(message.heldBackFor_));
     return report;
 }
 
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -81,7 +81,8 @@
     MSGPACK_DEFINE(service_, number_)
 };
 
-// Finishes a placement and reports its outcome. The load fields are valid only if `hasLoad_` is set.
+// Finishes a placement and reports its outcome. The load fields are valid only if `hasLoad_` is set. The server is named only if there is
+// something to say about further requests to it.
 struct FinishMessage
 {
     std::string service_;
@@ -93,8 +94,14 @@
     std::uint32_t waiting_ = 0;
     std::uint32_t slots_ = 0;
     double delayFactor_ = 1;
+    std::string server_;
+    UnixMilliseconds startTime_ = 0;
+    bool isServerLeaving_ = false;
+    // Microseconds for which the server wants no requests from the sender.
+    std::int64_t heldBackFor_ = 0;
 
-    MSGPACK_DEFINE(service_, number_, outcome_, duration_, hasLoad_, running_, waiting_, slots_, delayFactor_)
+    MSGPACK_DEFINE(
+        service_, number_, outcome_, duration_, hasLoad_, running_, waiting_, slots_, delayFactor_, server_, startTime_, isServerLeaving_, heldBackFor_)
 };
 
 // The sender still occupies a placement that a previous coordinator decided on.
@@ -117,6 +124,15 @@
     MSGPACK_DEFINE(sentAt_)
 };
 
+// One run of a server that is leaving.
+struct LeavingServer
+{
+    std::string id_;
+    UnixMilliseconds startTime_ = 0;
+
+    MSGPACK_DEFINE(id_, startTime_)
+};
+
 // State of the sender's view of the store. Sent in reply to a ping, and unsolicited when the view has changed.
 struct PongMessage
 {
@@ -127,8 +143,10 @@
     std::int64_t pingSentAt_ = 0;
     // Microseconds since the store last confirmed the sender's view.
     std::int64_t viewAge_ = 0;
+    // Servers that have said in a response that they are leaving, while the store does not say so yet.
+    std::vector<LeavingServer> leavingServers_;
 
-    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_)
+    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_)
 };
 
 // Requests the changes of the store's content since a revision.
@@ -188,7 +206,7 @@
 
 PlacementRequestMessage toMessage(const std::string &service, const PlacementRequest &request, TimePoint now);
 PlacementRequest toPlacementRequest(const PlacementRequestMessage &message, const std::string &instance, TimePoint now);
-FinishMessage toMessage(const std::string &service, std::uint64_t number, const PlacementReport &report);
+FinishMessage toMessage(const std::string &service, std::uint64_t number, const ServerIncarnation &server, const PlacementReport &report);
 PlacementReport toPlacementReport(const FinishMessage &message);
 ViewUpdateMessage toMessage(const ViewUpdate &update);
 ViewUpdate toViewUpdate(ViewUpdateMessage message);
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -37,6 +37,7 @@
                                    const StoreView &view,
                                    PeerNetwork &network,
                                    RetryBudgetSettings retryBudgetSettings,
+                                   std::shared_ptr<ServerNotices> notices,
                                    EventLog &log)
     : loop_(loop)
     , instance_(std::move(instance))
@@ -44,6 +45,7 @@
     , view_(view)
     , network_(network)
     , retryBudgetSettings_(retryBudgetSettings)
+    , notices_(std::move(notices))
     , log_(log)
 {
 }
@@ -57,7 +59,7 @@
     for (const auto &service : configuration->services_) {
         auto &state = services_[service.name_];
         if (!state.pool_) {
-            state.pool_ = std::make_unique<ServicePool>(service, retryBudgetSettings_, stableHash(instance_ + service.name_));
+            state.pool_ = std::make_unique<ServicePool>(service, retryBudgetSettings_, stableHash(instance_ + service.name_), notices_);
             state.timer_ = std::make_unique<asio::steady_timer>(loop_);
         }
         state.pool_->setService(service);
@@ -105,6 +107,13 @@
     return pending_.size();
 }
 
+std::size_t PlacementService::heldPlacementCount(const std::string &server) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(heldPlacements_, [&server](const auto &entry) {
+        return entry.second.server_ == server;
+    }));
+}
+
 std::shared_ptr<PeerLink> PlacementService::coordinatorLink(const std::string &service, TimePoint now) const
 {
     const auto *coordinator = view_.coordinator(service);
@@ -118,7 +127,8 @@
     return network_.link(coordinator->member_.peerAddress_, now);
 }
 
-Task<PlacementResult> PlacementService::acquire(std::string service, PlacementRequest request, std::shared_ptr<RequestControl> control)
+Task<PlacementResult>
+PlacementService::acquire(std::string service, PlacementRequest request, PlacementDecider decider, std::shared_ptr<RequestControl> control)
 {
     const TimePoint startedAt = bootNow();
     const std::uint64_t number = nextNumber_++;
@@ -137,7 +147,7 @@
     });
     const std::string workKind = request.workKind_;
     bool isAnswered = false;
-    if (!isCoordinating(service)) {
+    if (!isCoordinating(service) && decider == PlacementDecider::Coordinator) {
         if (const auto link = coordinatorLink(service, startedAt)) {
             isAnswered = co_await awaitCoordinator(service, pending, link, request, control);
         }
@@ -246,7 +256,7 @@
     if (!isCoordinating(service)) {
         const auto *coordinator = view_.coordinator(service);
         if (const auto link = coordinator == nullptr ? nullptr : network_.link(coordinator->member_.peerAddress_, now)) {
-            link->send(toMessage(service, place.number_, report));
+            link->send(toMessage(service, place.number_, place.server(), report));
         }
     }
     scheduleDecision(service);
@@ -280,12 +290,24 @@
 
 void PlacementService::handleFinish(const std::shared_ptr<PeerLink> &link, const FinishMessage &message, TimePoint now)
 {
+    recordReportedSigns(link->instance(), message, now);
     if (auto *known = pool(message.service_)) {
         known->finish({link->instance(), message.number_}, toPlacementReport(message), now);
         scheduleDecision(message.service_);
     }
 }
 
+void PlacementService::recordReportedSigns(const std::string &instance, const FinishMessage &message, TimePoint now)
+{
+    const ServerIncarnation server{message.server_, message.startTime_};
+    if (message.isServerLeaving_) {
+        notices_->recordLeaving(server, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
+    }
+    if (message.heldBackFor_ > 0) {
+        notices_->holdBack(server, instance, now + Duration(message.heldBackFor_), now);
+    }
+}
+
 void PlacementService::handleHeldPlacement(const std::shared_ptr<PeerLink> &link, const HeldPlacementMessage &message, TimePoint now)
 {
     if (auto *known = pool(message.service_)) {
@@ -325,7 +347,7 @@
     const auto found = pending_.find(message.number_);
     if (found == pending_.end() || found->second->result_) {
         // The request was cancelled, rejected or decided locally in the meantime.
-        link->send(toMessage(message.service_, message.number_, PlacementReport()));
+        link->send(toMessage(message.service_, message.number_, ServerIncarnation(), PlacementReport()));
         return;
     }
     PlacementResult result;
@@ -341,7 +363,7 @@
 void PlacementService::handleRejection(const RejectionMessage &message)
 {
     PlacementResult result;
-    result.reason_ = message.reason_ <= static_cast<std::uint8_t>(RejectReason::NoOwner) ? static_cast<RejectReason>(message.reason_) : RejectReason::NoServer;
+    result.reason_ = message.reason_ <= static_cast<std::uint8_t>(RejectReason::HeldBack) ? static_cast<RejectReason>(message.reason_) : RejectReason::NoServer;
     result.retryAfter_ = Duration(message.retryAfter_);
     result.source_ = PlacementSource::RemoteCoordinator;
     resolve(message.number_, result);
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -56,6 +56,14 @@
 
 const char *placementSourceName(PlacementSource source);
 
+// Who is to decide on a placement.
+enum class PlacementDecider {
+    // The coordinator of the service, or this instance while the coordinator does not respond.
+    Coordinator,
+    // This instance, although there may be a coordinator.
+    Self,
+};
+
 // A placement at a server, or the reason for the rejection.
 struct PlacementResult
 {
@@ -71,6 +79,11 @@
     Duration retryAfter_ = Duration::zero();
     PlacementSource source_ = PlacementSource::Local;
     Duration waited_ = Duration::zero();
+
+    ServerIncarnation server() const
+    {
+        return {server_, startTime_};
+    }
 };
 
 // Owns the server pools of all services and exchanges messages with their coordinators. A request is queued here until it is placed or
@@ -84,6 +97,7 @@
                      const StoreView &view,
                      PeerNetwork &network,
                      RetryBudgetSettings retryBudgetSettings,
+                     std::shared_ptr<ServerNotices> notices,
                      EventLog &log);
 
     // Updates services, servers, assignments and coordinators from the view.
@@ -96,7 +110,7 @@
     }
 
     // Waits for a placement. A request that gets none before its deadline is rejected.
-    Task<PlacementResult> acquire(std::string service, PlacementRequest request, std::shared_ptr<RequestControl> control);
+    Task<PlacementResult> acquire(std::string service, PlacementRequest request, PlacementDecider decider, std::shared_ptr<RequestControl> control);
     void release(const std::string &service, const PlacementResult &place, const PlacementReport &report, TimePoint now);
 
     // Messages from instances that this one coordinates for.
@@ -118,6 +132,8 @@
     // Schedules a decision on the queued requests of a service.
     void scheduleDecision(const std::string &service);
     std::size_t waitingCount() const;
+    // Number of unfinished placements of this instance at a server.
+    std::size_t heldPlacementCount(const std::string &server) const;
 
 private:
     // A request of this instance that waits for a placement.
@@ -169,6 +185,8 @@
     void deliver(ServiceState &state, const Placement &placed, TimePoint now);
     void deliver(ServiceState &state, const Rejection &rejected);
     void resolve(std::uint64_t number, const PlacementResult &result);
+    // Records what another instance reports about further requests to a server.
+    void recordReportedSigns(const std::string &instance, const FinishMessage &message, TimePoint now);
 
     asio::io_context &loop_;
     std::string instance_;
@@ -176,6 +194,7 @@
     const StoreView &view_;
     PeerNetwork &network_;
     RetryBudgetSettings retryBudgetSettings_;
+    std::shared_ptr<ServerNotices> notices_;
     EventLog &log_;
     std::map<std::string, ServiceState> services_;
     std::set<std::string> coordinated_;
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-// The request fails after this many servers in addition to the first could not be reached.
+// The request fails after this many servers in addition to the first could not be reached or were not to get it.
 constexpr std::uint32_t MaxReplacements = 4;
+// After a coordinator has chosen so many servers that get no requests, this instance decides itself.
+constexpr std::uint32_t MaxWithheldByCoordinator = 2;
 // How long after the deadline to wait for the server's own response.
 constexpr Duration DeadlineGrace = 60ms;
 // Requests that must not run twice reuse a keep-alive connection only if it was idle for a short time: if the server has closed it
@@ -97,6 +99,8 @@
     std::shared_ptr<RequestControl> control_;
     // Servers that the request was sent to, whether or not they ran it.
     std::vector<std::string> servers_;
+    // Servers that the request was kept from.
+    std::vector<std::string> withheldFrom_;
     std::uint32_t sends_ = 0;
     std::uint32_t replacements_ = 0;
     bool mayHaveRun_ = false;
@@ -117,6 +121,7 @@
                          const StoreLink &store,
                          PlacementService &placement,
                          HttpClient &client,
+                         AnnouncementRecorder &announcements,
                          EventLog &log,
                          MetricRegistry &metrics)
     : loop_(loop)
@@ -124,6 +129,7 @@
     , store_(store)
     , placement_(placement)
     , client_(client)
+    , announcements_(announcements)
     , log_(log)
     , metrics_(metrics)
 {
@@ -195,9 +201,11 @@
 Task<std::optional<HttpResponse>> RequestFlow::run(const HttpRequest &request, std::shared_ptr<RequestControl> control, TimePoint arrivedAt)
 {
     // 1. Find the route; without one, respond at once.
-    // 2. Wait for a placement, send the request to its server and classify the result.
+    // 2. Wait for a placement, send the request to its server unless the server is to get none, and classify the result.
     // 3. Retry while the request allows it and the deadline has not passed.
-    Progress progress;
+    // On the heap: with a larger coroutine frame, GCC 12 reports a mismatched operator delete that is not there.
+    const auto owned = std::make_unique<Progress>();
+    auto &progress = *owned;
     progress.arrivedAt_ = arrivedAt;
     progress.control_ = control;
     if (auto response = checkRoute(request, progress, bootNow())) {
@@ -205,17 +213,10 @@
     }
     metrics_.increment("goldcrestwall_requests_total", {{"service", progress.service_}});
     for (;;) {
-        PlacementRequest placementRequest;
-        placementRequest.workKind_ = progress.route_->name_;
-        placementRequest.priority_ = progress.route_->priority_;
-        placementRequest.latencyObjectiveAt_ = progress.latencyObjectiveAt_;
-        placementRequest.deadline_ = progress.deadline_;
-        placementRequest.assumedWork_ = scaled(progress.route_->latencyObjective_, AssumedWorkFraction);
-        placementRequest.attempt_ = progress.nextAttempt_;
-        placementRequest.isCallerRetry_ = progress.isCallerRetry_;
-        placementRequest.key_ = progress.headers_.key_;
-        placementRequest.avoidedServers_ = progress.servers_;
-        const auto place = co_await placement_.acquire(progress.service_, std::move(placementRequest), control);
+        const bool hasReachedLimit = progress.withheldFrom_.size() >= MaxWithheldByCoordinator;
+        const auto decider = hasReachedLimit ? PlacementDecider::Self : PlacementDecider::Coordinator;
+        auto placementRequest = makePlacementRequest(progress);
+        const auto place = co_await placement_.acquire(progress.service_, std::move(placementRequest), decider, control);
         progress.source_ = place.source_;
         progress.waited_ += place.waited_;
         if (control->isAbandoned()) {
@@ -245,9 +246,80 @@
     }
 }
 
+PlacementRequest RequestFlow::makePlacementRequest(const Progress &progress) const
+{
+    PlacementRequest request;
+    request.workKind_ = progress.route_->name_;
+    request.priority_ = progress.route_->priority_;
+    request.latencyObjectiveAt_ = progress.latencyObjectiveAt_;
+    request.deadline_ = progress.deadline_;
+    request.assumedWork_ = scaled(progress.route_->latencyObjective_, AssumedWorkFraction);
+    request.attempt_ = progress.nextAttempt_;
+    request.isCallerRetry_ = progress.isCallerRetry_;
+    request.key_ = progress.headers_.key_;
+    request.avoidedServers_ = progress.servers_;
+    request.avoidedServers_.insert(request.avoidedServers_.end(), progress.withheldFrom_.begin(), progress.withheldFrom_.end());
+    return request;
+}
+
+SendDecision RequestFlow::decideSend(const PlacementResult &place, TimePoint now) const
+{
+    // An instance that has started after the server's entry was removed has no sign of it, but a view in which the entry is missing.
+    const bool isNewerView = place.revision_ != 0 && place.revision_ <= view_.at();
+    const auto *server = view_.server(place.server_);
+    if (isNewerView && server == nullptr) {
+        return {SendVerdict::Leaving, LeavingNotice{LeavingReason::Removed, NoticeSource::Read, now, now, view_.at()}, {}};
+    }
+    const bool isEvacuated = server != nullptr && view_.evacuatedDomains().contains(server->domain_);
+    return announcements_.decide(place.server(), isEvacuated, now);
+}
+
+void RequestFlow::withhold(Progress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now)
+{
+    PlacementReport report;
+    // A removed entry may only have expired during a store outage, so the coordinator has to learn of that from the store.
+    report.isServerLeaving_ = decision.notice_ && decision.notice_->reason_ != LeavingReason::Removed;
+    report.heldBackFor_ = decision.verdict_ == SendVerdict::HeldBack ? decision.heldBackUntil_ - now : Duration::zero();
+    placement_.release(progress.service_, place, report, now);
+    progress.withheldFrom_.push_back(place.server_);
+    progress.lastFailure_ = sendVerdictName(decision.verdict_);
+    metrics_.increment("goldcrestwall_requests_withheld_total", {{"service", progress.service_}, {"verdict", sendVerdictName(decision.verdict_)}});
+    LogLine line("request-withheld");
+    line.add("request", progress.headers_.requestId_).add("server", place.server_).add("incarnation", place.startTime_);
+    line.add("verdict", sendVerdictName(decision.verdict_)).add("placedBy", placementSourceName(place.source_));
+    line.add("placedAtRevision", place.revision_).add("storeRevision", view_.at());
+    if (decision.notice_) {
+        line.add("reason", leavingReasonName(decision.notice_->reason_)).add("from", noticeSourceName(decision.notice_->source_));
+        line.add("leavingRevision", decision.notice_->revision_).addDuration("knownForMs", now - decision.notice_->learntAt_);
+    }
+    log_.write(line, LogImportance::Kept, now);
+}
+
+void RequestFlow::reportLeaving(const Progress &progress, const PlacementResult &place, TimePoint sentAt, TimePoint now)
+{
+    const auto decision = announcements_.decide(place.server(), false, now);
+    if (!decision.notice_) {
+        return;
+    }
+    log_.write(LogLine("leaving-server-responded")
+                   .add("request", progress.headers_.requestId_)
+                   .add("server", place.server_)
+                   .add("reason", leavingReasonName(decision.notice_->reason_))
+                   .addDuration("sentBeforeKnownMs", decision.notice_->learntAt_ - sentAt)
+                   .add("placedAtRevision", place.revision_)
+                   .add("storeRevision", view_.at())
+                   .add("placedBy", placementSourceName(place.source_)),
+               LogImportance::Kept,
+               now);
+}
+
 Task<RequestFlow::NextStep> RequestFlow::attempt(const HttpRequest &request, Progress &progress, const PlacementResult &place)
 {
     const TimePoint startedAt = bootNow();
+    if (const auto decision = decideSend(place, startedAt); !decision.isAllowed()) {
+        withhold(progress, place, decision, startedAt);
+        co_return replaceServer(progress);
+    }
     const bool isIdempotent = progress.isIdempotent();
     ExchangeOptions options;
     options.connectTimeout_ = ServerConnectTimeout;
@@ -264,7 +336,6 @@
             handle->cancel();
         }
     });
-    reportKnownLeaving(progress, place, startedAt);
     const auto serverRequest = Platform::makeServerRequest(request, place.server_, progress.deadline_ - startedAt);
     auto result = co_await client_.exchange(place.address_, serverRequest, options, handle);
     progress.control_->setOnAbandon({});
@@ -280,7 +351,11 @@
     report.duration_ = now - startedAt;
     if (result.outcome_ == ExchangeOutcome::Answered) {
         report.load_ = Platform::readLoad(result.response_);
+        const auto announcement = announcements_.record(place.server(), result.response_, now);
+        report.isServerLeaving_ = announcement.isLeaving_;
+        report.heldBackFor_ = announcement.retryAfter_.value_or(Duration::zero());
     }
+    reportLeaving(progress, place, startedAt, now);
     placement_.release(progress.service_, place, report, now);
     metrics_.observe("goldcrestwall_server_seconds", {{"service", progress.service_}}, report.duration_);
     progress.servers_.push_back(place.server_);
@@ -305,31 +380,16 @@
     co_return step;
 }
 
-void RequestFlow::reportKnownLeaving(const Progress &progress, const PlacementResult &place, TimePoint now)
+RequestFlow::NextStep RequestFlow::replaceServer(Progress &progress)
 {
-    const auto *notice = view_.leavingNotice({place.server_, place.startTime_});
-    if (notice == nullptr) {
-        return;
-    }
-    metrics_.observe("goldcrestwall_sent_to_leaving_seconds", {{"service", progress.service_}}, now - notice->learntAt_);
-    log_.write(LogLine("sent-to-leaving-server")
-                   .add("request", progress.headers_.requestId_)
-                   .add("server", place.server_)
-                   .add("reason", leavingReasonName(notice->reason_))
-                   .addDuration("knownForMs", now - notice->learntAt_)
-                   .add("leavingRevision", notice->revision_)
-                   .add("placedAtRevision", place.revision_)
-                   .add("storeRevision", view_.at())
-                   .add("placedBy", placementSourceName(place.source_)),
-               LogImportance::Kept,
-               now);
+    ++progress.replacements_;
+    return progress.replacements_ <= MaxReplacements ? NextStep::SendElsewhere : NextStep::Fail;
 }
 
 RequestFlow::NextStep RequestFlow::decideNextStep(Progress &progress, const ExchangeResult &result, ResponseKind kind) const
 {
     if (result.outcome_ == ExchangeOutcome::NotSent) {
-        ++progress.replacements_;
-        return progress.replacements_ <= MaxReplacements ? NextStep::SendElsewhere : NextStep::Fail;
+        return replaceServer(progress);
     }
     ++progress.sends_;
     const bool isAnswered = result.outcome_ == ExchangeOutcome::Answered;
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -1,6 +1,7 @@
 // Handles a caller's request from route lookup to response.
 #pragma once
 
+#include <LibGateway/AnnouncementRecorder.h>
 #include <LibGateway/PlacementService.h>
 #include <LibGateway/StoreLink.h>
 
@@ -18,6 +19,7 @@
                 const StoreLink &store,
                 PlacementService &placement,
                 HttpClient &client,
+                AnnouncementRecorder &announcements,
                 EventLog &log,
                 MetricRegistry &metrics);
 
@@ -36,15 +38,22 @@
     enum class NextStep {
         Answer,
         Retry,
-        // The request did not reach the server: send it to another one.
+        // The request was not sent to the server: send it to another one.
         SendElsewhere,
         Fail,
     };
 
     std::optional<HttpResponse> checkRoute(const HttpRequest &request, Progress &progress, TimePoint now);
     Task<NextStep> attempt(const HttpRequest &request, Progress &progress, const PlacementResult &place);
-    // Reports a request that is about to be sent to a server that this instance knows to be leaving.
-    void reportKnownLeaving(const Progress &progress, const PlacementResult &place, TimePoint now);
+    // Whether the request may be sent to the server of its placement. Whoever chose the server may have known less than this instance.
+    SendDecision decideSend(const PlacementResult &place, TimePoint now) const;
+    // Gives up a placement at a server that gets no requests, and tells the coordinator why.
+    void withhold(Progress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now);
+    // Reports a response of a server that is leaving, with how long before or after the sending this instance learnt of it.
+    void reportLeaving(const Progress &progress, const PlacementResult &place, TimePoint sentAt, TimePoint now);
+    PlacementRequest makePlacementRequest(const Progress &progress) const;
+    // The request was not sent to the server that was chosen for it.
+    static NextStep replaceServer(Progress &progress);
     NextStep decideNextStep(Progress &progress, const ExchangeResult &result, Platform::ResponseKind kind) const;
     // Estimates how long ago the caller made the request for the first time: a caller that retries has less of its time limit left than
     // other callers of the route.
@@ -59,6 +68,7 @@
     const StoreLink &store_;
     PlacementService &placement_;
     HttpClient &client_;
+    AnnouncementRecorder &announcements_;
     EventLog &log_;
     MetricRegistry &metrics_;
     // Both maps are indexed by route name.
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -54,6 +54,7 @@
                            Platform::PlatformStore &store,
                            HttpClient &client,
                            PlacementService &placement,
+                           AnnouncementRecorder &announcements,
                            EventLog &log)
     : loop_(loop)
     , service_(std::move(service))
@@ -62,6 +63,7 @@
     , store_(store)
     , client_(client)
     , placement_(placement)
+    , announcements_(announcements)
     , log_(log)
 {
 }
@@ -208,6 +210,13 @@
     co_return co_await client_.exchange(address, request, options, std::make_shared<ExchangeHandle>());
 }
 
+void ShardService::recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint now)
+{
+    if (result.outcome_ == ExchangeOutcome::Answered) {
+        announcements_.record({holder.server_, holder.startTime_}, result.response_, now);
+    }
+}
+
 Task<void> ShardService::sendGrant(GrantCall call)
 {
     const TimePoint sentAt = bootNow();
@@ -215,6 +224,7 @@
     const auto result = co_await sendShardCall(address, Platform::makeGrantRequest(address, call), GrantTimeout, GrantMaxIdle);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readShardCallOutcome(result);
+    recordAnnouncement(call.holder_, result, now);
     if (outcome != ShardCallOutcome::Accepted) {
         if (auto *pool = placement_.pool(service_); pool != nullptr && outcome != ShardCallOutcome::Refused) {
             pool->recordShardCallFailure(call.holder_.server_, now);
@@ -233,6 +243,7 @@
     const auto result = co_await sendShardCall(address, Platform::makeReleaseRequest(address, call), ReleaseTimeout, ReleaseMaxIdle);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readShardCallOutcome(result);
+    recordAnnouncement(call.holder_, result, now);
     const std::string handover = outcome == ShardCallOutcome::Accepted ? Platform::readHandover(result.response_) : std::string();
     log_.write(describeShardCall("keys-released", service_, call, outcome), LogImportance::Kept, now);
     if (granter_ && !isStopped_) {
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -1,6 +1,7 @@
 // Executes the decisions of a sharded service's granter.
 #pragma once
 
+#include <LibGateway/AnnouncementRecorder.h>
 #include <LibGateway/PlacementService.h>
 #include <LibGateway/StoreLink.h>
 
@@ -17,6 +18,7 @@
                  Platform::PlatformStore &store,
                  HttpClient &client,
                  PlacementService &placement,
+                 AnnouncementRecorder &announcements,
                  EventLog &log);
 
     // Starts all due writes, grants and releases. `mayGrant`: this instance is certainly the granter; `mayMove`: the store can be written.
@@ -28,6 +30,8 @@
     Task<void> writeAssignment(ShardAssignment assignment);
     // Sends a grant or a release. If this instance may no longer grant, the result is NotSent.
     Task<ExchangeResult> sendShardCall(std::string address, HttpRequest request, Duration timeout, Duration maxIdle);
+    // Records what the server's response to a call says about further requests.
+    void recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint now);
     Task<void> sendGrant(GrantCall call);
     Task<void> sendRelease(ReleaseCall call);
     Task<void> reload();
@@ -42,6 +46,7 @@
     Platform::PlatformStore &store_;
     HttpClient &client_;
     PlacementService &placement_;
+    AnnouncementRecorder &announcements_;
     EventLog &log_;
     std::optional<ShardGranter> granter_;
     Platform::Revision storedRevision_ = 0;
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -17,7 +17,6 @@
 constexpr const char *CoordinatorPrefix = "goldcrestwall/leaders/";
 constexpr const char *AssignmentPrefix = "goldcrestwall/shards/";
 constexpr std::size_t MaxRemovals = 2000;
-constexpr std::size_t MaxLeavingNotices = 4000;
 
 // Returns the rest of the key after the prefix, or nothing if the key does not start with it.
 std::optional<std::string> withoutPrefix(const std::string &key, std::string_view prefix)
@@ -43,32 +42,6 @@
 
 } // namespace
 
-const char *viewSourceName(ViewSource source)
-{
-    switch (source) {
-    case ViewSource::Watch:
-        return "watch";
-    case ViewSource::Read:
-        return "read";
-    case ViewSource::Peer:
-        return "peer";
-    }
-    return "unknown";
-}
-
-const char *leavingReasonName(LeavingReason reason)
-{
-    switch (reason) {
-    case LeavingReason::Draining:
-        return "draining";
-    case LeavingReason::Removed:
-        return "removed";
-    case LeavingReason::Restarted:
-        return "restarted";
-    }
-    return "unknown";
-}
-
 std::string memberKey(const std::string &instance)
 {
     return MemberPrefix + instance;
@@ -96,7 +69,7 @@
 
 void StoreView::apply(const std::vector<Platform::StoreEvent> &events, Revision at, TimePoint now)
 {
-    source_ = ViewSource::Watch;
+    source_ = NoticeSource::Watch;
     for (const auto &event : events) {
         if (event.isRemoved_) {
             remove(event.item_.key_, event.item_.revision_, now);
@@ -109,7 +82,7 @@
 
 void StoreView::replace(const std::vector<StoreItem> &items, Revision at, TimePoint now)
 {
-    source_ = ViewSource::Read;
+    source_ = NoticeSource::Read;
     replaceItems(items, at, now);
 }
 
@@ -145,7 +118,7 @@
     if (update.at_ <= at_) {
         return;
     }
-    source_ = ViewSource::Peer;
+    source_ = NoticeSource::Peer;
     if (update.isSnapshot_) {
         replaceItems(update.items_, update.at_, now);
         return;
@@ -252,37 +225,18 @@
 {
     const auto known = servers_.find(description.id_);
     if (known != servers_.end() && known->second.description_.startTime_ < description.startTime_) {
-        recordLeaving(known->second.description_, LeavingReason::Restarted, revision, now);
+        recordLeaving(known->second.description_, LeavingReason::Restarted, revision, now, now);
     }
     if (description.state_ == ServerState::Draining) {
-        recordLeaving(description, LeavingReason::Draining, revision, now);
-        return;
-    }
-    if (leavingNotices_.erase(description.incarnation()) > 0) {
-        const auto sequenceBefore = known == servers_.end() ? 0 : known->second.description_.sequence_;
-        serverChangeHandler_({description.incarnation(), std::nullopt, sequenceBefore, description.sequence_}, now);
-    }
-}
-
-void StoreView::recordLeaving(const ServerDescription &server, LeavingReason reason, Revision revision, TimePoint now)
-{
-    const auto incarnation = server.incarnation();
-    const LeavingNotice notice{reason, source_, now, revision};
-    if (!leavingNotices_.try_emplace(incarnation, notice).second) {
-        return;
-    }
-    leavingOrder_.push_back(incarnation);
-    if (leavingOrder_.size() > MaxLeavingNotices) {
-        leavingNotices_.erase(leavingOrder_.front());
-        leavingOrder_.pop_front();
+        recordLeaving(description, LeavingReason::Draining, revision, now, now);
+    } else {
+        notices_->withdrawStoreSign(description.incarnation(), now);
     }
-    serverChangeHandler_({incarnation, notice, server.sequence_, server.sequence_}, now);
 }
 
-const LeavingNotice *StoreView::leavingNotice(const ServerIncarnation &server) const
+void StoreView::recordLeaving(const ServerDescription &server, LeavingReason reason, Revision revision, TimePoint bindsFrom, TimePoint now)
 {
-    const auto found = leavingNotices_.find(server);
-    return found == leavingNotices_.end() ? nullptr : &found->second;
+    notices_->recordLeaving(server.incarnation(), {reason, source_, now, bindsFrom, revision}, now);
 }
 
 void StoreView::decodeConfiguration(const StoreItem &item)
@@ -303,7 +257,7 @@
 {
     if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
         if (const auto known = servers_.find(*id); known != servers_.end()) {
-            recordLeaving(known->second.description_, LeavingReason::Removed, revision, now);
+            recordLeaving(known->second.description_, LeavingReason::Removed, revision, std::max(now, expiryGraceUntil_), now);
         }
         if (now < expiryGraceUntil_) {
             expired_[*id] = expiryGraceUntil_;
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -45,55 +45,6 @@
     auto operator<=>(const AssignmentEntry &) const = default;
 };
 
-// How an instance learnt of a change in the store.
-enum class ViewSource {
-    // From its own watch.
-    Watch,
-    // From a complete read of its own.
-    Read,
-    // From another instance.
-    Peer,
-};
-
-const char *viewSourceName(ViewSource source);
-
-// Why the store says that one run of a server gets no requests.
-enum class LeavingReason {
-    // It announced that it is leaving.
-    Draining,
-    // Its entry was removed.
-    Removed,
-    // The server was started again under the same id.
-    Restarted,
-};
-
-const char *leavingReasonName(LeavingReason reason);
-
-// What a view knows of a server that is leaving, and since when.
-struct LeavingNotice
-{
-    LeavingReason reason_ = LeavingReason::Draining;
-    ViewSource source_ = ViewSource::Watch;
-    TimePoint learntAt_;
-    // The store's revision of the change; for an entry missing from a complete read, that of the read.
-    Platform::Revision revision_ = 0;
-
-    auto operator<=>(const LeavingNotice &) const = default;
-};
-
-// A change of what the store says about one run of a server.
-struct ServerChange
-{
-    ServerIncarnation server_;
-    // Nothing if its entry says again that it is ready.
-    std::optional<LeavingNotice> notice_;
-    // The server's count of its descriptions, before the change and with it.
-    std::uint64_t sequenceBefore_ = 0;
-    std::uint64_t sequence_ = 0;
-
-    auto operator<=>(const ServerChange &) const = default;
-};
-
 // Changes that bring another view up to date.
 struct ViewUpdate
 {
@@ -117,13 +68,10 @@
     // Called with the key and the reason when an item cannot be decoded or applied.
     using ProblemHandler = std::function<void(const std::string &, const std::string &)>;
 
-    // Called when a server begins to leave, or is ready again.
-    using ServerChangeHandler = std::function<void(const ServerChange &, TimePoint now)>;
-
-    explicit StoreView(
-        ProblemHandler handler, ServerChangeHandler serverChangeHandler = [](const ServerChange &, TimePoint) {})
+    // The view records in `notices` which servers are leaving by the store's content.
+    explicit StoreView(ProblemHandler handler, std::shared_ptr<ServerNotices> notices = std::make_shared<ServerNotices>())
         : handler_(std::move(handler))
-        , serverChangeHandler_(std::move(serverChangeHandler))
+        , notices_(std::move(notices))
     {
     }
 
@@ -156,8 +104,6 @@
     }
     std::vector<PoolServerInput> serversOf(const std::string &service) const;
     const ServerDescription *server(const std::string &id) const;
-    // What is known of the leaving of one run of a server. Null if its entry says that it is ready, or if it was never seen.
-    const LeavingNotice *leavingNotice(const ServerIncarnation &server) const;
     std::size_t serverCount() const
     {
         return servers_.size();
@@ -188,14 +134,14 @@
     void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
     void replaceItems(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
     void updateNotices(const ServerDescription &description, Platform::Revision revision, TimePoint now);
-    void recordLeaving(const ServerDescription &server, LeavingReason reason, Platform::Revision revision, TimePoint now);
+    void recordLeaving(const ServerDescription &server, LeavingReason reason, Platform::Revision revision, TimePoint bindsFrom, TimePoint now);
     void decodeServer(const std::string &id, const Platform::StoreItem &item, TimePoint now);
     void decodeConfiguration(const Platform::StoreItem &item);
 
     ProblemHandler handler_;
-    ServerChangeHandler serverChangeHandler_;
+    std::shared_ptr<ServerNotices> notices_;
     // Where the changes come from that are being applied.
-    ViewSource source_ = ViewSource::Watch;
+    NoticeSource source_ = NoticeSource::Watch;
     Platform::Revision at_ = 0;
     std::uint64_t changeCount_ = 0;
     std::map<std::string, Platform::StoreItem> items_;
@@ -206,9 +152,6 @@
     std::map<std::string, TimePoint> expired_;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     std::map<std::string, KnownServer> servers_;
-    std::map<ServerIncarnation, LeavingNotice> leavingNotices_;
-    // The keys of `leavingNotices_`, oldest first.
-    std::deque<ServerIncarnation> leavingOrder_;
     std::set<std::string> evacuatedDomains_;
     std::map<std::string, MemberEntry> members_;
     std::map<std::string, CoordinatorEntry> coordinators_;
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -13,12 +13,19 @@
 
 } // namespace
 
-ViewRelay::ViewRelay(std::string instance, std::string domain, StoreView &view, StoreLink &storeLink, PeerNetwork &network, EventLog &log)
+ViewRelay::ViewRelay(std::string instance,
+                     std::string domain,
+                     StoreView &view,
+                     StoreLink &storeLink,
+                     PeerNetwork &network,
+                     std::shared_ptr<ServerNotices> notices,
+                     EventLog &log)
     : instance_(std::move(instance))
     , domain_(std::move(domain))
     , view_(view)
     , storeLink_(storeLink)
     , network_(network)
+    , notices_(std::move(notices))
     , log_(log)
 {
 }
@@ -119,7 +126,11 @@
 
 PongMessage ViewRelay::makePong(std::int64_t pingSentAt, TimePoint now) const
 {
-    return {view_.at(), storeLink_.isCurrent(now), pingSentAt, (now - storeLink_.confirmedAt()).count()};
+    PongMessage pong{view_.at(), storeLink_.isCurrent(now), pingSentAt, (now - storeLink_.confirmedAt()).count(), {}};
+    for (const auto &server : notices_->announcedOnly()) {
+        pong.leavingServers_.push_back({server.id_, server.startTime_});
+    }
+    return pong;
 }
 
 void ViewRelay::announce(TimePoint now)
@@ -134,8 +145,11 @@
     link->send(makePong(message.sentAt_, now));
 }
 
-void ViewRelay::handlePong(const std::shared_ptr<PeerLink> &link, TimePoint now)
+void ViewRelay::handlePong(const std::shared_ptr<PeerLink> &link, const PongMessage &message, TimePoint now)
 {
+    for (const auto &server : message.leavingServers_) {
+        notices_->recordLeaving({server.id_, server.startTime_}, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
+    }
     if (link->domain() == domain_ && link->revision() > view_.at() && !storeLink_.isWatching() && now - requestedAt_ >= RequestInterval) {
         requestedAt_ = now;
         link->send(ViewRequestMessage{view_.at()});
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -14,7 +14,13 @@
 class ViewRelay
 {
 public:
-    ViewRelay(std::string instance, std::string domain, StoreView &view, StoreLink &storeLink, PeerNetwork &network, EventLog &log);
+    ViewRelay(std::string instance,
+              std::string domain,
+              StoreView &view,
+              StoreLink &storeLink,
+              PeerNetwork &network,
+              std::shared_ptr<ServerNotices> notices,
+              EventLog &log);
 
     // Updates the set of instances to connect to. `seeds` are addresses at which instances may be running.
     void refresh(const std::vector<std::string> &seeds, TimePoint now);
@@ -24,7 +30,7 @@
     void announce(TimePoint now);
 
     void handlePing(const std::shared_ptr<PeerLink> &link, const PingMessage &message, TimePoint now);
-    void handlePong(const std::shared_ptr<PeerLink> &link, TimePoint now);
+    void handlePong(const std::shared_ptr<PeerLink> &link, const PongMessage &message, TimePoint now);
     void handleRequest(const std::shared_ptr<PeerLink> &link, const ViewRequestMessage &message);
     // Applies the changes to the view. Returns whether there were any.
     bool handleUpdate(const std::shared_ptr<PeerLink> &link, ViewUpdateMessage message, TimePoint now);
@@ -51,6 +57,7 @@
     StoreView &view_;
     StoreLink &storeLink_;
     PeerNetwork &network_;
+    std::shared_ptr<ServerNotices> notices_;
     EventLog &log_;
     std::optional<Role> role_;
     TimePoint requestedAt_;
--- a/Libraries/LibPlacement/LibPlacement.h
+++ b/Libraries/LibPlacement/LibPlacement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibPlacement/InstanceRank.h>
+#include <LibPlacement/ServerNotices.h>
 #include <LibPlacement/ServicePool.h>
 #include <LibPlacement/ShardGranter.h>
 #include <LibPlacement/WeightedRotation.h>
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -58,12 +58,15 @@
         return "repeat-budget";
     case RejectReason::NoOwner:
         return "no-owner";
+    case RejectReason::HeldBack:
+        return "held-back";
     }
     return "unknown";
 }
 
-ServicePool::ServicePool(Service service, RetryBudgetSettings settings, std::uint64_t randomSeed)
+ServicePool::ServicePool(Service service, RetryBudgetSettings settings, std::uint64_t randomSeed, std::shared_ptr<const ServerNotices> notices)
     : service_(std::move(service))
+    , notices_(std::move(notices))
     , budget_(settings)
     , random_(randomSeed)
 {
@@ -294,9 +297,15 @@
     server.suspectUntil_ = now + SuspectLifetime;
 }
 
-bool ServicePool::isUsable(const PoolServer &server, TimePoint)
+bool ServicePool::isUsable(const PoolServer &server, TimePoint now) const
 {
-    return server.input_.description_.state_ == ServerState::Ready && !server.input_.isEvacuated_;
+    const auto &description = server.input_.description_;
+    return description.state_ == ServerState::Ready && !server.input_.isEvacuated_ && !notices_->isLeaving(description.incarnation(), now);
+}
+
+bool ServicePool::isHeldBack(const PoolServer &server, const PlacementRequest &request, TimePoint now) const
+{
+    return notices_->hasHeldBack(now) && now < notices_->heldBackUntil(server.input_.description_.incarnation(), request.id_.instance_);
 }
 
 bool ServicePool::isCold(const PoolServer &server, TimePoint now)
@@ -427,13 +436,16 @@
 {
     if (service_.isSharded_ && request.key_) {
         const auto *holder = holderOf(request);
-        if (holder == nullptr || !holder->forecast_) {
+        if (holder == nullptr || !holder->forecast_ || isHeldBack(*holder, request, now)) {
             return std::nullopt;
         }
         return evaluate(request, forecasts[*holder->forecast_], now);
     }
     std::optional<Candidate> best;
     for (auto &forecast : forecasts) {
+        if (isHeldBack(*forecast.server_, request, now)) {
+            continue;
+        }
         const auto candidate = evaluate(request, forecast, now);
         if (!best || candidate.rank() < best->rank()) {
             best = candidate;
@@ -442,6 +454,24 @@
     return best;
 }
 
+Rejection ServicePool::rejectUnplaceable(const PlacementRequest &request, const std::vector<SlotForecast> &forecasts, TimePoint now)
+{
+    const auto *holder = holderOf(request);
+    std::optional<TimePoint> earliest;
+    for (const auto &forecast : forecasts) {
+        const bool mayRun = !service_.isSharded_ || !request.key_ || forecast.server_ == holder;
+        if (mayRun && isHeldBack(*forecast.server_, request, now)) {
+            const auto until = notices_->heldBackUntil(forecast.server_->input_.description_.incarnation(), request.id_.instance_);
+            earliest = std::min(earliest.value_or(until), until);
+        }
+    }
+    if (earliest) {
+        return {request.id_, RejectReason::HeldBack, *earliest - now + jitter(MinRetryAfter * 2)};
+    }
+    const auto reason = forecasts.empty() || !request.key_ ? RejectReason::NoServer : RejectReason::NoOwner;
+    return {request.id_, reason, MinRetryAfter * 2 + jitter(MinRetryAfter * 2)};
+}
+
 bool ServicePool::mustReserveSlot(const PlacementRequest &request, const std::vector<SlotForecast> &forecasts, TimePoint now) const
 {
     if (request.priority_ <= topPriority_ || now - topPriorityQueuedAt_ > UrgentReserveTime || forecasts.size() < MinServersForReserve) {
@@ -499,8 +529,7 @@
         }
         auto candidate = chooseServer(request, forecasts, now);
         if (!candidate) {
-            const auto reason = forecasts.empty() || !request.key_ ? RejectReason::NoServer : RejectReason::NoOwner;
-            decisions.rejections_.push_back({request.id_, reason, MinRetryAfter * 2 + jitter(MinRetryAfter * 2)});
+            decisions.rejections_.push_back(rejectUnplaceable(request, forecasts, now));
             continue;
         }
         const Duration work = candidate->endAt_ - candidate->startAt_;
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibPlacement/RetryBudget.h>
+#include <LibPlacement/ServerNotices.h>
 #include <LibPlacement/ShardAssignment.h>
 #include <LibPlacement/WarmupRateLimiter.h>
 #include <LibPlacement/WorkEstimator.h>
@@ -9,6 +10,7 @@
 #include <LibTopology/LibTopology.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -68,6 +70,8 @@
     RetryBudget,
     // No server that accepts requests holds the key.
     NoOwner,
+    // Every server that could run the request has asked the instance to send nothing for a while.
+    HeldBack,
 };
 
 const char *rejectReasonName(RejectReason reason);
@@ -120,6 +124,10 @@
     PlacementOutcome outcome_ = PlacementOutcome::Abandoned;
     Duration duration_ = Duration::zero();
     std::optional<ReportedLoad> load_;
+    // The server is leaving, as the instance knows from a response or from the store.
+    bool isServerLeaving_ = false;
+    // How long the server wants no requests from the instance; zero if it has not said so.
+    Duration heldBackFor_ = Duration::zero();
 
     auto operator<=>(const PlacementReport &) const = default;
 };
@@ -149,7 +157,11 @@
 class ServicePool
 {
 public:
-    ServicePool(Service service, RetryBudgetSettings settings, std::uint64_t randomSeed);
+    // `notices` tells which servers may be sent requests.
+    ServicePool(Service service,
+                RetryBudgetSettings settings,
+                std::uint64_t randomSeed,
+                std::shared_ptr<const ServerNotices> notices = std::make_shared<ServerNotices>());
 
     const Service &service() const
     {
@@ -254,7 +266,9 @@
         }
     };
 
-    static bool isUsable(const PoolServer &server, TimePoint now);
+    bool isUsable(const PoolServer &server, TimePoint now) const;
+    // Whether the server wants no requests from the instance that holds this request.
+    bool isHeldBack(const PoolServer &server, const PlacementRequest &request, TimePoint now) const;
     static bool isSuspect(const PoolServer &server, TimePoint now);
     static void setSuspect(PoolServer &server, TimePoint now);
     static bool isCold(const PoolServer &server, TimePoint now);
@@ -269,6 +283,8 @@
     auto rankOf(const PlacementRequest &request, double meanFactor, TimePoint now) const;
     void sortWaiting(TimePoint now);
     std::optional<Candidate> chooseServer(const PlacementRequest &request, std::vector<SlotForecast> &forecasts, TimePoint now);
+    // Makes the rejection of a request for which there is no server.
+    Rejection rejectUnplaceable(const PlacementRequest &request, const std::vector<SlotForecast> &forecasts, TimePoint now);
     Candidate evaluate(const PlacementRequest &request, SlotForecast &forecast, TimePoint now) const;
     bool mustReserveSlot(const PlacementRequest &request, const std::vector<SlotForecast> &forecasts, TimePoint now) const;
     void place(const PlacementRequest &request, Candidate &candidate, PlacementDecisions &decisions, TimePoint now);
@@ -276,6 +292,7 @@
     Duration jitter(Duration span);
 
     Service service_;
+    std::shared_ptr<const ServerNotices> notices_;
     RetryBudget budget_;
     WorkEstimator estimator_;
     std::mt19937_64 random_;
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -135,6 +135,12 @@
     return "127.0.0.1:" + std::to_string(server_->port());
 }
 
+std::int64_t PlatformServerStandIn::startTime() const
+{
+    const std::lock_guard lock(mutex_);
+    return startTime_;
+}
+
 void PlatformServerStandIn::registerEntry(const std::string &state)
 {
     Json entry;
@@ -167,6 +173,41 @@
     stateChanged_.notify_all();
 }
 
+bool PlatformServerStandIn::hasFault(PlatformServerFault fault) const
+{
+    const std::lock_guard lock(mutex_);
+    return fault_ == fault;
+}
+
+void PlatformServerStandIn::setLeavingHeader(std::string value)
+{
+    const std::lock_guard lock(announcementMutex_);
+    leavingHeader_ = std::move(value);
+}
+
+void PlatformServerStandIn::setRetryAfter(std::string value)
+{
+    const std::lock_guard lock(announcementMutex_);
+    retryAfter_ = std::move(value);
+}
+
+bool PlatformServerStandIn::isLeftAlone() const
+{
+    const std::lock_guard lock(announcementMutex_);
+    return !retryAfter_.empty();
+}
+
+void PlatformServerStandIn::setAnnouncementHeaders(Poco::Net::HTTPServerResponse &response) const
+{
+    const std::lock_guard lock(announcementMutex_);
+    if (!leavingHeader_.empty()) {
+        response.set("server-leaving", leavingHeader_);
+    }
+    if (!retryAfter_.empty() && response.getStatus() == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+        response.set("Retry-After", retryAfter_);
+    }
+}
+
 void PlatformServerStandIn::restart()
 {
     const std::lock_guard lock(mutex_);
@@ -206,6 +247,24 @@
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     response.set("Goldcrestwall-Not-Executed", "1");
     response.set("Goldcrestwall-Instance-Id", id_);
+    setAnnouncementHeaders(response);
+    response.setContentLength(0);
+    response.send();
+}
+
+void PlatformServerStandIn::checkHealth(Poco::Net::HTTPServerResponse &response)
+{
+    ++healthCount_;
+    if (isLeftAlone()) {
+        reject(response, 503);
+        return;
+    }
+    const std::lock_guard lock(mutex_);
+    const auto left = std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(coldUntil_ - monotonicNow()).count());
+    response.set("Goldcrestwall-Instance-Id", id_);
+    response.set("Goldcrestwall-Warmup-Ms", std::to_string(left));
+    response.set("Goldcrestwall-Server-Load", load());
+    setAnnouncementHeaders(response);
     response.setContentLength(0);
     response.send();
 }
@@ -220,17 +279,12 @@
         reject(response, 421);
     } else if (path == "/-/grant") {
         grant(body, response);
+    } else if (path == "/-/release" && hasFault(PlatformServerFault::IgnoresReleases)) {
+        sendRaw(request, "", true);
     } else if (path == "/-/release") {
         release(body, response);
     } else if (path == "/health") {
-        ++healthCount_;
-        const std::lock_guard lock(mutex_);
-        const auto left = std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(coldUntil_ - monotonicNow()).count());
-        response.set("Goldcrestwall-Instance-Id", id_);
-        response.set("Goldcrestwall-Warmup-Ms", std::to_string(left));
-        response.set("Goldcrestwall-Server-Load", load());
-        response.setContentLength(0);
-        response.send();
+        checkHealth(response);
     } else if (!isRejected(request, response)) {
         run(request, response, body);
     }
@@ -251,12 +305,7 @@
         response.send();
         return;
     }
-    bool isLate = false;
-    {
-        const std::lock_guard lock(mutex_);
-        isLate = fault_ == PlatformServerFault::GrantsLate;
-    }
-    if (isLate) {
+    if (hasFault(PlatformServerFault::GrantsLate)) {
         std::this_thread::sleep_for(LateGrantDelay);
     }
     const std::lock_guard lock(mutex_);
@@ -270,6 +319,7 @@
         holds_.push_back(hold);
     }
     response.setStatus(isOld ? Poco::Net::HTTPResponse::HTTP_CONFLICT : Poco::Net::HTTPResponse::HTTP_OK);
+    setAnnouncementHeaders(response);
     response.setContentLength(0);
     response.send();
 }
@@ -298,6 +348,7 @@
         return running_ == 0 || fault_ == PlatformServerFault::Unresponsive;
     });
     response.set("Goldcrestwall-Handover", "handover-" + id_);
+    setAnnouncementHeaders(response);
     response.setContentLength(0);
     response.send();
 }
@@ -309,7 +360,8 @@
         reject(response, 400);
         return true;
     }
-    if (fault_ == PlatformServerFault::Sheds || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
+    ++arrivalCount_;
+    if (fault_ == PlatformServerFault::Sheds || isLeftAlone() || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
         reject(response, 503);
         return true;
     }
@@ -410,6 +462,7 @@
     if (fault != PlatformServerFault::OmitsSignature) {
         response.set("Goldcrestwall-Server-Signature", "s");
     }
+    setAnnouncementHeaders(response);
     {
         const std::lock_guard lock(mutex_);
         response.set("Goldcrestwall-Server-Load", load());
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -48,6 +48,8 @@
     Unresponsive,
     // Applies grants and responds to them only after a delay.
     GrantsLate,
+    // Resets the connection when it is asked to release keys, and keeps them.
+    IgnoresReleases,
     // Closes the connection after each response without announcing it in a header.
     ClosesConnections,
     // Sends response headers without end until the connection is closed.
@@ -104,10 +106,16 @@
         return id_;
     }
     std::string address() const;
+    // Start of the current run in Unix milliseconds, as in the server's entry.
+    std::int64_t startTime() const;
     // Writes the server's entry to the store.
     void registerEntry(const std::string &state = "ready");
     void removeEntry();
     void setFault(PlatformServerFault fault);
+    // From now on each response has the header that says whether the server is leaving, with this value; without it if the value is empty.
+    void setLeavingHeader(std::string value);
+    // From now on requests and health checks are rejected with this value of Retry-After; no longer if the value is empty.
+    void setRetryAfter(std::string value);
     // Simulates a restart under the same id: the server holds no keys and is cold.
     void restart();
     // Whether the server holds the key at present.
@@ -116,6 +124,11 @@
     {
         return healthCount_;
     }
+    // Number of requests with an id that reached the server, whether they ran or not.
+    std::size_t arrivalCount() const
+    {
+        return arrivalCount_;
+    }
 
     // Number of endless responses that the peer has ended by closing the connection.
     std::size_t closedEndlessCount() const
@@ -147,6 +160,10 @@
     void sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler);
     void sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset);
     void reject(Poco::Net::HTTPServerResponse &response, int status) const;
+    void checkHealth(Poco::Net::HTTPServerResponse &response);
+    void setAnnouncementHeaders(Poco::Net::HTTPServerResponse &response) const;
+    bool isLeftAlone() const;
+    bool hasFault(PlatformServerFault fault) const;
     std::string load() const;
     bool holdsLocked(std::uint32_t key) const;
 
@@ -158,6 +175,9 @@
     mutable std::mutex mutex_;
     std::condition_variable stateChanged_;
     PlatformServerFault fault_ = PlatformServerFault::None;
+    mutable std::mutex announcementMutex_;
+    std::string leavingHeader_;
+    std::string retryAfter_;
     std::uint32_t running_ = 0;
     // Number of runs at all servers when the fault was set.
     std::size_t runsBeforeFault_ = 0;
@@ -171,6 +191,7 @@
     std::vector<Hold> holds_;
     std::uint64_t highestToken_ = 0;
     std::atomic<std::size_t> healthCount_ = 0;
+    std::atomic<std::size_t> arrivalCount_ = 0;
     std::atomic<std::size_t> closedEndlessCount_ = 0;
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -21,9 +21,10 @@
     return R"({"version":)" + std::to_string(version) + R"(,"resources":[]})";
 }
 
-std::string serverText(const std::string &state = "ready", UnixMilliseconds startTime = 0)
+std::string serverText(const std::string &state = "ready", UnixMilliseconds startTime = 0, int sequence = 0)
 {
-    return R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":")" + state + R"(","born":)" + std::to_string(startTime) + "}";
+    return R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":")" + state + R"(","born":)" + std::to_string(startTime)
+        + R"(,"sequence":)" + std::to_string(sequence) + "}";
 }
 
 StoreEvent put(const std::string &key, const std::string &value, Revision revision)
@@ -48,8 +49,10 @@
     CPPUNIT_TEST(snapshotRemovesMissingEntries);
     CPPUNIT_TEST(expiredServersAreKeptDuringGracePeriod);
     CPPUNIT_TEST(leavingServersAreNoticed);
+    CPPUNIT_TEST(entryRemovedAfterAnOutageLeavesOnlyAfterTheGracePeriod);
     CPPUNIT_TEST(updatesBringOthersUpToDate);
     CPPUNIT_TEST(messagesRoundTrip);
+    CPPUNIT_TEST(messagesOfOlderInstancesAreRead);
     CPPUNIT_TEST(malformedFramesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -139,28 +142,37 @@
     void leavingServersAreNoticed()
     {
         view_.replace({{"servers/i-1", serverText("ready", 5), 11, 0}, {"servers/i-2", serverText("ready", 6), 12, 0}}, 12, at(0));
-        CPPUNIT_ASSERT(view_.leavingNotice({"i-1", 5}) == nullptr);
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 5}, at(0)));
         view_.apply({put("servers/i-1", serverText("draining", 5), 13)}, 13, at(1));
-        CPPUNIT_ASSERT((*view_.leavingNotice({"i-1", 5}) == LeavingNotice{LeavingReason::Draining, ViewSource::Watch, at(1), 13}));
+        CPPUNIT_ASSERT((*storeSign("i-1", 5) == LeavingNotice{LeavingReason::Draining, NoticeSource::Watch, at(1), at(1), 13}));
         // A later sign does not make the notice younger.
         view_.apply({removal("servers/i-1", 14)}, 14, at(2));
-        CPPUNIT_ASSERT(view_.leavingNotice({"i-1", 5})->learntAt_ == at(1));
+        CPPUNIT_ASSERT(storeSign("i-1", 5)->learntAt_ == at(1));
         ViewUpdate update;
         update.at_ = 15;
         update.removedKeys_ = {"servers/i-2"};
         view_.apply(update, at(3));
-        CPPUNIT_ASSERT((*view_.leavingNotice({"i-2", 6}) == LeavingNotice{LeavingReason::Removed, ViewSource::Peer, at(3), 15}));
+        CPPUNIT_ASSERT((*storeSign("i-2", 6) == LeavingNotice{LeavingReason::Removed, NoticeSource::Peer, at(3), at(3), 15}));
         // A server that starts again under its id is another run.
         view_.apply({put("servers/i-2", serverText("ready", 7), 16), put("servers/i-2", serverText("ready", 8), 17)}, 17, at(4));
-        CPPUNIT_ASSERT(view_.leavingNotice({"i-2", 7})->reason_ == LeavingReason::Restarted);
-        CPPUNIT_ASSERT(view_.leavingNotice({"i-2", 8}) == nullptr);
+        CPPUNIT_ASSERT(storeSign("i-2", 7)->reason_ == LeavingReason::Restarted);
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-2", 8}, at(4)));
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), changes_.size());
         // An entry that is ready again ends the notice, and is reported.
         view_.apply({put("servers/i-1", serverText("ready", 5), 18)}, 18, at(5));
-        CPPUNIT_ASSERT(view_.leavingNotice({"i-1", 5}) == nullptr);
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 5}, at(5)));
         CPPUNIT_ASSERT(!changes_.back().notice_);
     }
 
+    void entryRemovedAfterAnOutageLeavesOnlyAfterTheGracePeriod()
+    {
+        view_.apply({put("servers/i-1", serverText("ready", 5), 11)}, 11, at(0));
+        view_.setExpiryGrace(at(2200));
+        view_.replace({}, 20, at(10));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 5}, at(2100)));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(2200)));
+    }
+
     void updatesBringOthersUpToDate()
     {
         view_.replace({{"servers/i-1", serverText(), 11, 0}, {"servers/i-2", serverText(), 12, 0}}, 12, at(0));
@@ -200,8 +212,24 @@
         report.outcome_ = PlacementOutcome::Answered;
         report.duration_ = 12ms;
         report.load_ = ReportedLoad{1, 2, 3, 1.5};
-        const auto finish = encodeFrame(toMessage("one", 5, report));
-        CPPUNIT_ASSERT(toPlacementReport(std::get<FinishMessage>(*decodeFrame(finish.data() + 4, finish.size() - 4))) == report);
+        report.isServerLeaving_ = true;
+        report.heldBackFor_ = 700ms;
+        const auto finish = encodeFrame(toMessage("one", 5, {"s1", 7}, report));
+        const auto decoded = std::get<FinishMessage>(*decodeFrame(finish.data() + 4, finish.size() - 4));
+        CPPUNIT_ASSERT(toPlacementReport(decoded) == report);
+        CPPUNIT_ASSERT_EQUAL(std::string("s1"), decoded.server_);
+        CPPUNIT_ASSERT_EQUAL(UnixMilliseconds(7), decoded.startTime_);
+    }
+
+    // Instances of two versions run side by side while one replaces the other.
+    void messagesOfOlderInstancesAreRead()
+    {
+        msgpack::sbuffer buffer;
+        // A pong as it was before it told of leaving servers.
+        msgpack::pack(buffer, std::make_tuple(PeerMessage(PongMessage()).index(), std::make_tuple(std::uint64_t(9), true, std::int64_t(3), std::int64_t(4))));
+        const auto message = decodeFrame(buffer.data(), buffer.size());
+        CPPUNIT_ASSERT(message && std::get<PongMessage>(*message).revision_ == 9);
+        CPPUNIT_ASSERT(std::get<PongMessage>(*message).leavingServers_.empty());
     }
 
     void malformedFramesAreRejected()
@@ -226,11 +254,18 @@
         };
     }
 
+    std::optional<LeavingNotice> storeSign(const std::string &id, UnixMilliseconds startTime) const
+    {
+        const auto *signs = notices_->signs({id, startTime});
+        return signs == nullptr ? std::nullopt : signs->store_;
+    }
+
     std::vector<std::string> problems_;
     std::vector<ServerChange> changes_;
-    StoreView view_{handler(), [this](const ServerChange &change, TimePoint) {
-                        changes_.push_back(change);
-                    }};
+    std::shared_ptr<ServerNotices> notices_ = std::make_shared<ServerNotices>([this](const ServerChange &change, TimePoint) {
+        changes_.push_back(change);
+    });
+    StoreView view_{handler(), notices_};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreView);
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -5,6 +5,7 @@
 
 #include <iostream>
 #include <queue>
+#include <set>
 
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::Gateway;
@@ -68,9 +69,10 @@
 }
 
 // A pool that places requests for all instances.
-ServicePool makePool(int servers, std::uint32_t slots, bool isSharded = false)
+ServicePool
+makePool(int servers, std::uint32_t slots, bool isSharded = false, const std::shared_ptr<const ServerNotices> &notices = std::make_shared<ServerNotices>())
 {
-    ServicePool pool(makeService(isSharded), RetryBudgetSettings{0.2, 10, 10s}, 1);
+    ServicePool pool(makeService(isSharded), RetryBudgetSettings{0.2, 10, 10s}, 1, notices);
     pool.setScope(PoolScope::Shared, 3, at(0));
     pool.setServers(makeServers(servers, slots, at(0)), at(0));
     return pool;
@@ -94,6 +96,10 @@
     CPPUNIT_TEST(suspectServerCountsAsCold);
     CPPUNIT_TEST(coldServersShareIsDividedWhenDecidingAlone);
     CPPUNIT_TEST(drainingAndEvacuatedServersGetNothing);
+    CPPUNIT_TEST(serverThatAnnouncedItsLeavingGetsNothing);
+    CPPUNIT_TEST(heldBackServerIsGivenToOtherInstancesOnly);
+    CPPUNIT_TEST(requestIsRejectedAtOnceIfEveryServerIsHeldBack);
+    CPPUNIT_TEST(requestForAKeyIsRejectedAtOnceIfItsHolderIsHeldBack);
     CPPUNIT_TEST(retriesAreBounded);
     CPPUNIT_TEST(failingServerIsAvoided);
     CPPUNIT_TEST(keysGoToTheirHolderOnly);
@@ -362,6 +368,83 @@
         CPPUNIT_ASSERT(none.rejections_.back().reason_ == RejectReason::NoServer);
     }
 
+    // Guards against planning by the store's entry alone: the server itself has said that it is leaving.
+    void serverThatAnnouncedItsLeavingGetsNothing()
+    {
+        const auto notices = std::make_shared<ServerNotices>();
+        auto pool = makePool(2, 2, false, notices);
+        notices->recordLeaving({"s0", 7}, {LeavingReason::Announced, NoticeSource::Peer, at(0), at(0), 0}, at(0));
+        for (std::uint64_t i = 0; i < 4; ++i) {
+            pool.enqueue(makeRequest(i, at(1)), at(1));
+        }
+        const auto decisions = pool.decide(at(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), decisions.placements_.size());
+        for (const auto &placement : decisions.placements_) {
+            CPPUNIT_ASSERT_EQUAL(std::string("s1"), placement.server_);
+        }
+        CPPUNIT_ASSERT(!pool.serverLoads(at(1)).front().isEligible_);
+        const auto probed = pool.serversToProbe(at(1));
+        CPPUNIT_ASSERT(std::ranges::find(probed, "s0") == probed.end());
+    }
+
+    void heldBackServerIsGivenToOtherInstancesOnly()
+    {
+        const auto notices = std::make_shared<ServerNotices>();
+        auto pool = makePool(2, 2, false, notices);
+        notices->holdBack({"s0", 7}, "a", at(1000), at(0));
+        for (std::uint64_t i = 0; i < 4; ++i) {
+            auto request = makeRequest(i, at(1));
+            request.id_.instance_ = i < 2 ? "a" : "b";
+            pool.enqueue(std::move(request), at(1));
+        }
+        for (const auto &placement : pool.decide(at(1)).placements_) {
+            CPPUNIT_ASSERT(placement.id_.instance_ == "b" || placement.server_ == "s1");
+        }
+        auto alone = makePool(1, 2, false, notices);
+        alone.enqueue(makeRequest(9, at(1000)), at(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), alone.decide(at(1000)).placements_.size());
+    }
+
+    void requestIsRejectedAtOnceIfEveryServerIsHeldBack()
+    {
+        const auto notices = std::make_shared<ServerNotices>();
+        auto pool = makePool(2, 2, false, notices);
+        notices->holdBack({"s0", 7}, "a", at(1000), at(0));
+        notices->holdBack({"s1", 7}, "a", at(700), at(0));
+        std::set<Duration> waits;
+        for (std::uint64_t i = 0; i < 8; ++i) {
+            pool.enqueue(makeRequest(i, at(0)), at(0));
+        }
+        const auto decisions = pool.decide(at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), decisions.rejections_.size());
+        for (const auto &rejection : decisions.rejections_) {
+            CPPUNIT_ASSERT(rejection.reason_ == RejectReason::HeldBack);
+            CPPUNIT_ASSERT(rejection.retryAfter_ >= 700ms && rejection.retryAfter_ <= 800ms);
+            waits.insert(rejection.retryAfter_);
+        }
+        CPPUNIT_ASSERT(waits.size() > 4);
+    }
+
+    void requestForAKeyIsRejectedAtOnceIfItsHolderIsHeldBack()
+    {
+        const auto notices = std::make_shared<ServerNotices>();
+        auto pool = makePool(2, 2, true, notices);
+        ShardAssignment assignment;
+        assignment.ranges_ = {{0, 32767, {"s0", 7, 1}, {}}, {32768, 65535, {"s1", 7, 2}, {}}};
+        pool.setAssignment(assignment);
+        notices->holdBack({"s0", 7}, "a", at(900), at(0));
+        for (const ShardKey key : {ShardKey(5), ShardKey(40000)}) {
+            auto request = makeRequest(key, at(0));
+            request.key_ = key;
+            pool.enqueue(std::move(request), at(0));
+        }
+        const auto decisions = pool.decide(at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.placements_.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("s1"), decisions.placements_.front().server_);
+        CPPUNIT_ASSERT(decisions.rejections_.front().reason_ == RejectReason::HeldBack);
+        CPPUNIT_ASSERT(decisions.rejections_.front().retryAfter_ >= 900ms);
+    }
+
     void retriesAreBounded()
     {
         auto pool = makePool(1, 1000);
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -292,6 +292,7 @@
         answer.status_ = response.getStatus();
         answer.isSigned_ = response.has("Goldcrestwall-Server-Signature");
         answer.hasRetryAfter_ = response.has("Retry-After");
+        answer.retryAfterSeconds_ = std::stod(response.get("Retry-After", "0"));
         answer.isConnectionClosed_ = !response.getKeepAlive();
         if (response.get("Goldcrestwall-Request-Id", answer.requestId_) != answer.requestId_) {
             recorder_.recordViolation("response has another request id than " + answer.requestId_);
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -34,6 +34,7 @@
     std::string body_;
     bool isSigned_ = false;
     bool hasRetryAfter_ = false;
+    double retryAfterSeconds_ = 0;
     bool isConnectionClosed_ = false;
 };
 
--- a/Tests/Platform/TestBackendProtocol.cpp
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST_SUITE(TestBackendProtocol);
     CPPUNIT_TEST(responsesAreClassified);
     CPPUNIT_TEST(loadIsRead);
+    CPPUNIT_TEST(announcementsAreRead);
     CPPUNIT_TEST(requestIsPassedOnUnchanged);
     CPPUNIT_TEST(callerHeadersAreRead);
     CPPUNIT_TEST(healthIsRead);
@@ -81,6 +82,44 @@
         CPPUNIT_ASSERT(!readLoad(makeResponse(200, {})));
     }
 
+    void announcementsAreRead()
+    {
+        struct Case
+        {
+            unsigned status_;
+            std::vector<std::pair<std::string, std::string>> headers_;
+            ServerAnnouncement announcement_;
+        };
+        const std::vector<Case> cases{
+            {200, {}, {}},
+            {200, {{"Server-Leaving", "1"}}, {true, std::nullopt, 0}},
+            {500, {{"SERVER-LEAVING", "1"}}, {true, std::nullopt, 0}},
+            {421, {{"server-leaving", "1"}, {"Goldcrestwall-Instance-Id", "i-1"}}, {true, std::nullopt, 0}},
+            // Another server at the address speaks of itself.
+            {421, {{"server-leaving", "1"}, {"Goldcrestwall-Instance-Id", "i-2"}}, {}},
+            {503, {{"Server-Leaving", "1"}, {"Retry-After", "2"}}, {true, 2s, 0}},
+            {503, {{"Retry-After", "0.25"}}, {false, 250ms, 0}},
+            {503, {{"Retry-After", "0"}}, {false, 0s, 0}},
+            {503, {{"Retry-After", "99999999999"}}, {false, 600s, 0}},
+            // Only a server that rejects the request as 503 asks to be left alone.
+            {429, {{"Retry-After", "2"}}, {}},
+            {200, {{"Retry-After", "2"}}, {}},
+            {200, {{"Server-Leaving", "0"}}, {false, std::nullopt, 1}},
+            {200, {{"Server-Leaving", "true"}}, {false, std::nullopt, 1}},
+            {200, {{"Server-Leaving", ""}}, {false, std::nullopt, 1}},
+            {503, {{"Server-Leaving", "11"}, {"Retry-After", "-1"}}, {false, std::nullopt, 2}},
+            {503, {{"Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT"}}, {false, std::nullopt, 1}},
+            {503, {{"Retry-After", ""}}, {false, std::nullopt, 1}},
+            {503, {{"Retry-After", "nan"}}, {false, std::nullopt, 1}},
+            {503, {{"Retry-After", "1e3"}}, {false, std::nullopt, 1}},
+            {503, {{"Retry-After", "2 s"}}, {false, std::nullopt, 1}},
+        };
+        for (const auto &[status, headers, announcement] : cases) {
+            const std::string message = headers.empty() ? "none" : headers.front().first + ": " + headers.front().second;
+            CPPUNIT_ASSERT_MESSAGE(message, announcement == readAnnouncement(makeResponse(status, headers), "i-1"));
+        }
+    }
+
     void requestIsPassedOnUnchanged()
     {
         HttpRequest request(http::verb::post, "/a/b?c=d&e=%20f", 11);
