LibGateway: Keep a server draining when an older description of it is applied late

What callers saw: nothing so far; found while looking for causes of requests at leaving servers.

Cause: a server's write whose response was lost may be applied seconds later, so the store can hold "ready" after "draining" of the same run. The view took the newest revision, not the newest description. Change: within a run, a description with a lower count than the one that says draining is skipped and logged.

--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -217,10 +217,26 @@
         servers_.erase(id);
         return;
     }
+    if (isOutdated(*decoded.value_)) {
+        handler_(item.key_, "description is older than the one that says the server is leaving");
+        return;
+    }
     updateNotices(*decoded.value_, item.revision_, now);
     servers_[id] = {std::move(*decoded.value_), now};
 }
 
+bool StoreView::isOutdated(const ServerDescription &description) const
+{
+    // A server's write whose response was lost may be applied after a later one.
+    const auto found = servers_.find(description.id_);
+    if (found == servers_.end()) {
+        return false;
+    }
+    const auto &known = found->second.description_;
+    const bool isSameRun = known.startTime_ == description.startTime_;
+    return isSameRun && known.state_ == ServerState::Draining && description.sequence_ != 0 && description.sequence_ < known.sequence_;
+}
+
 void StoreView::updateNotices(const ServerDescription &description, Revision revision, TimePoint now)
 {
     const auto known = servers_.find(description.id_);
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(expiredServersAreKeptDuringGracePeriod);
     CPPUNIT_TEST(leavingServersAreNoticed);
     CPPUNIT_TEST(entryRemovedAfterAnOutageLeavesOnlyAfterTheGracePeriod);
+    CPPUNIT_TEST(olderDescriptionAppliedLateDoesNotEndDraining);
     CPPUNIT_TEST(updatesBringOthersUpToDate);
     CPPUNIT_TEST(messagesRoundTrip);
     CPPUNIT_TEST(messagesOfOlderInstancesAreRead);
@@ -173,6 +174,14 @@
         CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(2200)));
     }
 
+    void olderDescriptionAppliedLateDoesNotEndDraining()
+    {
+        view_.apply({put("servers/i-1", serverText("ready", 5, 7), 11), put("servers/i-1", serverText("draining", 5, 9), 12)}, 12, at(0));
+        view_.apply({put("servers/i-1", serverText("ready", 5, 8), 13)}, 13, at(1));
+        CPPUNIT_ASSERT(view_.server("i-1")->state_ == ServerState::Draining);
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(1)));
+    }
+
     void updatesBringOthersUpToDate()
     {
         view_.replace({{"servers/i-1", serverText(), 11, 0}, {"servers/i-2", serverText(), 12, 0}}, 12, at(0));
