LibGateway: Pass on what a complete read found although the view's revision was higher

What callers saw: nothing that is shown; found while looking for instances that do not learn that a server is leaving.

Cause: peers get the items above their own revision. If a watch reports a later revision without a change (the store hides changes from watches while it discards its history), the view and the followers that copied it stand above the change without having it. The complete read that follows mends the view, but not its followers: the item is not above their revision, so they keep a leaving server, or an old route, until the entry changes again. Change: such items are passed on as changes of the read's revision. Whether the users' store ever answers so is not known.

--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -213,8 +213,10 @@
     const TimePoint now = bootNow();
     recordContact(now);
     isWatchFailing_ = false;
+    const auto lateItems = view_.lateItemCount();
     view_.replace(items, at, now);
-    log_.write(LogLine("store-loaded").add("revision", at).add("items", items.size()), LogImportance::Kept, now);
+    log_.write(
+        LogLine("store-loaded").add("revision", at).add("items", items.size()).add("lateItems", view_.lateItemCount() - lateItems), LogImportance::Kept, now);
     handlers_.changed_();
     co_return true;
 }
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -74,7 +74,7 @@
         if (event.isRemoved_) {
             remove(event.item_.key_, event.item_.revision_, now);
         } else {
-            put(event.item_, now);
+            put(event.item_, at, now);
         }
     }
     at_ = std::max(at_, at);
@@ -105,7 +105,7 @@
         remove(key, at, now);
     }
     for (const auto &item : items) {
-        put(item, now);
+        put(item, at, now);
     }
     if (removalHistoryStart_ == 0) {
         removalHistoryStart_ = at;
@@ -127,7 +127,7 @@
         remove(key, update.at_, now);
     }
     for (const auto &item : update.items_) {
-        put(item, now);
+        put(item, update.at_, now);
     }
     at_ = update.at_;
 }
@@ -137,9 +137,9 @@
     ViewUpdate update;
     update.at_ = at_;
     update.isSnapshot_ = revision < removalHistoryStart_ || revision == 0;
-    for (const auto &[key, item] : items_) {
-        if (update.isSnapshot_ || item.revision_ > revision) {
-            update.items_.push_back(item);
+    for (const auto &[key, known] : items_) {
+        if (update.isSnapshot_ || known.relayRevision_ > revision) {
+            update.items_.push_back(known.item_);
         }
     }
     if (!update.isSnapshot_) {
@@ -152,13 +152,16 @@
     return update;
 }
 
-void StoreView::put(const StoreItem &item, TimePoint now)
+void StoreView::put(const StoreItem &item, Revision at, TimePoint now)
 {
     const auto known = items_.find(item.key_);
-    if (known != items_.end() && known->second.revision_ >= item.revision_) {
+    if (known != items_.end() && known->second.item_.revision_ >= item.revision_) {
         return;
     }
-    items_[item.key_] = item;
+    // Peers that got this view's earlier state have a revision that is not below the item's and lack it nevertheless.
+    const bool isLate = item.revision_ <= at_;
+    lateItemCount_ += isLate ? 1 : 0;
+    items_[item.key_] = {item, isLate ? std::max(at, item.revision_) : item.revision_};
     ++changeCount_;
     decode(item, now);
 }
@@ -166,7 +169,7 @@
 void StoreView::remove(const std::string &key, Revision revision, TimePoint now)
 {
     const auto known = items_.find(key);
-    if (known == items_.end() || known->second.revision_ > revision) {
+    if (known == items_.end() || known->second.item_.revision_ > revision) {
         return;
     }
     items_.erase(known);
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -80,6 +80,12 @@
         return at_;
     }
 
+    // Number of items that this view got although its revision was not below theirs: changes that its watch or its peers had missed.
+    std::uint64_t lateItemCount() const
+    {
+        return lateItemCount_;
+    }
+
     // Differs whenever the content may have changed.
     std::uint64_t changeCount() const
     {
@@ -122,13 +128,21 @@
     }
 
 private:
+    struct KnownItem
+    {
+        Platform::StoreItem item_;
+        // Views at a lower revision may lack the item. Higher than the item's own revision if this view, too, got it late.
+        Platform::Revision relayRevision_ = 0;
+    };
+
     struct KnownServer
     {
         ServerDescription description_;
         TimePoint describedAt_;
     };
 
-    void put(const Platform::StoreItem &item, TimePoint now);
+    // `at` is the revision that the view has once all changes are applied.
+    void put(const Platform::StoreItem &item, Platform::Revision at, TimePoint now);
     void remove(const std::string &key, Platform::Revision revision, TimePoint now);
     void decode(const Platform::StoreItem &item, TimePoint now);
     void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
@@ -146,7 +160,8 @@
     NoticeSource source_ = NoticeSource::Watch;
     Platform::Revision at_ = 0;
     std::uint64_t changeCount_ = 0;
-    std::map<std::string, Platform::StoreItem> items_;
+    std::uint64_t lateItemCount_ = 0;
+    std::map<std::string, KnownItem> items_;
     std::deque<std::pair<Platform::Revision, std::string>> removals_;
     // `removals_` holds all removals after this revision.
     Platform::Revision removalHistoryStart_ = 0;
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(entryRemovedAfterAnOutageLeavesOnlyAfterTheGracePeriod);
     CPPUNIT_TEST(olderDescriptionAppliedLateDoesNotEndDraining);
     CPPUNIT_TEST(updatesBringOthersUpToDate);
+    CPPUNIT_TEST(changeThatAWatchMissedReachesOthersAfterACompleteRead);
     CPPUNIT_TEST(messagesRoundTrip);
     CPPUNIT_TEST(messagesOfOlderInstancesAreRead);
     CPPUNIT_TEST(malformedFramesAreRejected);
@@ -200,6 +201,23 @@
         CPPUNIT_ASSERT(view_.changesSince(5).isSnapshot_);
     }
 
+    void changeThatAWatchMissedReachesOthersAfterACompleteRead()
+    {
+        view_.replace({{"servers/i-1", serverText(), 11, 0}}, 11, at(0));
+        StoreView follower(handler());
+        StoreView lastFollower(handler());
+        // The watch reports a later revision without the change at 12, while the store discards its history.
+        view_.apply({}, 13, at(1));
+        follower.apply(view_.changesSince(0), at(1));
+        lastFollower.apply(follower.changesSince(0), at(1));
+        view_.replace({{"servers/i-1", serverText("draining"), 12, 0}}, 14, at(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), view_.lateItemCount());
+        follower.apply(view_.changesSince(follower.at()), at(2));
+        CPPUNIT_ASSERT(follower.server("i-1")->state_ == ServerState::Draining);
+        lastFollower.apply(follower.changesSince(lastFollower.at()), at(2));
+        CPPUNIT_ASSERT(lastFollower.server("i-1")->state_ == ServerState::Draining);
+    }
+
     void messagesRoundTrip()
     {
         PlacementRequest request;
