LibHttp: Ask for a body's length only once the headers are complete

What operators would see: a malformed response of a server, or a malformed request of a caller, ends the whole process in a build with assertions. Release builds define NDEBUG and were not affected.

Cause: content_length() requires complete headers; it was asked also after a failed read of the headers.

--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -212,7 +212,7 @@
     if (!error && !isWellFramed(parser.get())) {
         error = http::error::bad_transfer_encoding;
     }
-    if (const auto length = parser.content_length(); !error && length && !exchange.requestReservation_.tryReserve(*length)) {
+    if (const auto length = announcedLength(parser); !error && length && !exchange.requestReservation_.tryReserve(*length)) {
         error = asio::error::no_memory;
     }
     if (!error) {
--- a/Libraries/LibHttp/Asio.h
+++ b/Libraries/LibHttp/Asio.h
@@ -39,6 +39,14 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
+// The length of the body by the message's headers. Nothing if they announce none, or have not been read completely.
+template<typename Parser>
+std::optional<std::uint64_t> announcedLength(const Parser &parser)
+{
+    const bool isKnown = parser.is_header_done() && parser.content_length();
+    return isKnown ? std::make_optional<std::uint64_t>(*parser.content_length()) : std::nullopt;
+}
+
 // Parses an IP address and port; returns nothing if the text is malformed.
 std::optional<Tcp::endpoint> parseEndpoint(const std::string &address);
 
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -165,7 +165,7 @@
 {
     ErrorCode error;
     co_await http::async_read_header(stream, buffer, parser, redirectErrorTo(error));
-    const auto length = parser.content_length();
+    const auto length = announcedLength(parser);
     if (!error && !parser.is_done() && reservation != nullptr && length && !reservation->tryReserve(*length)) {
         co_return asio::error::no_memory;
     }
@@ -192,7 +192,7 @@
         if (error) {
             result.outcome_ = outcomeOf(error);
             const bool hasBegun = parser.is_header_done() || buffer.size() > 0;
-            result.isUnbounded_ = error == beast::error::timeout && hasBegun && !parser.content_length();
+            result.isUnbounded_ = error == beast::error::timeout && hasBegun && !announcedLength(parser);
             co_return false;
         }
         result.response_ = parser.release();
