--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -86,36 +86,6 @@
 
 } // namespace
 
-struct RequestFlow::Progress
-{
-    Platform::CallerHeaders headers_;
-    TimePoint arrivedAt_;
-    TimePoint deadline_;
-    TimePoint latencyObjectiveAt_;
-    bool isCallerRetry_ = false;
-    std::shared_ptr<const RoutingConfiguration> configuration_;
-    const Route *route_ = nullptr;
-    std::string service_;
-    std::shared_ptr<RequestControl> control_;
-    // Servers that the request was sent to, whether or not they ran it.
-    std::vector<std::string> servers_;
-    // Servers that the request was kept from.
-    std::vector<std::string> withheldFrom_;
-    std::uint32_t sends_ = 0;
-    std::uint32_t replacements_ = 0;
-    bool mayHaveRun_ = false;
-    AttemptKind nextAttempt_ = AttemptKind::First;
-    HttpResponse response_;
-    std::string lastFailure_;
-    PlacementSource source_ = PlacementSource::Local;
-    Duration waited_ = Duration::zero();
-
-    bool isIdempotent() const
-    {
-        return Gateway::mayRunAgain(route_->kind_);
-    }
-};
-
 RequestFlow::RequestFlow(asio::io_context &loop,
                          const StoreView &view,
                          const StoreLink &store,
@@ -130,8 +100,8 @@
     , placement_(placement)
     , client_(client)
     , announcements_(announcements)
-    , log_(log)
     , metrics_(metrics)
+    , report_(view, log, metrics)
 {
 }
 
@@ -142,7 +112,7 @@
     return route == nullptr || Gateway::mayRunAgain(route->kind_);
 }
 
-HttpResponse RequestFlow::makeResponse(const Progress &progress, unsigned status, std::optional<Duration> retryAfter) const
+HttpResponse RequestFlow::makeResponse(const RequestProgress &progress, unsigned status, std::optional<Duration> retryAfter) const
 {
     HttpResponse response;
     response.version(11);
@@ -160,23 +130,23 @@
     return response;
 }
 
-std::optional<HttpResponse> RequestFlow::checkRoute(const HttpRequest &request, Progress &progress, TimePoint now)
+std::optional<HttpResponse> RequestFlow::checkRoute(const HttpRequest &request, RequestProgress &progress, TimePoint now)
 {
     progress.headers_ = Platform::readCallerHeaders(request);
     progress.configuration_ = view_.configuration();
     if (!progress.configuration_) {
-        logEnd(progress, 503, "no-configuration", now);
+        report_.ended(progress, 503, "no-configuration", now);
         return makeResponse(progress, 503, StartupRetryAfter);
     }
     if (progress.headers_.requestId_.empty()) {
-        logEnd(progress, 400, "no-request-id", now);
+        report_.ended(progress, 400, "no-request-id", now);
         return makeResponse(progress, 400, std::nullopt);
     }
     progress.route_ = progress.configuration_->route(hostOf(request), pathOf(request));
     if (progress.route_ == nullptr) {
         // While the view of the store is stale, the route may already exist there.
         const bool isCurrent = store_.isCurrent(now);
-        logEnd(progress, isCurrent ? 404 : 503, "no-route", now);
+        report_.ended(progress, isCurrent ? 404 : 503, "no-route", now);
         return isCurrent ? makeResponse(progress, 404, std::nullopt) : makeResponse(progress, 503, StartupRetryAfter);
     }
     const auto &route = *progress.route_;
@@ -204,7 +174,7 @@
     // 2. Wait for a placement, send the request to its server unless the server is to get none, and classify the result.
     // 3. Retry while the request allows it and the deadline has not passed.
     // On the heap: with a larger coroutine frame, GCC 12 reports a mismatched operator delete that is not there.
-    const auto owned = std::make_unique<Progress>();
+    const auto owned = std::make_unique<RequestProgress>();
     auto &progress = *owned;
     progress.arrivedAt_ = arrivedAt;
     progress.control_ = control;
@@ -223,7 +193,7 @@
             if (place.isPlaced_) {
                 placement_.release(progress.service_, place, PlacementReport(), bootNow());
             }
-            logEnd(progress, 0, "caller-left", bootNow());
+            report_.ended(progress, 0, "caller-left", bootNow());
             co_return std::nullopt;
         }
         if (!place.isPlaced_) {
@@ -231,12 +201,12 @@
         }
         const auto step = co_await attempt(request, progress, place);
         if (control->isAbandoned() && progress.isIdempotent()) {
-            logEnd(progress, 0, "caller-left", bootNow());
+            report_.ended(progress, 0, "caller-left", bootNow());
             co_return std::nullopt;
         }
         if (step == NextStep::Answer) {
             const TimePoint now = bootNow();
-            logEnd(progress, progress.response_.result_int(), "answered", now);
+            report_.ended(progress, progress.response_.result_int(), "answered", now);
             co_return Platform::makeCallerResponse(progress.response_);
         }
         if (step == NextStep::Fail) {
@@ -246,7 +216,7 @@
     }
 }
 
-PlacementRequest RequestFlow::makePlacementRequest(const Progress &progress) const
+PlacementRequest RequestFlow::makePlacementRequest(const RequestProgress &progress) const
 {
     PlacementRequest request;
     request.workKind_ = progress.route_->name_;
@@ -274,7 +244,7 @@
     return announcements_.decide(place.server(), isEvacuated, now);
 }
 
-void RequestFlow::withhold(Progress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now)
+void RequestFlow::withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now)
 {
     PlacementReport report;
     // A removed entry may only have expired during a store outage, so the coordinator has to learn of that from the store.
@@ -283,37 +253,10 @@
     placement_.release(progress.service_, place, report, now);
     progress.withheldFrom_.push_back(place.server_);
     progress.lastFailure_ = sendVerdictName(decision.verdict_);
-    metrics_.increment("goldcrestwall_requests_withheld_total", {{"service", progress.service_}, {"verdict", sendVerdictName(decision.verdict_)}});
-    LogLine line("request-withheld");
-    line.add("request", progress.headers_.requestId_).add("server", place.server_).add("incarnation", place.startTime_);
-    line.add("verdict", sendVerdictName(decision.verdict_)).add("placedBy", placementSourceName(place.source_));
-    line.add("placedAtRevision", place.revision_).add("storeRevision", view_.at());
-    if (decision.notice_) {
-        line.add("reason", leavingReasonName(decision.notice_->reason_)).add("from", noticeSourceName(decision.notice_->source_));
-        line.add("leavingRevision", decision.notice_->revision_).addDuration("knownForMs", now - decision.notice_->learntAt_);
-    }
-    log_.write(line, LogImportance::Kept, now);
-}
-
-void RequestFlow::reportLeaving(const Progress &progress, const PlacementResult &place, TimePoint sentAt, TimePoint now)
-{
-    const auto decision = announcements_.decide(place.server(), false, now);
-    if (!decision.notice_) {
-        return;
-    }
-    log_.write(LogLine("leaving-server-responded")
-                   .add("request", progress.headers_.requestId_)
-                   .add("server", place.server_)
-                   .add("reason", leavingReasonName(decision.notice_->reason_))
-                   .addDuration("sentBeforeKnownMs", decision.notice_->learntAt_ - sentAt)
-                   .add("placedAtRevision", place.revision_)
-                   .add("storeRevision", view_.at())
-                   .add("placedBy", placementSourceName(place.source_)),
-               LogImportance::Kept,
-               now);
+    report_.withheld(progress, place, decision, now);
 }
 
-Task<RequestFlow::NextStep> RequestFlow::attempt(const HttpRequest &request, Progress &progress, const PlacementResult &place)
+Task<RequestFlow::NextStep> RequestFlow::attempt(const HttpRequest &request, RequestProgress &progress, const PlacementResult &place)
 {
     const TimePoint startedAt = bootNow();
     if (const auto decision = decideSend(place, startedAt); !decision.isAllowed()) {
@@ -355,23 +298,16 @@
         report.isServerLeaving_ = announcement.isLeaving_;
         report.heldBackFor_ = announcement.retryAfter_.value_or(Duration::zero());
     }
-    reportLeaving(progress, place, startedAt, now);
+    if (const auto decision = announcements_.decide(place.server(), false, now); decision.notice_) {
+        report_.leavingServerResponded(progress, place, *decision.notice_, startedAt, now);
+    }
     placement_.release(progress.service_, place, report, now);
     metrics_.observe("goldcrestwall_server_seconds", {{"service", progress.service_}}, report.duration_);
     progress.servers_.push_back(place.server_);
     const auto step = decideNextStep(progress, result, kind);
     if (step != NextStep::Answer) {
         progress.lastFailure_ = result.outcome_ == ExchangeOutcome::Answered ? answerKindName(kind) : exchangeOutcomeName(result.outcome_);
-        log_.write(LogLine("attempt-failed")
-                       .add("request", progress.headers_.requestId_)
-                       .add("server", place.server_)
-                       .add("outcome", progress.lastFailure_)
-                       .add("status", result.outcome_ == ExchangeOutcome::Answered ? result.response_.result_int() : 0)
-                       .add("newConnection", result.isNewConnection_)
-                       .add("placedBy", placementSourceName(place.source_))
-                       .addDuration("tookMs", report.duration_),
-                   LogImportance::Kept,
-                   now);
+        report_.attemptFailed(progress, place, result, report.duration_, now);
     }
     if (kind == ResponseKind::Misdirected && step == NextStep::Retry) {
         co_await sleepFor(loop_, MisdirectedDelay);
@@ -380,13 +316,13 @@
     co_return step;
 }
 
-RequestFlow::NextStep RequestFlow::replaceServer(Progress &progress)
+RequestFlow::NextStep RequestFlow::replaceServer(RequestProgress &progress)
 {
     ++progress.replacements_;
     return progress.replacements_ <= MaxReplacements ? NextStep::SendElsewhere : NextStep::Fail;
 }
 
-RequestFlow::NextStep RequestFlow::decideNextStep(Progress &progress, const ExchangeResult &result, ResponseKind kind) const
+RequestFlow::NextStep RequestFlow::decideNextStep(RequestProgress &progress, const ExchangeResult &result, ResponseKind kind) const
 {
     if (result.outcome_ == ExchangeOutcome::NotSent) {
         return replaceServer(progress);
@@ -407,48 +343,24 @@
     return isRetryable && hasAttemptsLeft ? NextStep::Retry : NextStep::Fail;
 }
 
-HttpResponse RequestFlow::answerRejected(Progress &progress, const PlacementResult &place)
+HttpResponse RequestFlow::answerRejected(RequestProgress &progress, const PlacementResult &place)
 {
     const TimePoint now = bootNow();
     if (progress.mayHaveRun_) {
         return answerFailed(progress, now);
     }
-    logEnd(progress, 503, rejectReasonName(place.reason_), now);
+    report_.ended(progress, 503, rejectReasonName(place.reason_), now);
     metrics_.increment("goldcrestwall_rejected_total", {{"service", progress.service_}, {"reason", rejectReasonName(place.reason_)}});
     return makeResponse(progress, 503, place.retryAfter_);
 }
 
-HttpResponse RequestFlow::answerFailed(Progress &progress, TimePoint now)
+HttpResponse RequestFlow::answerFailed(RequestProgress &progress, TimePoint now)
 {
     const bool isPastDeadline = now >= progress.deadline_;
     const unsigned status = !progress.mayHaveRun_ ? 503 : isPastDeadline ? 504 : 502;
-    logEnd(progress, status, progress.lastFailure_.c_str(), now);
+    report_.ended(progress, status, progress.lastFailure_.c_str(), now);
     metrics_.increment("goldcrestwall_failed_total", {{"service", progress.service_}, {"reason", progress.lastFailure_}});
     return makeResponse(progress, status, status == 503 ? std::make_optional<Duration>(StartupRetryAfter / 3) : std::nullopt);
 }
 
-void RequestFlow::logEnd(const Progress &progress, unsigned status, const char *reason, TimePoint now)
-{
-    LogLine line("request");
-    line.add("request", progress.headers_.requestId_).add("status", status).add("reason", reason);
-    if (progress.route_ != nullptr) {
-        line.add("route", progress.route_->name_).add("service", progress.service_).add("sends", progress.sends_);
-        line.add("placedBy", placementSourceName(progress.source_)).addDuration("waitedMs", progress.waited_);
-        line.addDuration("leftMs", progress.deadline_ - now);
-        metrics_.observe("goldcrestwall_request_seconds", {{"route", progress.route_->name_}}, now - progress.arrivedAt_);
-    }
-    if (progress.configuration_) {
-        line.add("configuration", progress.configuration_->version_);
-    }
-    line.add("storeRevision", view_.at()).addDuration("tookMs", now - progress.arrivedAt_);
-    if (progress.headers_.key_) {
-        line.add("key", *progress.headers_.key_);
-    }
-    if (!progress.servers_.empty()) {
-        line.add("server", progress.servers_.back());
-    }
-    const bool isSuccess = status >= 200 && status < 300;
-    log_.write(line, isSuccess ? LogImportance::Sampled : LogImportance::Kept, now);
-}
-
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -2,11 +2,9 @@
 #pragma once
 
 #include <LibGateway/AnnouncementRecorder.h>
-#include <LibGateway/PlacementService.h>
+#include <LibGateway/RequestReport.h>
 #include <LibGateway/StoreLink.h>
 
-#include <LibMetrics/LibMetrics.h>
-
 namespace Goldcrestwall::Gateway {
 
 // Decides how often and to which servers a request is sent, and what the caller is told. A request that may have run is never reported
@@ -31,9 +29,6 @@
     bool mayRunAgain(const HttpRequest &request) const;
 
 private:
-    // State of one request while it is handled.
-    struct Progress;
-
     // What to do after an attempt.
     enum class NextStep {
         Answer,
@@ -43,25 +38,22 @@
         Fail,
     };
 
-    std::optional<HttpResponse> checkRoute(const HttpRequest &request, Progress &progress, TimePoint now);
-    Task<NextStep> attempt(const HttpRequest &request, Progress &progress, const PlacementResult &place);
+    std::optional<HttpResponse> checkRoute(const HttpRequest &request, RequestProgress &progress, TimePoint now);
+    Task<NextStep> attempt(const HttpRequest &request, RequestProgress &progress, const PlacementResult &place);
     // Whether the request may be sent to the server of its placement. Whoever chose the server may have known less than this instance.
     SendDecision decideSend(const PlacementResult &place, TimePoint now) const;
     // Gives up a placement at a server that gets no requests, and tells the coordinator why.
-    void withhold(Progress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now);
-    // Reports a response of a server that is leaving, with how long before or after the sending this instance learnt of it.
-    void reportLeaving(const Progress &progress, const PlacementResult &place, TimePoint sentAt, TimePoint now);
-    PlacementRequest makePlacementRequest(const Progress &progress) const;
+    void withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now);
+    PlacementRequest makePlacementRequest(const RequestProgress &progress) const;
     // The request was not sent to the server that was chosen for it.
-    static NextStep replaceServer(Progress &progress);
-    NextStep decideNextStep(Progress &progress, const ExchangeResult &result, Platform::ResponseKind kind) const;
+    static NextStep replaceServer(RequestProgress &progress);
+    NextStep decideNextStep(RequestProgress &progress, const ExchangeResult &result, Platform::ResponseKind kind) const;
     // Estimates how long ago the caller made the request for the first time: a caller that retries has less of its time limit left than
     // other callers of the route.
     Duration estimateAge(const std::string &route, std::optional<Duration> callerTimeout);
-    HttpResponse answerRejected(Progress &progress, const PlacementResult &place);
-    HttpResponse answerFailed(Progress &progress, TimePoint now);
-    HttpResponse makeResponse(const Progress &progress, unsigned status, std::optional<Duration> retryAfter) const;
-    void logEnd(const Progress &progress, unsigned status, const char *reason, TimePoint now);
+    HttpResponse answerRejected(RequestProgress &progress, const PlacementResult &place);
+    HttpResponse answerFailed(RequestProgress &progress, TimePoint now);
+    HttpResponse makeResponse(const RequestProgress &progress, unsigned status, std::optional<Duration> retryAfter) const;
 
     asio::io_context &loop_;
     const StoreView &view_;
@@ -69,8 +61,8 @@
     PlacementService &placement_;
     HttpClient &client_;
     AnnouncementRecorder &announcements_;
-    EventLog &log_;
     MetricRegistry &metrics_;
+    RequestReport report_;
     // Both maps are indexed by route name.
     std::map<std::string, WeightedRotation> rotations_;
     std::map<std::string, Duration> longestCallerTimeout_;
--- a/Tests/OnPlatform/TestLeavingServers.cpp
+++ b/Tests/OnPlatform/TestLeavingServers.cpp
@@ -30,36 +30,27 @@
 public:
     void outdatedCoordinatorPlacesAtDrainingServer()
     {
-        Deployment deployment(1);
-        CPPUNIT_ASSERT(deployment.awaitServing());
-        const FixedCoordinator coordinator(deployment, "plain", deployment.plain(0));
-        CPPUNIT_ASSERT(awaitPlacementsBy(deployment, coordinator));
-        deployment.plain(0).registerEntry("draining");
-        CPPUNIT_ASSERT(awaitLine(deployment, "server-leaving"));
-        checkNothingRunsAt(deployment, "p-0");
+        checkChangeIsHeeded([](Deployment &deployment) {
+            deployment.plain(0).registerEntry("draining");
+            CPPUNIT_ASSERT(awaitLine(deployment, "server-leaving"));
+        });
     }
 
     void outdatedCoordinatorPlacesAtRemovedServer()
     {
-        Deployment deployment(1);
-        CPPUNIT_ASSERT(deployment.awaitServing());
-        const FixedCoordinator coordinator(deployment, "plain", deployment.plain(0));
-        CPPUNIT_ASSERT(awaitPlacementsBy(deployment, coordinator));
-        deployment.plain(0).removeEntry();
-        CPPUNIT_ASSERT(awaitLine(deployment, "server-leaving"));
-        checkNothingRunsAt(deployment, "p-0");
+        checkChangeIsHeeded([](Deployment &deployment) {
+            deployment.plain(0).removeEntry();
+            CPPUNIT_ASSERT(awaitLine(deployment, "server-leaving"));
+        });
     }
 
     void outdatedCoordinatorPlacesAtEvacuatedServer()
     {
-        Deployment deployment(1);
-        CPPUNIT_ASSERT(deployment.awaitServing());
-        const FixedCoordinator coordinator(deployment, "plain", deployment.plain(0));
-        CPPUNIT_ASSERT(awaitPlacementsBy(deployment, coordinator));
-        deployment.store().put("op/evacuate/north", "{}");
-        // Longer than a change takes to reach an instance that watches the store.
-        std::this_thread::sleep_for(700ms);
-        checkNothingRunsAt(deployment, "p-0");
+        checkChangeIsHeeded([](Deployment &deployment) {
+            deployment.store().put("op/evacuate/north", "{}");
+            // Longer than a change takes to reach an instance that watches the store.
+            std::this_thread::sleep_for(700ms);
+        });
     }
 
     void outdatedCoordinatorPlacesAtAnnouncedServer()
@@ -261,6 +252,17 @@
     }
 
 private:
+    // Makes a change after which p-0 is to get no requests, while a coordinator goes on choosing that server.
+    static void checkChangeIsHeeded(const std::function<void(Deployment &)> &change)
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        const FixedCoordinator coordinator(deployment, "plain", deployment.plain(0));
+        CPPUNIT_ASSERT(awaitPlacementsBy(deployment, coordinator));
+        change(deployment);
+        checkNothingRunsAt(deployment, "p-0");
+    }
+
     // Waits until the only instance gets its placements from that coordinator.
     static bool awaitPlacementsBy(Deployment &deployment, const FixedCoordinator &coordinator)
     {
