LibPlacement: Tell when a key will have a holder, and reject what cannot wait for it

What callers saw: a request for a key whose former holder does not confirm the release waited until its deadline was near, and was rejected then, although the granter knew that it might grant the key only when the former grant had expired (up to 3.4 s). Cause: each decision expected such keys 150 ms later, anew. Change: the granter tells for each range that is not held when it expects it to be: after a release soon, after an ignored one when the grants expire. The pool takes that as the earliest start.

--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -73,7 +73,7 @@
     isStopped_ = true;
     mayGrant_ = false;
     if (auto *pool = placement_.pool(service_)) {
-        pool->setHeldRanges(std::nullopt);
+        pool->setPendingRanges({});
     }
 }
 
@@ -124,14 +124,14 @@
             return self->sendGrant(call);
         });
     }
-    publishHeldRanges(now);
+    publishAssignment(now);
 }
 
-void ShardService::publishHeldRanges(TimePoint now)
+void ShardService::publishAssignment(TimePoint now)
 {
     if (auto *pool = placement_.pool(service_); pool != nullptr && granter_ && !isStopped_) {
         pool->setAssignment(granter_->assignment());
-        pool->setHeldRanges(granter_->heldRanges(now));
+        pool->setPendingRanges(granter_->pendingRanges(now));
         placement_.scheduleDecision(service_);
     }
 }
@@ -233,7 +233,7 @@
     }
     if (granter_ && !isStopped_) {
         granter_->recordGrantResult(call, sentAt, outcome, now);
-        publishHeldRanges(now);
+        publishAssignment(now);
     }
 }
 
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -36,7 +36,7 @@
     Task<void> sendRelease(ReleaseCall call);
     Task<void> reload();
     void create(TimePoint now);
-    void publishHeldRanges(TimePoint now);
+    void publishAssignment(TimePoint now);
     std::string addressOf(const std::string &server);
 
     asio::io_context &loop_;
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -31,8 +31,8 @@
 constexpr Duration MaxPlacementAge = 15s;
 // How long the reported number of requests of other instances is taken into account.
 constexpr Duration ForeignReportLifetime = 300ms;
-// Expected duration of a handover of a range between servers.
-constexpr Duration HandoverTime = 150ms;
+// A request does not start sooner while its key's holder cannot serve it yet.
+constexpr Duration MinKeyDelay = 20ms;
 // How long a server stays suspect without a further failure.
 constexpr Duration SuspectLifetime = 2500ms;
 // A server that has been suspect for longer, without a successful health check, is not eligible to hold keys.
@@ -121,12 +121,9 @@
     assignment_ = std::move(assignment);
 }
 
-void ServicePool::setHeldRanges(std::optional<std::vector<ShardRange>> held)
+void ServicePool::setPendingRanges(std::vector<PendingRange> pending)
 {
-    heldRanges_ = std::move(held);
-    if (heldRanges_) {
-        std::ranges::sort(*heldRanges_, {}, &ShardRange::first_);
-    }
+    pendingRanges_ = std::move(pending);
 }
 
 void ServicePool::enqueue(PlacementRequest request, TimePoint now)
@@ -403,13 +400,15 @@
     waiting_ = std::move(sorted);
 }
 
-bool ServicePool::isKeyHeld(const PlacementRequest &request) const
+TimePoint ServicePool::keyAvailableAt(const PlacementRequest &request, TimePoint now) const
 {
-    if (!heldRanges_ || !request.key_) {
-        return true;
+    if (!service_.isSharded_ || !request.key_) {
+        return now;
     }
-    const auto next = std::ranges::upper_bound(*heldRanges_, *request.key_, {}, &ShardRange::first_);
-    return next != heldRanges_->begin() && std::prev(next)->contains(*request.key_);
+    const auto next = std::ranges::upper_bound(pendingRanges_, *request.key_, {}, &PendingRange::first_);
+    const bool isPending = next != pendingRanges_.begin() && std::prev(next)->contains(*request.key_);
+    // A handover that is overdue is expected to be completed by one of the next calls.
+    return isPending ? std::max(std::prev(next)->availableAt_, now + MinKeyDelay) : now;
 }
 
 ServicePool::Candidate ServicePool::evaluate(const PlacementRequest &request, SlotForecast &forecast, TimePoint now) const
@@ -418,10 +417,7 @@
     const auto &description = server.input_.description_;
     Candidate candidate;
     candidate.forecast_ = &forecast;
-    candidate.startAt_ = std::max(forecast.slots_.front(), forecast.earliest_);
-    if (service_.isSharded_ && !isKeyHeld(request)) {
-        candidate.startAt_ = std::max(candidate.startAt_, now + HandoverTime);
-    }
+    candidate.startAt_ = std::max({forecast.slots_.front(), forecast.earliest_, keyAvailableAt(request, now)});
     candidate.endAt_ = candidate.startAt_ + expectedWork(request, server, candidate.startAt_, now);
     const double age = std::chrono::duration<double>(now - server.failedAt_).count();
     const bool isNear = request.domain_.empty() || request.domain_ == description.domain_;
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -171,8 +171,8 @@
     void setScope(PoolScope scope, std::size_t instanceCount, TimePoint now);
     void setServers(const std::vector<PoolServerInput> &servers, TimePoint now);
     void setAssignment(ShardAssignment assignment);
-    // Sets the ranges whose grants are known to be valid; nothing if this instance is not the granter.
-    void setHeldRanges(std::optional<std::vector<ShardRange>> held);
+    // Sets the keys that their holders cannot serve yet, sorted; none if this instance is not the granter and does not know.
+    void setPendingRanges(std::vector<PendingRange> pending);
 
     void enqueue(PlacementRequest request, TimePoint now);
     // Removes a queued request that has not been placed.
@@ -288,7 +288,8 @@
     Candidate evaluate(const PlacementRequest &request, SlotForecast &forecast, TimePoint now) const;
     bool mustReserveSlot(const PlacementRequest &request, const std::vector<SlotForecast> &forecasts, TimePoint now) const;
     void place(const PlacementRequest &request, Candidate &candidate, PlacementDecisions &decisions, TimePoint now);
-    bool isKeyHeld(const PlacementRequest &request) const;
+    // When the holder of the request's key can serve it.
+    TimePoint keyAvailableAt(const PlacementRequest &request, TimePoint now) const;
     Duration jitter(Duration span);
 
     Service service_;
@@ -300,7 +301,7 @@
     std::size_t instanceCount_ = 1;
     std::map<std::string, PoolServer> servers_;
     ShardAssignment assignment_;
-    std::optional<std::vector<ShardRange>> heldRanges_;
+    std::vector<PendingRange> pendingRanges_;
     std::vector<PlacementRequest> waiting_;
     std::map<PlacementId, std::string> serverOfPlacement_;
     std::uint32_t topPriority_ = 0;
--- a/Libraries/LibPlacement/ShardAssignment.h
+++ b/Libraries/LibPlacement/ShardAssignment.h
@@ -41,6 +41,22 @@
     }
 };
 
+// Keys whose holder cannot serve them yet.
+struct PendingRange
+{
+    ShardKey first_ = 0;
+    ShardKey last_ = 0;
+    // When the holder is expected to have them.
+    TimePoint availableAt_;
+
+    auto operator<=>(const PendingRange &) const = default;
+
+    bool contains(ShardKey key) const
+    {
+        return first_ <= key && key <= last_;
+    }
+};
+
 // Assignment of all keys of a service, as kept in the store. Empty, or sorted and without gaps.
 struct ShardAssignment
 {
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -17,12 +17,19 @@
 // How long the store may still list former holders that no longer hold their keys. A granter that takes over meanwhile must wait until
 // the grants of its predecessor have expired before it renews such keys.
 constexpr Duration CleanupInterval = 300ms;
+// Expected duration of the calls that take keys from one server and grant them to another.
+constexpr Duration HandoverTime = 150ms;
 
 Duration maxGrantLifetime(const GrantTimings &timings)
 {
     return timings.holdTime_ + timings.holdTime_ / ClockDriftDivisor + DeliveryDelayMargin;
 }
 
+bool isSameProcess(const ShardHolder &holder, const ShardHolder &other)
+{
+    return holder.server_ == other.server_ && holder.startTime_ == other.startTime_;
+}
+
 bool overlaps(ShardKey first, ShardKey last, ShardKey otherFirst, ShardKey otherLast)
 {
     return first <= otherLast && otherFirst <= last;
@@ -117,7 +124,7 @@
             state.isGrantInProgress_ = isSame && known->isGrantInProgress_;
         } else {
             for (const auto &previous : range.previous_) {
-                state.previous_.push_back({previous, false, false, now});
+                state.previous_.push_back({previous, false, false, false, now});
             }
             state.nextGrantAt_ = now;
         }
@@ -139,8 +146,7 @@
         return false;
     }
     return std::ranges::none_of(sent_, [&](const SentGrant &sent) {
-        const bool isForSameKeys = sent.holder_.server_ == previous.holder_.server_ && sent.holder_.startTime_ == previous.holder_.startTime_
-            && overlaps(sent.first_, sent.last_, state.range_.first_, state.range_.last_);
+        const bool isForSameKeys = isSameProcess(sent.holder_, previous.holder_) && overlaps(sent.first_, sent.last_, state.range_.first_, state.range_.last_);
         const bool isExpired = !sent.isInProgress_ && sent.expiresAt_ <= now;
         return isForSameKeys && !isExpired && !(previous.isReleased_ && sent.isAnswered_);
     });
@@ -150,8 +156,7 @@
 {
     return std::ranges::all_of(state.previous_, [&](const PreviousHolderState &previous) {
         // A server that gets back its own keys does not have to wait for its former grant.
-        const bool isSameProcess = previous.holder_.server_ == state.range_.holder_.server_ && previous.holder_.startTime_ == state.range_.holder_.startTime_;
-        return isSameProcess || hasGivenUpKeys(state, previous, now);
+        return isSameProcess(previous.holder_, state.range_.holder_) || hasGivenUpKeys(state, previous, now);
     });
 }
 
@@ -177,14 +182,13 @@
     std::vector<ReleaseCall> calls;
     for (auto &state : states_) {
         for (auto &previous : state.previous_) {
-            const bool isSameProcess =
-                previous.holder_.server_ == state.range_.holder_.server_ && previous.holder_.startTime_ == state.range_.holder_.startTime_;
             // A renewal in flight could arrive after the release and grant the keys again.
             const bool isRenewing = std::ranges::any_of(sent_, [&](const SentGrant &sent) {
                 return sent.isInProgress_ && sent.holder_.server_ == previous.holder_.server_
                     && overlaps(sent.first_, sent.last_, state.range_.first_, state.range_.last_);
             });
-            if (previous.isReleased_ || previous.isReleaseInProgress_ || now < previous.nextTryAt_ || isSameProcess || isRenewing) {
+            if (previous.isReleased_ || previous.isReleaseInProgress_ || now < previous.nextTryAt_ || isRenewing
+                || isSameProcess(previous.holder_, state.range_.holder_)) {
                 continue;
             }
             previous.isReleaseInProgress_ = true;
@@ -243,6 +247,7 @@
             }
             previous.isReleaseInProgress_ = false;
             previous.isReleased_ = outcome == ShardCallOutcome::Accepted;
+            previous.hasIgnoredRelease_ = previous.hasIgnoredRelease_ || !previous.isReleased_;
             previous.nextTryAt_ = now + timings_.retryInterval_;
             if (previous.isReleased_) {
                 state.handover_ = handover;
@@ -251,15 +256,39 @@
     }
 }
 
-std::vector<ShardRange> ShardGranter::heldRanges(TimePoint now) const
+TimePoint ShardGranter::expectedGivenUpAt(const RangeState &state, const PreviousHolderState &previous, TimePoint now) const
+{
+    TimePoint expected = std::max(now, earlierGrantsExpireAt_);
+    for (const auto &sent : sent_) {
+        const bool isForSameKeys = isSameProcess(sent.holder_, previous.holder_) && overlaps(sent.first_, sent.last_, state.range_.first_, state.range_.last_);
+        const bool endsWithRelease = sent.isAnswered_ && (previous.isReleased_ || !previous.hasIgnoredRelease_);
+        if (isForSameKeys && !endsWithRelease) {
+            expected = std::max(expected, sent.isInProgress_ ? now + maxGrantLifetime(timings_) : sent.expiresAt_);
+        }
+    }
+    return expected;
+}
+
+std::vector<PendingRange> ShardGranter::pendingRanges(TimePoint now) const
 {
-    std::vector<ShardRange> held;
+    std::vector<PendingRange> pending;
+    if (states_.empty()) {
+        pending.push_back({0, static_cast<ShardKey>(ShardKeyCount - 1), now + HandoverTime});
+    }
     for (const auto &state : states_) {
         if (state.heldUntil_ > now) {
-            held.push_back(state.range_);
+            continue;
+        }
+        TimePoint expected = now;
+        for (const auto &previous : state.previous_) {
+            if (!isSameProcess(previous.holder_, state.range_.holder_)) {
+                expected = std::max(expected, expectedGivenUpAt(state, previous, now));
+            }
         }
+        pending.push_back({state.range_.first_, state.range_.last_, expected + HandoverTime});
     }
-    return held;
+    std::ranges::sort(pending, {}, &PendingRange::first_);
+    return pending;
 }
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -78,8 +78,8 @@
     void recordGrantResult(const GrantCall &call, TimePoint sentAt, ShardCallOutcome outcome, TimePoint now);
     void recordReleaseResult(const ReleaseCall &call, ShardCallOutcome outcome, const std::string &handover, TimePoint now);
 
-    // Returns the ranges whose grants are certainly valid now.
-    std::vector<ShardRange> heldRanges(TimePoint now) const;
+    // Returns the ranges whose grants are not certainly valid now, sorted, with the time from which they are expected to be.
+    std::vector<PendingRange> pendingRanges(TimePoint now) const;
     const ShardAssignment &assignment() const
     {
         return assignment_;
@@ -108,6 +108,8 @@
         ShardHolder holder_;
         bool isReleased_ = false;
         bool isReleaseInProgress_ = false;
+        // Whether a release was refused or not answered.
+        bool hasIgnoredRelease_ = false;
         TimePoint nextTryAt_;
     };
 
@@ -125,6 +127,8 @@
     bool isServerSetStable(const std::vector<ServerLoadView> &servers, TimePoint now);
     bool hasGivenUpKeys(const RangeState &state, const PreviousHolderState &previous, TimePoint now) const;
     bool mayGrant(const RangeState &state, TimePoint now) const;
+    // When the previous holder is expected to have given up its keys.
+    TimePoint expectedGivenUpAt(const RangeState &state, const PreviousHolderState &previous, TimePoint now) const;
     ShardAssignment withoutFormerHolders(ShardAssignment assignment, TimePoint now) const;
     RangeState *find(ShardKey first, const ShardHolder &holder);
 
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(failingServerIsAvoided);
     CPPUNIT_TEST(keysGoToTheirHolderOnly);
     CPPUNIT_TEST(keysThatAreNotHeldYetWait);
+    CPPUNIT_TEST(requestIsRejectedAtOnceIfItsKeyIsHeldTooLate);
     CPPUNIT_TEST(slotsOfALostInstanceAreFreed);
     CPPUNIT_TEST(existingPlacementsAreRestored);
     CPPUNIT_TEST(overloadServesMoreThanTwoChoices);
@@ -501,15 +502,42 @@
         ShardAssignment assignment;
         assignment.ranges_ = {{0, 65535, {"s0", 7, 1}, {}}};
         pool.setAssignment(assignment);
-        pool.setHeldRanges(std::vector<ShardRange>());
+        pool.setPendingRanges({{0, 65535, at(150)}});
         auto request = makeRequest(1, at(0));
         request.key_ = 5;
         pool.enqueue(request, at(0));
         CPPUNIT_ASSERT(pool.decide(at(0)).placements_.empty());
-        pool.setHeldRanges(assignment.ranges_);
+        pool.setPendingRanges({});
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool.decide(at(50)).placements_.size());
     }
 
+    // Guards against requests that wait to their deadline for a key whose holder gets it only after a grant has expired.
+    void requestIsRejectedAtOnceIfItsKeyIsHeldTooLate()
+    {
+        auto pool = makePool(1, 2, true);
+        ShardAssignment assignment;
+        assignment.ranges_ = {{0, 9, {"s0", 7, 1}, {}}, {10, 65535, {"s0", 7, 2}, {}}};
+        pool.setAssignment(assignment);
+        pool.setPendingRanges({{0, 9, at(3200)}});
+        for (const ShardKey key : {ShardKey(5), ShardKey(10)}) {
+            auto request = makeRequest(key, at(0));
+            request.key_ = key;
+            pool.enqueue(request, at(0));
+        }
+        const auto decisions = pool.decide(at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.placements_.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), decisions.placements_.front().id_.number_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.rejections_.size());
+        CPPUNIT_ASSERT(decisions.rejections_.front().reason_ == RejectReason::Overload);
+        CPPUNIT_ASSERT(decisions.rejections_.front().retryAfter_ >= 1s);
+        // Shortly before the holder gets the key, a request waits for it.
+        auto request = makeRequest(6, at(2900));
+        request.key_ = 6;
+        pool.enqueue(request, at(2900));
+        const auto later = pool.decide(at(2900));
+        CPPUNIT_ASSERT(later.placements_.empty() && later.rejections_.empty());
+    }
+
     void slotsOfALostInstanceAreFreed()
     {
         auto pool = makePool(1, 1);
