Tests: Show that a restarted instance hears which servers have announced their leaving

One of the cases that operators of similar systems reported (a server that had left was in use again after a restart).

--- a/Tests/OnPlatform/TestLeavingServers.cpp
+++ b/Tests/OnPlatform/TestLeavingServers.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
+
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::OnPlatform;
 
@@ -20,6 +22,7 @@
     CPPUNIT_TEST(keysMoveFromAnnouncedHolderThatIgnoresReleases);
     CPPUNIT_TEST(newRunOfAnnouncedServerIsUsed);
     CPPUNIT_TEST(readyEntryAfterAnnouncementIsNotBelieved);
+    CPPUNIT_TEST(restartedInstanceHearsOfAnnouncementsBeforeTheStoreTells);
     CPPUNIT_TEST(heldBackServerGetsNothingUntilTheEnd);
     CPPUNIT_TEST(heldBackServerIsNotProbed);
     CPPUNIT_TEST(outdatedCoordinatorPlacesAtHeldBackServer);
@@ -155,6 +158,23 @@
         checkNothingRunsAt(deployment, "p-0");
     }
 
+    // Guards against an instance that forgets with its restart which servers have left.
+    void restartedInstanceHearsOfAnnouncementsBeforeTheStoreTells()
+    {
+        Deployment deployment(2);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        announce(deployment, 0);
+        CPPUNIT_ASSERT(awaitLine(deployment, "server-leaving", 2));
+        deployment.instance(0).signal(SIGKILL);
+        deployment.instance(0).wait(5s);
+        deployment.instance(0).start();
+        CPPUNIT_ASSERT(awaitLine(deployment, "server-leaving", 3));
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            return deployment.instance(0).isReady();
+        }));
+        checkNothingRunsAt(deployment, "p-0");
+    }
+
     void heldBackServerGetsNothingUntilTheEnd()
     {
         Deployment deployment(2);
@@ -271,10 +291,10 @@
         });
     }
 
-    static bool awaitLine(Deployment &deployment, const std::string &event)
+    static bool awaitLine(Deployment &deployment, const std::string &event, std::size_t count = 1)
     {
         return Deployment::eventually([&] {
-            return !deployment.linesContaining("\"event\":\"" + event + "\"").empty();
+            return deployment.linesContaining("\"event\":\"" + event + "\"").size() >= count;
         });
     }
 
