LibPlacement: Bound the time for which a server is held back in one place

Found while reading the change: a peer's report could name any time, and the sum with the present time could overflow; the bound stood in platform/ alone. Now ServerNotices bounds it (600 s), for responses and reports alike. wrongTimeDoesNotExcludeAServerForGood is new; LibPlacement 74, Platform 21, LibGateway 14 passed, 0 failed.

--- a/Libraries/LibGateway/AnnouncementRecorder.cpp
+++ b/Libraries/LibGateway/AnnouncementRecorder.cpp
@@ -21,7 +21,7 @@
         notices_->recordLeaving(server, {LeavingReason::Announced, NoticeSource::Response, now, now, 0}, now);
     }
     if (announcement.retryAfter_) {
-        notices_->holdBack(server, instance_, now + *announcement.retryAfter_, now);
+        notices_->holdBack(server, instance_, *announcement.retryAfter_, now);
         metrics_.increment("goldcrestwall_servers_held_back_total", {});
         log_.write(LogLine("server-held-back").add("server", server.id_).add("incarnation", server.startTime_).addDuration("forMs", *announcement.retryAfter_),
                    LogImportance::Kept,
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -303,9 +303,7 @@
     if (message.isServerLeaving_) {
         notices_->recordLeaving(server, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
     }
-    if (message.heldBackFor_ > 0) {
-        notices_->holdBack(server, instance, now + Duration(message.heldBackFor_), now);
-    }
+    notices_->holdBack(server, instance, Duration(message.heldBackFor_), now);
 }
 
 void PlacementService::handleHeldPlacement(const std::shared_ptr<PeerLink> &link, const HeldPlacementMessage &message, TimePoint now)
--- a/Libraries/LibPlacement/ServerNotices.cpp
+++ b/Libraries/LibPlacement/ServerNotices.cpp
@@ -9,7 +9,7 @@
 
 // Far more runs than leave within the time that a server takes to exit.
 constexpr std::size_t MaxServers = 4000;
-constexpr std::size_t MaxHeldBack = 4000;
+constexpr std::size_t MaxHeldBackEntries = 4000;
 // Other instances are told of so many; the store soon says the same of them.
 constexpr std::size_t MaxAnnouncedOnly = 64;
 
@@ -137,14 +137,15 @@
     });
 }
 
-void ServerNotices::holdBack(const ServerIncarnation &server, const std::string &instance, TimePoint until, TimePoint now)
+void ServerNotices::holdBack(const ServerIncarnation &server, const std::string &instance, Duration duration, TimePoint now)
 {
-    if (heldBack_.size() >= MaxHeldBack) {
+    if (heldBack_.size() >= MaxHeldBackEntries) {
         forgetExpired(now);
     }
-    if (until <= now || heldBack_.size() >= MaxHeldBack) {
+    if (duration <= Duration::zero() || heldBack_.size() >= MaxHeldBackEntries) {
         return;
     }
+    const TimePoint until = now + std::min(duration, MaxHoldBack);
     auto &known = heldBack_[{server, instance}];
     known = std::max(known, until);
     lastHeldBackUntil_ = std::max(lastHeldBackUntil_, until);
--- a/Libraries/LibPlacement/ServerNotices.h
+++ b/Libraries/LibPlacement/ServerNotices.h
@@ -68,6 +68,9 @@
     auto operator<=>(const ServerSigns &) const = default;
 };
 
+// The longest time for which a server can be held back by one response, so that a wrong value does not exclude it for good.
+inline constexpr Duration MaxHoldBack = 600s;
+
 // Whether a request may be sent to a server.
 enum class SendVerdict {
     Allowed,
@@ -127,8 +130,8 @@
     bool recordLeaving(const ServerIncarnation &server, const LeavingNotice &notice, TimePoint now);
     // Withdraws the store's sign, because the server's entry says again that it is ready. An announcement of the server itself stays.
     void withdrawStoreSign(const ServerIncarnation &server, TimePoint now);
-    // The server has asked the instance for no requests until then.
-    void holdBack(const ServerIncarnation &server, const std::string &instance, TimePoint until, TimePoint now);
+    // The server has asked the instance for no requests for so long; a longer time counts as `MaxHoldBack`.
+    void holdBack(const ServerIncarnation &server, const std::string &instance, Duration duration, TimePoint now);
 
     // Whether the instance may send a request to the server now.
     SendDecision decide(const ServerIncarnation &server, const std::string &instance, bool isEvacuated, TimePoint now) const;
--- a/Tests/LibPlacement/TestServerNotices.cpp
+++ b/Tests/LibPlacement/TestServerNotices.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(serverIsHeldBackFromOneInstanceUntilTheEnd);
     CPPUNIT_TEST(evacuatedServerIsNotAllowed);
     CPPUNIT_TEST(shorterHoldBackDoesNotEndALongerOne);
+    CPPUNIT_TEST(wrongTimeDoesNotExcludeAServerForGood);
     CPPUNIT_TEST(announcementsThatTheStoreLacksAreListed);
     CPPUNIT_TEST(memoryIsBounded);
     CPPUNIT_TEST_SUITE_END();
@@ -66,7 +67,7 @@
     void newRunUnderTheSameIdStartsAfresh()
     {
         notices_.recordLeaving(server_, makeNotice(LeavingReason::Announced, at(0)), at(0));
-        notices_.holdBack(server_, "a", at(5000), at(0));
+        notices_.holdBack(server_, "a", 5s, at(0));
         CPPUNIT_ASSERT(notices_.decide({server_.id_, server_.startTime_ + 1}, "a", false, at(1)).isAllowed());
     }
 
@@ -91,7 +92,7 @@
     void serverIsHeldBackFromOneInstanceUntilTheEnd()
     {
         CPPUNIT_ASSERT(!notices_.hasHeldBack(at(0)));
-        notices_.holdBack(server_, "a", at(1000), at(0));
+        notices_.holdBack(server_, "a", 1s, at(0));
         CPPUNIT_ASSERT(notices_.hasHeldBack(at(999)));
         const auto decision = notices_.decide(server_, "a", false, at(999));
         CPPUNIT_ASSERT(decision.verdict_ == SendVerdict::HeldBack);
@@ -110,11 +111,20 @@
 
     void shorterHoldBackDoesNotEndALongerOne()
     {
-        notices_.holdBack(server_, "a", at(1000), at(0));
-        notices_.holdBack(server_, "a", at(500), at(100));
+        notices_.holdBack(server_, "a", 1s, at(0));
+        notices_.holdBack(server_, "a", 400ms, at(100));
         CPPUNIT_ASSERT(!notices_.decide(server_, "a", false, at(900)).isAllowed());
     }
 
+    void wrongTimeDoesNotExcludeAServerForGood()
+    {
+        notices_.holdBack(server_, "a", Duration::max(), at(0));
+        CPPUNIT_ASSERT(!notices_.decide(server_, "a", false, at(599'999)).isAllowed());
+        CPPUNIT_ASSERT(notices_.decide(server_, "a", false, at(600'000)).isAllowed());
+        notices_.holdBack(server_, "a", Duration::min(), at(600'000));
+        CPPUNIT_ASSERT(notices_.decide(server_, "a", false, at(600'000)).isAllowed());
+    }
+
     void announcementsThatTheStoreLacksAreListed()
     {
         const ServerIncarnation other{"i-2", 8};
@@ -133,7 +143,7 @@
         for (int i = 0; i < 20000; ++i) {
             const ServerIncarnation server{"s-" + std::to_string(i), 1};
             notices_.recordLeaving(server, makeNotice(LeavingReason::Announced, at(i)), at(i));
-            notices_.holdBack(server, "a", at(1'000'000), at(i));
+            notices_.holdBack(server, "a", 600s, at(i));
         }
         CPPUNIT_ASSERT(notices_.announcedOnly().size() <= 64);
         CPPUNIT_ASSERT(!notices_.isLeaving({"s-0", 1}, at(20000)));
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -392,7 +392,7 @@
     {
         const auto notices = std::make_shared<ServerNotices>();
         auto pool = makePool(2, 2, false, notices);
-        notices->holdBack({"s0", 7}, "a", at(1000), at(0));
+        notices->holdBack({"s0", 7}, "a", 1000ms, at(0));
         for (std::uint64_t i = 0; i < 4; ++i) {
             auto request = makeRequest(i, at(1));
             request.id_.instance_ = i < 2 ? "a" : "b";
@@ -410,8 +410,8 @@
     {
         const auto notices = std::make_shared<ServerNotices>();
         auto pool = makePool(2, 2, false, notices);
-        notices->holdBack({"s0", 7}, "a", at(1000), at(0));
-        notices->holdBack({"s1", 7}, "a", at(700), at(0));
+        notices->holdBack({"s0", 7}, "a", 1000ms, at(0));
+        notices->holdBack({"s1", 7}, "a", 700ms, at(0));
         std::set<Duration> waits;
         for (std::uint64_t i = 0; i < 8; ++i) {
             pool.enqueue(makeRequest(i, at(0)), at(0));
@@ -433,7 +433,7 @@
         ShardAssignment assignment;
         assignment.ranges_ = {{0, 32767, {"s0", 7, 1}, {}}, {32768, 65535, {"s1", 7, 2}, {}}};
         pool.setAssignment(assignment);
-        notices->holdBack({"s0", 7}, "a", at(900), at(0));
+        notices->holdBack({"s0", 7}, "a", 900ms, at(0));
         for (const ShardKey key : {ShardKey(5), ShardKey(40000)}) {
             auto request = makeRequest(key, at(0));
             request.key_ = key;
