LibPlacement: Separate the value types and a server's state from ServicePool

ServicePool had grown to 585 lines and a header of 300 that mixed the types of requests, what is known of one server, and the queue. Placement.h has the types, PoolServer a server's state with what is concluded from its responses, failures and health checks; ServicePool has the queue and the choice (507 and 146 lines). Code is moved, not changed; LibPlacement 74, LibGateway 14 passed, 0 failed.

--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -2,7 +2,6 @@
 #include "ServicePool.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace Goldcrestwall::Gateway {
@@ -18,13 +17,6 @@
 // Penalty for a server in another failure domain, as a fraction of the typical service time: traffic between failure domains is
 // charged by the byte.
 constexpr double CrossDomainPenaltyFraction = 0.2;
-// Penalty on the expected completion for a server that fails all its requests.
-constexpr Duration FailurePenalty = 300ms;
-constexpr double FailureLearningRate = 0.2;
-constexpr double FailureHalfLifeSeconds = 2;
-constexpr Duration ShedBackoff = 30ms;
-constexpr Duration InitialUnreachableBackoff = 200ms;
-constexpr std::uint32_t MaxBackoffDoublings = 3;
 // An overdue request is expected to complete after this fraction of its expected service time.
 constexpr double OverdueRemainderFraction = 0.3;
 // A slot that is never released is freed after this time.
@@ -33,10 +25,6 @@
 constexpr Duration ForeignReportLifetime = 300ms;
 // A request does not start sooner while its key's holder cannot serve it yet.
 constexpr Duration MinKeyDelay = 20ms;
-// How long a server stays suspect without a further failure.
-constexpr Duration SuspectLifetime = 2500ms;
-// A server that has been suspect for longer, without a successful health check, is not eligible to hold keys.
-constexpr Duration MaxSuspicion = 1s;
 // After an urgent request, a slot is reserved for the next one for this long.
 constexpr Duration UrgentReserveTime = 1s;
 constexpr std::size_t MinServersForReserve = 4;
@@ -47,23 +35,6 @@
 
 } // namespace
 
-const char *rejectReasonName(RejectReason reason)
-{
-    switch (reason) {
-    case RejectReason::NoServer:
-        return "no-server";
-    case RejectReason::Overload:
-        return "overload";
-    case RejectReason::RetryBudget:
-        return "repeat-budget";
-    case RejectReason::NoOwner:
-        return "no-owner";
-    case RejectReason::HeldBack:
-        return "held-back";
-    }
-    return "unknown";
-}
-
 ServicePool::ServicePool(Service service, RetryBudgetSettings settings, std::uint64_t randomSeed, std::shared_ptr<const ServerNotices> notices)
     : service_(std::move(service))
     , notices_(std::move(notices))
@@ -100,7 +71,7 @@
         const bool isSameProcess = known != servers_.end() && known->second.input_.description_.startTime_ == input.description_.startTime_;
         PoolServer server = isSameProcess ? std::move(known->second) : PoolServer();
         if (isSameProcess && server.input_.isEvacuated_ && !input.isEvacuated_) {
-            setSuspect(server, now);
+            server.setSuspect(now);
         }
         if (!isSameProcess && known != servers_.end()) {
             server.speed_.slowness_ = known->second.speed_.slowness_;
@@ -162,7 +133,7 @@
         return;
     }
     auto &server = found->second;
-    const auto running = std::ranges::find(server.running_, id, &Running::id_);
+    const auto running = std::ranges::find(server.running_, id, &RunningRequest::id_);
     if (running == server.running_.end()) {
         return;
     }
@@ -187,7 +158,7 @@
         return request.id_.instance_ == instance;
     });
     for (auto &[id, server] : servers_) {
-        std::erase_if(server.running_, [&instance](const Running &running) {
+        std::erase_if(server.running_, [&instance](const RunningRequest &running) {
             return running.id_.instance_ == instance;
         });
     }
@@ -206,11 +177,7 @@
 void ServicePool::learn(PoolServer &server, const std::string &workKind, const PlacementReport &report, TimePoint now)
 {
     if (report.load_) {
-        server.speed_.recordReport(report.load_->delayFactor_, now);
-        const std::uint32_t others = report.load_->running_ + report.load_->waiting_;
-        const auto own = static_cast<std::uint32_t>(server.running_.size());
-        server.foreignRequests_ = others > own ? others - own : 0;
-        server.foreignReportedAt_ = now;
+        server.recordLoad(*report.load_, now);
     }
     if (report.outcome_ == PlacementOutcome::TimedOut || report.outcome_ == PlacementOutcome::Abandoned) {
         // The duration is only a lower bound of the service time: learn from it if it exceeds the expectation.
@@ -221,77 +188,34 @@
         return;
     }
     if (report.outcome_ != PlacementOutcome::Answered) {
-        recordFailure(server, report.outcome_, now);
+        server.recordFailure(report.outcome_, now);
         return;
     }
-    server.failureShare_ *= 1 - FailureLearningRate;
-    server.unreachableCount_ = 0;
-    server.backoffUntil_ = TimePoint();
-    if (!isCold(server, now)) {
+    server.recordSuccess();
+    if (!server.isCold(now)) {
         estimator_.learn(workKind, server.speed_, report.duration_, now);
     }
 }
 
-void ServicePool::recordFailure(PoolServer &server, PlacementOutcome outcome, TimePoint now)
-{
-    if (outcome == PlacementOutcome::Unreachable) {
-        const std::uint32_t doublings = std::min(server.unreachableCount_, MaxBackoffDoublings);
-        server.backoffUntil_ = now + InitialUnreachableBackoff * (1U << doublings);
-        ++server.unreachableCount_;
-        setSuspect(server, now);
-        return;
-    }
-    server.failureShare_ += FailureLearningRate * (1 - server.failureShare_);
-    server.failedAt_ = now;
-    if (outcome == PlacementOutcome::Shed) {
-        server.backoffUntil_ = std::max(server.backoffUntil_, now + ShedBackoff);
-    } else {
-        setSuspect(server, now);
-    }
-}
-
 void ServicePool::recordHealthCheck(const std::string &server, Duration warmupLeft, const std::optional<ReportedLoad> &load, TimePoint now)
 {
-    const auto found = servers_.find(server);
-    if (found == servers_.end()) {
-        return;
-    }
-    auto &known = found->second;
-    known.hasPassedHealthCheck_ = true;
-    known.suspectUntil_ = TimePoint();
-    known.unreachableCount_ = 0;
-    known.backoffUntil_ = TimePoint();
-    known.coldUntil_ = warmupLeft > Duration::zero() ? now + warmupLeft : TimePoint();
-    if (load) {
-        known.speed_.recordReport(load->delayFactor_, now);
+    if (const auto found = servers_.find(server); found != servers_.end()) {
+        found->second.recordHealthCheck(warmupLeft, load, now);
     }
 }
 
 void ServicePool::recordHealthCheckFailure(const std::string &server, TimePoint now)
 {
     if (const auto found = servers_.find(server); found != servers_.end()) {
-        recordFailure(found->second, PlacementOutcome::Unreachable, now);
+        found->second.recordFailure(PlacementOutcome::Unreachable, now);
     }
 }
 
 void ServicePool::recordShardCallFailure(const std::string &server, TimePoint now)
 {
     if (const auto found = servers_.find(server); found != servers_.end()) {
-        setSuspect(found->second, now);
-    }
-}
-
-bool ServicePool::isSuspect(const PoolServer &server, TimePoint now)
-{
-    return now < server.suspectUntil_;
-}
-
-void ServicePool::setSuspect(PoolServer &server, TimePoint now)
-{
-    if (!isSuspect(server, now)) {
-        server.suspectSince_ = now;
+        found->second.setSuspect(now);
     }
-    server.suspectUntil_ = now + SuspectLifetime;
 }
 
 bool ServicePool::isUsable(const PoolServer &server, TimePoint now) const
@@ -305,11 +229,6 @@
     return notices_->hasHeldBack(now) && now < notices_->heldBackUntil(server.input_.description_.incarnation(), request.id_.instance_);
 }
 
-bool ServicePool::isCold(const PoolServer &server, TimePoint now)
-{
-    return isSuspect(server, now) || now < server.coldUntil_;
-}
-
 Duration ServicePool::typicalWork(const PlacementRequest &request) const
 {
     return estimator_.typicalWork(request.workKind_, request.assumedWork_);
@@ -317,7 +236,7 @@
 
 Duration ServicePool::expectedWork(const PlacementRequest &request, const PoolServer &server, TimePoint begin, TimePoint now) const
 {
-    const double cold = isCold(server, now) && service_.warmup_ > Duration::zero() ? ColdSlowness : 1;
+    const double cold = server.isCold(now) && service_.warmup_ > Duration::zero() ? ColdSlowness : 1;
     return scaled(typicalWork(request), server.speed_.factorAt(begin, now) * cold);
 }
 
@@ -330,7 +249,7 @@
         if (!isUsable(server, now)) {
             continue;
         }
-        std::erase_if(server.running_, [this, now](const Running &running) {
+        std::erase_if(server.running_, [this, now](const RunningRequest &running) {
             return now - running.startedAt_ > MaxPlacementAge && serverOfPlacement_.erase(running.id_) > 0;
         });
         SlotForecast forecast;
@@ -349,7 +268,7 @@
         }
         forecast.slots_.insert(forecast.slots_.begin(), slots - forecast.slots_.size(), now);
         forecast.earliest_ = std::max(now, server.backoffUntil_);
-        if (isCold(server, now) && service_.warmup_ > Duration::zero()) {
+        if (server.isCold(now) && service_.warmup_ > Duration::zero()) {
             forecast.earliest_ = std::max(forecast.earliest_, server.warmupLimiter_.nextTokenAt(now));
         }
         server.forecast_ = forecasts.size();
@@ -358,7 +277,7 @@
     return forecasts;
 }
 
-const ServicePool::PoolServer *ServicePool::holderOf(const PlacementRequest &request) const
+const PoolServer *ServicePool::holderOf(const PlacementRequest &request) const
 {
     const ShardRange *range = service_.isSharded_ && request.key_ ? assignment_.rangeOf(*request.key_) : nullptr;
     const auto found = range == nullptr ? servers_.end() : servers_.find(range->holder_.server_);
@@ -419,10 +338,9 @@
     candidate.forecast_ = &forecast;
     candidate.startAt_ = std::max({forecast.slots_.front(), forecast.earliest_, keyAvailableAt(request, now)});
     candidate.endAt_ = candidate.startAt_ + expectedWork(request, server, candidate.startAt_, now);
-    const double age = std::chrono::duration<double>(now - server.failedAt_).count();
     const bool isNear = request.domain_.empty() || request.domain_ == description.domain_;
     const Duration distance = isNear ? Duration::zero() : scaled(typicalWork(request), CrossDomainPenaltyFraction);
-    candidate.cost_ = candidate.endAt_ + distance + scaled(FailurePenalty, server.failureShare_ * std::exp2(-age / FailureHalfLifeSeconds));
+    candidate.cost_ = candidate.endAt_ + distance + server.failurePenalty(now);
     candidate.isAvoided_ = std::ranges::find(request.avoidedServers_, description.id_) != request.avoidedServers_.end();
     candidate.isKnown_ = server.hasReceivedRequest_ || candidate.startAt_ > now || candidate.endAt_ > request.latencyObjectiveAt_;
     return candidate;
@@ -493,7 +411,7 @@
 {
     auto &server = *candidate.forecast_->server_;
     server.hasReceivedRequest_ = true;
-    if (isCold(server, now)) {
+    if (server.isCold(now)) {
         server.warmupLimiter_.take(now);
     }
     const auto &id = server.input_.description_.id_;
@@ -545,7 +463,7 @@
         auto &forecast = *candidate->forecast_;
         forecast.slots_.front() = candidate->endAt_;
         std::ranges::sort(forecast.slots_);
-        if (isCold(*forecast.server_, now) && service_.warmup_ > Duration::zero()) {
+        if (forecast.server_->isCold(now) && service_.warmup_ > Duration::zero()) {
             forecast.earliest_ = isFree
                 ? forecast.server_->warmupLimiter_.nextTokenAt(now)
                 : candidate->startAt_ + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / (service_.warmupRate_ * budgetShare())));
@@ -563,7 +481,7 @@
     std::vector<std::string> ids;
     for (const auto &[id, server] : servers_) {
         const bool isUnknown = !server.hasPassedHealthCheck_ && !server.speed_.isReported();
-        if ((isSuspect(server, now) || isUnknown) && isUsable(server, now)) {
+        if ((server.isSuspect(now) || isUnknown) && isUsable(server, now)) {
             ids.push_back(id);
         }
     }
@@ -575,9 +493,12 @@
     std::vector<ServerLoadView> views;
     for (const auto &[id, server] : servers_) {
         const auto &description = server.input_.description_;
-        const bool isSuspectTooLong = isSuspect(server, now) && now - server.suspectSince_ > MaxSuspicion;
-        views.push_back(
-            {id, description.startTime_, description.slots_, server.speed_.typicalFactor(), isCold(server, now), isUsable(server, now) && !isSuspectTooLong});
+        views.push_back({id,
+                         description.startTime_,
+                         description.slots_,
+                         server.speed_.typicalFactor(),
+                         server.isCold(now),
+                         isUsable(server, now) && !server.isSuspectTooLong(now)});
     }
     return views;
 }
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -1,13 +1,10 @@
 // Queue and placement of the requests of one service on its backend servers.
 #pragma once
 
+#include <LibPlacement/Placement.h>
+#include <LibPlacement/PoolServer.h>
 #include <LibPlacement/RetryBudget.h>
 #include <LibPlacement/ServerNotices.h>
-#include <LibPlacement/ShardAssignment.h>
-#include <LibPlacement/WarmupRateLimiter.h>
-#include <LibPlacement/WorkEstimator.h>
-
-#include <LibTopology/LibTopology.h>
 
 #include <map>
 #include <memory>
@@ -19,136 +16,12 @@
 
 namespace Goldcrestwall::Gateway {
 
-// Identifies a placement: the instance that holds the request and the number that this instance gave it.
-struct PlacementId
-{
-    std::string instance_;
-    std::uint64_t number_ = 0;
-
-    auto operator<=>(const PlacementId &) const = default;
-};
-
-// Distinguishes first attempts from retries.
-enum class AttemptKind : std::uint8_t {
-    First,
-    // The request has reached a server before and counts against the retry budget.
-    Retry,
-    // The request could not be sent to the server chosen before. Does not count against the retry budget.
-    Replacement,
-};
-
-// A request that waits for a slot of a backend server.
-struct PlacementRequest
-{
-    PlacementId id_;
-    // Name of the route; requests of one route take about the same time.
-    std::string workKind_;
-    std::uint32_t priority_ = 0;
-    TimePoint latencyObjectiveAt_;
-    TimePoint deadline_;
-    // Expected service time until requests of this kind have been measured.
-    Duration assumedWork_ = 50ms;
-    AttemptKind attempt_ = AttemptKind::First;
-    // The caller retries after an earlier rejection.
-    bool isCallerRetry_ = false;
-    std::optional<ShardKey> key_;
-    // Failure domain of the instance that holds the request.
-    std::string domain_;
-    // Servers that are used only if no other is available.
-    std::vector<std::string> avoidedServers_;
-
-    auto operator<=>(const PlacementRequest &) const = default;
-};
-
-// Reason for the rejection of a request.
-enum class RejectReason : std::uint8_t {
-    // No server of the service accepts requests.
-    NoServer,
-    // The request would not complete before its deadline.
-    Overload,
-    // The retry budget is exhausted.
-    RetryBudget,
-    // No server that accepts requests holds the key.
-    NoOwner,
-    // Every server that could run the request has asked the instance to send nothing for a while.
-    HeldBack,
-};
-
-const char *rejectReasonName(RejectReason reason);
-
-// Permission to send a request to a server now.
-struct Placement
-{
-    PlacementId id_;
-    std::string server_;
-
-    auto operator<=>(const Placement &) const = default;
-};
-
-// Rejection of a request, which has not been executed.
-struct Rejection
-{
-    PlacementId id_;
-    RejectReason reason_ = RejectReason::NoServer;
-    // Estimated time until a slot is free.
-    Duration retryAfter_ = Duration::zero();
-
-    auto operator<=>(const Rejection &) const = default;
-};
-
-struct PlacementDecisions
-{
-    std::vector<Placement> placements_;
-    std::vector<Rejection> rejections_;
-};
-
-// Result of a request at its backend server.
-enum class PlacementOutcome : std::uint8_t {
-    // The server sent a valid response.
-    Answered,
-    // The server shed the request although a slot should have been free.
-    Shed,
-    // The request could not be sent because there was no connection.
-    Unreachable,
-    // The request was sent, but no valid response arrived.
-    Lost,
-    // The deadline passed during execution: the service time is at least the reported duration.
-    TimedOut,
-    // The caller disconnected, or the server was not needed after all.
-    Abandoned,
-};
-
-// What the instance that held the placement observed.
-struct PlacementReport
-{
-    PlacementOutcome outcome_ = PlacementOutcome::Abandoned;
-    Duration duration_ = Duration::zero();
-    std::optional<ReportedLoad> load_;
-    // The server is leaving, as the instance knows from a response or from the store.
-    bool isServerLeaving_ = false;
-    // How long the server wants no requests from the instance; zero if it has not said so.
-    Duration heldBackFor_ = Duration::zero();
-
-    auto operator<=>(const PlacementReport &) const = default;
-};
-
 // Whether this pool places requests for all instances (as coordinator) or only for its own instance.
 enum class PoolScope {
     Shared,
     Local,
 };
 
-// A backend server as it is passed to the pool.
-struct PoolServerInput
-{
-    ServerDescription description_;
-    // Time at which the description was received; the remaining warm-up time counts from then.
-    TimePoint describedAt_;
-    bool isEvacuated_ = false;
-
-    auto operator<=>(const PoolServerInput &) const = default;
-};
-
 // Queue and backend servers of one service.
 //
 // Designed for servers of different speed that are slowed down by other workloads on their machines and execute only a few requests
@@ -206,40 +79,6 @@
     Duration typicalWork(const PlacementRequest &request) const;
 
 private:
-    struct Running
-    {
-        PlacementId id_;
-        std::string workKind_;
-        TimePoint startedAt_;
-        Duration expected_ = Duration::zero();
-    };
-
-    struct PoolServer
-    {
-        PoolServerInput input_;
-        ServerSpeed speed_;
-        WarmupRateLimiter warmupLimiter_;
-        TimePoint coldUntil_;
-        // Whether a request was ever placed on this server.
-        bool hasReceivedRequest_ = false;
-        // Whether it has ever passed a health check.
-        bool hasPassedHealthCheck_ = false;
-        // Period in which the server is suspected to have failed or restarted.
-        TimePoint suspectSince_;
-        TimePoint suspectUntil_;
-        // Smoothed fraction of requests that failed.
-        double failureShare_ = 0;
-        TimePoint failedAt_;
-        std::uint32_t unreachableCount_ = 0;
-        TimePoint backoffUntil_;
-        // Requests of other instances, according to the last load report of the server.
-        std::uint32_t foreignRequests_ = 0;
-        TimePoint foreignReportedAt_;
-        std::vector<Running> running_;
-        // Index of its forecast during a decision; nothing if the server accepts no requests.
-        std::optional<std::size_t> forecast_;
-    };
-
     // Expected time at which each slot of a server becomes free.
     struct SlotForecast
     {
@@ -269,13 +108,9 @@
     bool isUsable(const PoolServer &server, TimePoint now) const;
     // Whether the server wants no requests from the instance that holds this request.
     bool isHeldBack(const PoolServer &server, const PlacementRequest &request, TimePoint now) const;
-    static bool isSuspect(const PoolServer &server, TimePoint now);
-    static void setSuspect(PoolServer &server, TimePoint now);
-    static bool isCold(const PoolServer &server, TimePoint now);
     double budgetShare() const;
     Duration expectedWork(const PlacementRequest &request, const PoolServer &server, TimePoint begin, TimePoint now) const;
     void learn(PoolServer &server, const std::string &workKind, const PlacementReport &report, TimePoint now);
-    void recordFailure(PoolServer &server, PlacementOutcome outcome, TimePoint now);
     std::vector<SlotForecast> forecastSlots(TimePoint now);
     // Returns the server to which the request's key is assigned, if there is one.
     const PoolServer *holderOf(const PlacementRequest &request) const;
