LibGateway: Keep a removed entry removed when an older report of it arrives late

What callers saw: requests went to servers that had left, for as long as the coordinator lived.

Cause: an instance watches the store and hears of changes from peers. While its watch is held up (slow, or a long poll), peers bring its view to a later revision with the removal. The watch's response then reports an older change of the same entry. An entry that the view no longer had was taken whatever its revision, and the next watch begins at the view's revision, above the removal, so nothing removes it again. The same brought back coordinators, evacuations and assignments. Why this works: the revision of each removal is kept beside the history that peers are served from, and an item that is not newer than it is skipped. What a complete read finds late is still taken, and an entry that is registered again has a higher revision. Evidence: delayedWatchResponseDoesNotBringBackRemovedServers and delayedUpdateOfAPeerDoesNotBringBackRemovedServers failed before (15 passed, 2 failed); LibGateway 17 passed, 0 failed. Small sites do not show it: there nearly every instance watches by itself and hears nothing earlier from peers.

Also: request-withheld tells the age of the sign where there is one; before, it said 0 for removed servers.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -234,14 +234,15 @@
 
 SendDecision RequestFlow::decideSend(const PlacementResult &place, TimePoint now) const
 {
+    const auto *server = view_.server(place.server_);
+    const bool isEvacuated = server != nullptr && view_.evacuatedDomains().contains(server->domain_);
+    const auto decision = announcements_.decide(place.server(), isEvacuated, now);
     // An instance that has started after the server's entry was removed has no sign of it, but a view in which the entry is missing.
     const bool isNewerView = place.revision_ != 0 && place.revision_ <= view_.at();
-    const auto *server = view_.server(place.server_);
-    if (isNewerView && server == nullptr) {
+    if (decision.isAllowed() && server == nullptr && isNewerView) {
         return {SendVerdict::Leaving, LeavingNotice{LeavingReason::Removed, NoticeSource::Read, now, now, view_.at()}, {}};
     }
-    const bool isEvacuated = server != nullptr && view_.evacuatedDomains().contains(server->domain_);
-    return announcements_.decide(place.server(), isEvacuated, now);
+    return decision;
 }
 
 void RequestFlow::withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now)
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -158,6 +158,11 @@
     if (known != items_.end() && known->second.item_.revision_ >= item.revision_) {
         return;
     }
+    // A watch or a peer that was held up may report an item that others have reported as removed since.
+    const auto removed = removedAt_.find(item.key_);
+    if (removed != removedAt_.end() && removed->second >= item.revision_) {
+        return;
+    }
     // Peers that got this view's earlier state have a revision that is not below the item's and lack it nevertheless.
     const bool isLate = item.revision_ <= at_;
     lateItemCount_ += isLate ? 1 : 0;
@@ -174,12 +179,23 @@
     }
     items_.erase(known);
     ++changeCount_;
+    recordRemoval(key, revision);
+    removeDecoded(key, revision, now);
+}
+
+void StoreView::recordRemoval(const std::string &key, Revision revision)
+{
     removals_.emplace_back(revision, key);
-    if (removals_.size() > MaxRemovals) {
-        removalHistoryStart_ = removals_.front().first;
-        removals_.pop_front();
+    removedAt_[key] = revision;
+    if (removals_.size() <= MaxRemovals) {
+        return;
     }
-    removeDecoded(key, revision, now);
+    const auto &[oldestRevision, oldestKey] = removals_.front();
+    removalHistoryStart_ = oldestRevision;
+    if (const auto oldest = removedAt_.find(oldestKey); oldest != removedAt_.end() && oldest->second == oldestRevision) {
+        removedAt_.erase(oldest);
+    }
+    removals_.pop_front();
 }
 
 void StoreView::decode(const StoreItem &item, TimePoint now)
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -144,6 +144,7 @@
     // `at` is the revision that the view has once all changes are applied.
     void put(const Platform::StoreItem &item, Platform::Revision at, TimePoint now);
     void remove(const std::string &key, Platform::Revision revision, TimePoint now);
+    void recordRemoval(const std::string &key, Platform::Revision revision);
     void decode(const Platform::StoreItem &item, TimePoint now);
     void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
     void replaceItems(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
@@ -163,6 +164,8 @@
     std::uint64_t lateItemCount_ = 0;
     std::map<std::string, KnownItem> items_;
     std::deque<std::pair<Platform::Revision, std::string>> removals_;
+    // The last removal of each key in `removals_`.
+    std::map<std::string, Platform::Revision> removedAt_;
     // `removals_` holds all removals after this revision.
     Platform::Revision removalHistoryStart_ = 0;
     TimePoint expiryGraceUntil_;
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -45,6 +45,9 @@
     CPPUNIT_TEST(entriesAreDecoded);
     CPPUNIT_TEST(invalidEntriesAreReportedAndSkipped);
     CPPUNIT_TEST(olderStatesChangeNothing);
+    CPPUNIT_TEST(delayedWatchResponseDoesNotBringBackRemovedServers);
+    CPPUNIT_TEST(delayedUpdateOfAPeerDoesNotBringBackRemovedServers);
+    CPPUNIT_TEST(removedServerMayRegisterAgain);
     CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST(snapshotRemovesMissingEntries);
     CPPUNIT_TEST(expiredServersAreKeptDuringGracePeriod);
@@ -109,6 +112,42 @@
         CPPUNIT_ASSERT_EQUAL(Revision(20), view_.at());
     }
 
+    // Guards against servers that are used again after they have left: peers told of the removal while the own watch was held up.
+    void delayedWatchResponseDoesNotBringBackRemovedServers()
+    {
+        view_.apply({put("servers/i-1", serverText(), 11), put(coordinatorKey("one"), encodeMember({"a", "7", "10.0.0.1:1", "north", 200}), 11)}, 11, at(0));
+        ViewUpdate update;
+        update.at_ = 20;
+        update.removedKeys_ = {"servers/i-1", coordinatorKey("one")};
+        view_.apply(update, at(1));
+        // The response ends before the removal. The next watch begins at the view's revision, so the removal is never reported.
+        view_.apply({put("servers/i-1", serverText(), 12), put(coordinatorKey("one"), encodeMember({"b", "7", "10.0.0.2:1", "north", 200}), 13)}, 13, at(2));
+        CPPUNIT_ASSERT(view_.server("i-1") == nullptr);
+        CPPUNIT_ASSERT(view_.coordinator("one") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(Revision(20), view_.at());
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 0}, at(2)));
+    }
+
+    void delayedUpdateOfAPeerDoesNotBringBackRemovedServers()
+    {
+        view_.apply({put("servers/i-1", serverText(), 11)}, 11, at(0));
+        view_.apply({removal("servers/i-1", 15)}, 15, at(1));
+        ViewUpdate update;
+        update.at_ = 16;
+        update.items_ = {{"servers/i-1", serverText(), 12, 0}};
+        view_.apply(update, at(2));
+        CPPUNIT_ASSERT(view_.server("i-1") == nullptr);
+    }
+
+    void removedServerMayRegisterAgain()
+    {
+        view_.apply({put("servers/i-1", serverText(), 11)}, 11, at(0));
+        view_.replace({}, 20, at(1));
+        view_.apply({put("servers/i-1", serverText(), 21)}, 21, at(2));
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 0}, at(2)));
+    }
+
     void configurationNeverGoesBack()
     {
         view_.apply({put("op/config", configurationText(9), 11)}, 11, at(0));
