LibGateway: Take what a complete read shows also of entries that peers reported as removed

A peer's report of a removal has the peer's revision, which may be above that of a later registration that the peer has missed. A complete read is not older than the view, so what it shows is there.

--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -158,9 +158,10 @@
     if (known != items_.end() && known->second.item_.revision_ >= item.revision_) {
         return;
     }
-    // A watch or a peer that was held up may report an item that others have reported as removed since.
+    // A watch or a peer that was held up may report an item that others have reported as removed since. A complete read cannot: it is not
+    // older than the view.
     const auto removed = removedAt_.find(item.key_);
-    if (removed != removedAt_.end() && removed->second >= item.revision_) {
+    if (source_ != NoticeSource::Read && removed != removedAt_.end() && removed->second >= item.revision_) {
         return;
     }
     // Peers that got this view's earlier state have a revision that is not below the item's and lack it nevertheless.
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -146,6 +146,13 @@
         view_.apply({put("servers/i-1", serverText(), 21)}, 21, at(2));
         CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
         CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 0}, at(2)));
+        // A peer tells of a removal, but not that the entry is back since: a complete read shows it.
+        ViewUpdate update;
+        update.at_ = 30;
+        update.removedKeys_ = {"servers/i-1"};
+        view_.apply(update, at(3));
+        view_.replace({{"servers/i-1", serverText(), 25, 0}}, 31, at(4));
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
     }
 
     void configurationNeverGoesBack()
