LibGateway: Read the limits that servers name, log and count them

Callers saw nothing; the users saw a server get 63 requests in 4 s that had named 2.7 a second. Now each response's Server-Limit is read, and an instance logs when it learns of a limit, when it changes and when it ends. Nothing decides by it yet.

A response ends or raises a limit only if its request was sent after that limit had been named: responses overtake each other.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -201,6 +201,7 @@
 
 Task<void> CoordinationManager::checkHealth(std::string service, ServerDescription server, std::string path)
 {
+    const TimePoint sentAt = bootNow();
     ExchangeOptions options;
     options.timeout_ = HealthTimeout;
     const auto result =
@@ -213,7 +214,7 @@
     Platform::HealthReport report;
     if (result.outcome_ == ExchangeOutcome::Answered) {
         report = Platform::readHealth(result.response_);
-        announcements_.record(server.incarnation(), result.response_, now);
+        announcements_.record(server.incarnation(), result.response_, sentAt, now);
     }
     const bool isHealthy = report.isHealthy_ && report.serverId_ == server.id_;
     log_.write(LogLine("health-checked")
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -72,9 +72,13 @@
     , self_{settings_.name_, makeIncarnation(), settings_.peerAddress_, settings_.domain_, settings_.cpuMillicores_}
     , loop_(1)
     , log_(settings_.name_)
-    , notices_(std::make_shared<ServerNotices>([this](const ServerChange &change, TimePoint now) {
-        reportServerChange(change, now);
-    }))
+    , notices_(std::make_shared<ServerNotices>(
+          [this](const ServerChange &change, TimePoint now) {
+              reportServerChange(change, now);
+          },
+          [this](const LimitChange &change, TimePoint now) {
+              reportLimitChange(change, now);
+          }))
     , announcements_(self_.name_, notices_, log_, metrics_)
     , view_(
           [this](const std::string &key, const std::string &reason) {
@@ -277,6 +281,19 @@
     log_.write(line.add("storeRevision", view_.at()), LogImportance::Kept, now);
 }
 
+void Gateway::reportLimitChange(const LimitChange &change, TimePoint now)
+{
+    LogLine line(change.after_ ? "server-limit" : "server-limit-ended");
+    line.add("server", change.server_.id_).add("incarnation", change.server_.startTime_);
+    if (change.after_) {
+        line.add("rate", change.after_->rate_).add("from", noticeSourceName(change.after_->source_));
+    }
+    if (change.before_) {
+        line.add("rateBefore", change.before_->rate_).addDuration("knownForMs", now - change.before_->learntAt_);
+    }
+    log_.write(line.add("requestsThere", placement_.heldPlacementCount(change.server_.id_)), LogImportance::Kept, now);
+}
+
 void Gateway::checkForSuspension(TimePoint now)
 {
     const Duration gap = now - tickedAt_;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -43,6 +43,7 @@
 
     void viewChanged();
     void reportServerChange(const ServerChange &change, TimePoint now);
+    void reportLimitChange(const LimitChange &change, TimePoint now);
     // Runs all handlers until the loop is stopped.
     void runLoop();
     Task<void> tick();
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -295,7 +295,10 @@
     report.duration_ = now - startedAt;
     if (result.outcome_ == ExchangeOutcome::Answered) {
         report.load_ = Platform::readLoad(result.response_);
-        const auto announcement = announcements_.record(place.server(), result.response_, now);
+        const auto announcement = announcements_.record(place.server(), result.response_, startedAt, now);
+        if (report.outcome_ == PlacementOutcome::Answered && !announcement.hasLimitHeader_) {
+            announcements_.recordNoLimit(place.server(), startedAt, now);
+        }
         report.isServerLeaving_ = announcement.isLeaving_;
         report.heldBackFor_ = announcement.retryAfter_.value_or(Duration::zero());
     }
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -210,10 +210,10 @@
     co_return co_await client_.exchange(address, request, options, std::make_shared<ExchangeHandle>());
 }
 
-void ShardService::recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint now)
+void ShardService::recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint sentAt, TimePoint now)
 {
     if (result.outcome_ == ExchangeOutcome::Answered) {
-        announcements_.record({holder.server_, holder.startTime_}, result.response_, now);
+        announcements_.record({holder.server_, holder.startTime_}, result.response_, sentAt, now);
     }
 }
 
@@ -224,7 +224,7 @@
     const auto result = co_await sendShardCall(address, Platform::makeGrantRequest(address, call), GrantTimeout, GrantMaxIdle);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readShardCallOutcome(result);
-    recordAnnouncement(call.holder_, result, now);
+    recordAnnouncement(call.holder_, result, sentAt, now);
     if (outcome != ShardCallOutcome::Accepted) {
         if (auto *pool = placement_.pool(service_); pool != nullptr && outcome != ShardCallOutcome::Refused) {
             pool->recordShardCallFailure(call.holder_.server_, now);
@@ -239,11 +239,12 @@
 
 Task<void> ShardService::sendRelease(ReleaseCall call)
 {
+    const TimePoint sentAt = bootNow();
     const std::string address = addressOf(call.holder_.server_);
     const auto result = co_await sendShardCall(address, Platform::makeReleaseRequest(address, call), ReleaseTimeout, ReleaseMaxIdle);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readShardCallOutcome(result);
-    recordAnnouncement(call.holder_, result, now);
+    recordAnnouncement(call.holder_, result, sentAt, now);
     const std::string handover = outcome == ShardCallOutcome::Accepted ? Platform::readHandover(result.response_) : std::string();
     log_.write(describeShardCall("keys-released", service_, call, outcome), LogImportance::Kept, now);
     if (granter_ && !isStopped_) {
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -31,7 +31,7 @@
     // Sends a grant or a release. If this instance may no longer grant, the result is NotSent.
     Task<ExchangeResult> sendShardCall(std::string address, HttpRequest request, Duration timeout, Duration maxIdle);
     // Records what the server's response to a call says about further requests.
-    void recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint now);
+    void recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint sentAt, TimePoint now);
     Task<void> sendGrant(GrantCall call);
     Task<void> sendRelease(ReleaseCall call);
     Task<void> reload();
--- /dev/null
+++ b/Libraries/LibPlacement/ServerLimits.cpp
@@ -0,0 +1,67 @@
+// Decides which of the limits that a server names is in force.
+#include "ServerLimits.h"
+
+#include <algorithm>
+
+namespace Goldcrestwall::Gateway {
+
+namespace {
+
+// Far more servers than are in need at the same time.
+constexpr std::size_t MaxLimits = 4000;
+
+} // namespace
+
+void ServerLimits::recordNamed(const ServerIncarnation &server, double rate, NoticeSource source, TimePoint sentAt, TimePoint now)
+{
+    const auto [entry, isNew] = limits_.try_emplace(server, ServerLimit{rate, source, now, now, now});
+    if (isNew) {
+        forgetOldest();
+        report({server, std::nullopt, ServerLimit{rate, source, now, now, now}}, now);
+        return;
+    }
+    auto &known = entry->second;
+    const ServerLimit before = known;
+    known.namedAt_ = now;
+    const bool isRaise = rate > known.rate_ && sentAt > known.ratedAt_;
+    if (rate < known.rate_ || isRaise) {
+        known.rate_ = rate;
+        known.ratedAt_ = now;
+        report({server, before, known}, now);
+    }
+}
+
+void ServerLimits::recordAbsent(const ServerIncarnation &server, TimePoint sentAt, TimePoint now)
+{
+    const auto known = limits_.find(server);
+    if (known == limits_.end() || sentAt <= known->second.namedAt_) {
+        return;
+    }
+    const LimitChange change{server, known->second, std::nullopt};
+    limits_.erase(known);
+    report(change, now);
+}
+
+const ServerLimit *ServerLimits::find(const ServerIncarnation &server) const
+{
+    const auto found = limits_.find(server);
+    return found == limits_.end() ? nullptr : &found->second;
+}
+
+void ServerLimits::forgetOldest()
+{
+    if (limits_.size() > MaxLimits) {
+        limits_.erase(std::ranges::min_element(limits_, {}, [](const auto &entry) {
+            return entry.second.namedAt_;
+        }));
+    }
+}
+
+void ServerLimits::report(const LimitChange &change, TimePoint now) const
+{
+    if (handler_) {
+        handler_(change, now);
+    }
+}
+
+} // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/ServerNotices.h
+++ b/Libraries/LibPlacement/ServerNotices.h
@@ -1,7 +1,7 @@
 // What is known about backend servers that are to get no requests, for a while or for good.
 #pragma once
 
-#include <LibTopology/LibTopology.h>
+#include <LibPlacement/ServerLimits.h>
 
 #include <cstdint>
 #include <deque>
@@ -27,20 +27,6 @@
 
 const char *leavingReasonName(LeavingReason reason);
 
-// How an instance learnt something about a server.
-enum class NoticeSource {
-    // From its own watch of the store.
-    Watch,
-    // From a complete read of the store.
-    Read,
-    // From another instance.
-    Peer,
-    // From a response of the server.
-    Response,
-};
-
-const char *noticeSourceName(NoticeSource source);
-
 // A sign that one run of a server is leaving.
 struct LeavingNotice
 {
@@ -121,9 +107,20 @@
     // Called when a run of a server begins to leave, or when its entry says again that it is ready.
     using ChangeHandler = std::function<void(const ServerChange &, TimePoint now)>;
 
-    explicit ServerNotices(ChangeHandler handler = {})
+    explicit ServerNotices(ChangeHandler handler = {}, ServerLimits::ChangeHandler limitHandler = {})
         : handler_(std::move(handler))
+        , limits_(std::move(limitHandler))
+    {
+    }
+
+    // The limits that servers have named.
+    ServerLimits &limits()
+    {
+        return limits_;
+    }
+    const ServerLimits &limits() const
     {
+        return limits_;
     }
 
     // Records a sign. The first sign of the store and the first announcement are kept. Returns whether it is new.
@@ -162,6 +159,7 @@
     void forgetExpired(TimePoint now);
 
     ChangeHandler handler_;
+    ServerLimits limits_;
     std::map<ServerIncarnation, ServerSigns> signs_;
     // The keys of `signs_`, oldest first.
     std::deque<ServerIncarnation> order_;
--- a/Tests/Platform/TestBackendProtocol.cpp
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -21,6 +21,25 @@
     return response;
 }
 
+ServerAnnouncement makeAnnouncement(bool isLeaving, std::optional<Duration> retryAfter, std::uint32_t unreadableHeaders)
+{
+    ServerAnnouncement announcement;
+    announcement.isLeaving_ = isLeaving;
+    announcement.retryAfter_ = retryAfter;
+    announcement.unreadableHeaders_ = unreadableHeaders;
+    return announcement;
+}
+
+// Without a limit, the header that names it cannot be read.
+ServerAnnouncement makeLimitAnnouncement(std::optional<double> limit)
+{
+    ServerAnnouncement announcement;
+    announcement.limit_ = limit;
+    announcement.hasLimitHeader_ = true;
+    announcement.unreadableHeaders_ = limit ? 0 : 1;
+    return announcement;
+}
+
 } // namespace
 
 class TestBackendProtocol : public CppUnit::TestFixture
@@ -92,27 +111,37 @@
         };
         const std::vector<Case> cases{
             {200, {}, {}},
-            {200, {{"Server-Leaving", "1"}}, {true, std::nullopt, 0}},
-            {500, {{"SERVER-LEAVING", "1"}}, {true, std::nullopt, 0}},
-            {421, {{"server-leaving", "1"}, {"Goldcrestwall-Instance-Id", "i-1"}}, {true, std::nullopt, 0}},
+            {200, {{"Server-Leaving", "1"}}, makeAnnouncement(true, std::nullopt, 0)},
+            {500, {{"SERVER-LEAVING", "1"}}, makeAnnouncement(true, std::nullopt, 0)},
+            {421, {{"server-leaving", "1"}, {"Goldcrestwall-Instance-Id", "i-1"}}, makeAnnouncement(true, std::nullopt, 0)},
             // Another server at the address speaks of itself.
             {421, {{"server-leaving", "1"}, {"Goldcrestwall-Instance-Id", "i-2"}}, {}},
-            {503, {{"Server-Leaving", "1"}, {"Retry-After", "2"}}, {true, 2s, 0}},
-            {503, {{"Retry-After", "0.25"}}, {false, 250ms, 0}},
-            {503, {{"Retry-After", "0"}}, {false, 0s, 0}},
-            {503, {{"Retry-After", "99999999999"}}, {false, 600s, 0}},
+            {503, {{"Server-Leaving", "1"}, {"Retry-After", "2"}}, makeAnnouncement(true, 2s, 0)},
+            {503, {{"Retry-After", "0.25"}}, makeAnnouncement(false, 250ms, 0)},
+            {503, {{"Retry-After", "0"}}, makeAnnouncement(false, 0s, 0)},
+            {503, {{"Retry-After", "99999999999"}}, makeAnnouncement(false, 600s, 0)},
             // Only a server that rejects the request as 503 asks to be left alone.
             {429, {{"Retry-After", "2"}}, {}},
             {200, {{"Retry-After", "2"}}, {}},
-            {200, {{"Server-Leaving", "0"}}, {false, std::nullopt, 1}},
-            {200, {{"Server-Leaving", "true"}}, {false, std::nullopt, 1}},
-            {200, {{"Server-Leaving", ""}}, {false, std::nullopt, 1}},
-            {503, {{"Server-Leaving", "11"}, {"Retry-After", "-1"}}, {false, std::nullopt, 2}},
-            {503, {{"Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT"}}, {false, std::nullopt, 1}},
-            {503, {{"Retry-After", ""}}, {false, std::nullopt, 1}},
-            {503, {{"Retry-After", "nan"}}, {false, std::nullopt, 1}},
-            {503, {{"Retry-After", "1e3"}}, {false, std::nullopt, 1}},
-            {503, {{"Retry-After", "2 s"}}, {false, std::nullopt, 1}},
+            {200, {{"Server-Leaving", "0"}}, makeAnnouncement(false, std::nullopt, 1)},
+            {200, {{"Server-Leaving", "true"}}, makeAnnouncement(false, std::nullopt, 1)},
+            {200, {{"Server-Leaving", ""}}, makeAnnouncement(false, std::nullopt, 1)},
+            {503, {{"Server-Leaving", "11"}, {"Retry-After", "-1"}}, makeAnnouncement(false, std::nullopt, 2)},
+            {503, {{"Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT"}}, makeAnnouncement(false, std::nullopt, 1)},
+            {503, {{"Retry-After", ""}}, makeAnnouncement(false, std::nullopt, 1)},
+            {503, {{"Retry-After", "nan"}}, makeAnnouncement(false, std::nullopt, 1)},
+            {503, {{"Retry-After", "1e3"}}, makeAnnouncement(false, std::nullopt, 1)},
+            {503, {{"Retry-After", "2 s"}}, makeAnnouncement(false, std::nullopt, 1)},
+            {200, {{"Server-Limit", "2.7"}}, makeLimitAnnouncement(2.7)},
+            {503, {{"SERVER-LIMIT", "0"}}, makeLimitAnnouncement(0)},
+            {421, {{"Server-Limit", "50"}}, makeLimitAnnouncement(50)},
+            {421, {{"Server-Limit", "50"}, {"Goldcrestwall-Instance-Id", "i-2"}}, {}},
+            {200, {{"Server-Limit", ""}}, makeLimitAnnouncement(std::nullopt)},
+            {200, {{"Server-Limit", "-1"}}, makeLimitAnnouncement(std::nullopt)},
+            {200, {{"Server-Limit", "1e3"}}, makeLimitAnnouncement(std::nullopt)},
+            {200, {{"Server-Limit", "nan"}}, makeLimitAnnouncement(std::nullopt)},
+            {200, {{"Server-Limit", "99999999999999999999"}}, makeLimitAnnouncement(std::nullopt)},
+            {200, {{"Server-Limit", "5/s"}}, makeLimitAnnouncement(std::nullopt)},
         };
         for (const auto &[status, headers, announcement] : cases) {
             const std::string message = headers.empty() ? "none" : headers.front().first + ": " + headers.front().second;
