--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -191,6 +191,25 @@
     retryAfter_ = std::move(value);
 }
 
+void PlatformServerStandIn::setLimit(const std::string &value)
+{
+    const std::lock_guard lock(announcementMutex_);
+    limitHeader_ = value;
+    char *end = nullptr;
+    const double limit = std::strtod(value.c_str(), &end);
+    const bool isNumber = !value.empty() && *end == '\0' && limit >= 0;
+    limitMeter_.setLimit(isNumber ? std::make_optional(limit) : std::nullopt, monotonicNow());
+}
+
+void PlatformServerStandIn::recordArrival()
+{
+    ++arrivalCount_;
+    const std::lock_guard lock(announcementMutex_);
+    if (const auto count = limitMeter_.recordArrival(monotonicNow())) {
+        recorder_.recordViolation(id_ + " has named a limit of " + limitHeader_ + " and got " + std::to_string(*count) + " requests in 4 s");
+    }
+}
+
 bool PlatformServerStandIn::isLeftAlone() const
 {
     const std::lock_guard lock(announcementMutex_);
@@ -203,6 +222,9 @@
     if (!leavingHeader_.empty()) {
         response.set("server-leaving", leavingHeader_);
     }
+    if (!limitHeader_.empty()) {
+        response.set("server-limit", limitHeader_);
+    }
     if (!retryAfter_.empty() && response.getStatus() == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
         response.set("Retry-After", retryAfter_);
     }
@@ -360,7 +382,7 @@
         reject(response, 400);
         return true;
     }
-    ++arrivalCount_;
+    recordArrival();
     if (fault_ == PlatformServerFault::Sheds || isLeftAlone() || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
         reject(response, 503);
         return true;
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -2,6 +2,7 @@
 // the requests that it ran.
 #pragma once
 
+#include <StandIns/LimitMeter.h>
 #include <StandIns/PlatformStoreStandIn.h>
 
 #include <set>
@@ -116,6 +117,9 @@
     void setLeavingHeader(std::string value);
     // From now on requests and health checks are rejected with this value of Retry-After; no longer if the value is empty.
     void setRetryAfter(std::string value);
+    // From now on each response names this limit, and more requests than it allows are a violation; no longer if the value is empty. A
+    // value that is no number is named as it is.
+    void setLimit(const std::string &value);
     // Simulates a restart under the same id: the server holds no keys and is cold.
     void restart();
     // Whether the server holds the key at present.
@@ -163,6 +167,7 @@
     void checkHealth(Poco::Net::HTTPServerResponse &response);
     void setAnnouncementHeaders(Poco::Net::HTTPServerResponse &response) const;
     bool isLeftAlone() const;
+    void recordArrival();
     bool hasFault(PlatformServerFault fault) const;
     std::string load() const;
     bool holdsLocked(std::uint32_t key) const;
@@ -178,6 +183,8 @@
     mutable std::mutex announcementMutex_;
     std::string leavingHeader_;
     std::string retryAfter_;
+    std::string limitHeader_;
+    LimitMeter limitMeter_;
     std::uint32_t running_ = 0;
     // Number of runs at all servers when the fault was set.
     std::size_t runsBeforeFault_ = 0;
