LibPlacement: Send a server no more than the limit that it names, whoever decides

What was seen: servers that had named 2.7 and 1.8 requests a second got 63 and 17 in 4 s. Cause: nothing read the header; its class: a sum over all instances that nobody kept.

- A coordinator counts its placements against 0.7 of the limit, in a token bucket that starts empty; two coordinators at a time stay within what is allowed.
Instances that decide alone share 0.1 and save nothing: a request not sent when it is due is lost and the next falls at a random time, so that all together do not send what each has saved.
- An instance does not send to a server whose limit it knows and whoever chose the server did not: it gives the placement back with the limit.
A coordinator is told of all known limits before it gets the next request on a connection, so a new one needs no other source.
- What was sent without the coordinator is debited when it is heard of; health checks count; what was never sent is taken back.
- A service without keys goes elsewhere.
For a key's holder, requests that would be late are rejected at once with the time at which the next is allowed; the planner counts the holder's capacity as its rate and moves keys off it.
- The end: a response without the header to a request sent after the last naming.
The coordinator says so with its next placement, so that instances do not have to find out one by one.

No message more per request; the report of a request sent without the coordinator names the server (about 20 bytes).

--- a/Libraries/LibGateway/AnnouncementRecorder.h
+++ b/Libraries/LibGateway/AnnouncementRecorder.h
@@ -30,6 +30,12 @@
         return notices_->decide(server, instance_, isEvacuated, now);
     }
 
+    // The limit that the server has named, or null.
+    const ServerLimit *limitOf(const ServerIncarnation &server) const
+    {
+        return notices_->limits().find(server);
+    }
+
 private:
     void reportUnreadable(const ServerIncarnation &server, const Platform::ServerAnnouncement &announcement, TimePoint now);
 
--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -189,7 +189,8 @@
             const auto *server = view_.server(id);
             auto &checkedAt = healthCheckedAt_[id];
             const bool isDue = now - checkedAt >= HealthInterval;
-            if (server != nullptr && isDue && announcements_.decide(server->incarnation(), false, now).isAllowed()) {
+            const bool isAllowed = server != nullptr && isDue && announcements_.decide(server->incarnation(), false, now).isAllowed();
+            if (isAllowed && pool->tryCountHealthCheck(id, now)) {
                 checkedAt = now;
                 spawn(loop_, log_, "health-check", [this, name = service.name_, description = *server, path = service.healthPath_] {
                     return checkHealth(name, description, path);
--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr double NoLimit = -1;
+
 template<std::size_t Index = 0>
 std::optional<PeerMessage> convert(std::size_t type, const msgpack::object &object)
 {
@@ -105,11 +107,13 @@
         message.slots_ = report.load_->slots_;
         message.delayFactor_ = report.load_->delayFactor_;
     }
-    if (report.isServerLeaving_ || report.heldBackFor_ > Duration::zero()) {
+    if (report.isServerLeaving_ || report.heldBackFor_ > Duration::zero() || report.namedLimit_) {
         message.server_ = server.id_;
         message.startTime_ = server.startTime_;
         message.isServerLeaving_ = report.isServerLeaving_;
         message.heldBackFor_ = report.heldBackFor_.count();
+        message.limit_ = report.namedLimit_.value_or(NoLimit);
+        message.limitAge_ = report.limitAge_.count();
     }
     return message;
 }
@@ -125,6 +129,10 @@
     }
     report.isServerLeaving_ = message.isServerLeaving_;
     report.heldBackFor_ = std::max(Duration::zero(), Duration(message.heldBackFor_));
+    if (message.limit_ >= 0 && message.limit_ <= MaxServerLimit) {
+        report.namedLimit_ = message.limit_;
+        report.limitAge_ = std::max(Duration::zero(), Duration(message.limitAge_));
+    }
     return report;
 }
 
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -59,8 +59,10 @@
     UnixMilliseconds startTime_ = 0;
     // The revision of the coordinator's view.
     Platform::Revision revision_ = 0;
+    // A LimitKnowledge.
+    std::uint8_t limitKnowledge_ = 0;
 
-    MSGPACK_DEFINE(service_, number_, server_, address_, startTime_, revision_)
+    MSGPACK_DEFINE(service_, number_, server_, address_, startTime_, revision_, limitKnowledge_)
 };
 
 struct RejectionMessage
@@ -68,8 +70,10 @@
     std::uint64_t number_ = 0;
     std::uint8_t reason_ = 0;
     std::int64_t retryAfter_ = 0;
+    // The server whose limit is the reason; empty for other reasons.
+    std::string limitedServer_;
 
-    MSGPACK_DEFINE(number_, reason_, retryAfter_)
+    MSGPACK_DEFINE(number_, reason_, retryAfter_, limitedServer_)
 };
 
 // The sender no longer needs a placement for the request.
@@ -82,7 +86,7 @@
 };
 
 // Finishes a placement and reports its outcome. The load fields are valid only if `hasLoad_` is set. The server is named only if there is
-// something to say about further requests to it.
+// something to say about further requests to it. A message with the number 0 finishes nothing and only reports the server's limit.
 struct FinishMessage
 {
     std::string service_;
@@ -99,9 +103,29 @@
     bool isServerLeaving_ = false;
     // Microseconds for which the server wants no requests from the sender.
     std::int64_t heldBackFor_ = 0;
-
-    MSGPACK_DEFINE(
-        service_, number_, outcome_, duration_, hasLoad_, running_, waiting_, slots_, delayFactor_, server_, startTime_, isServerLeaving_, heldBackFor_)
+    // Requests per second that the server accepts; negative if it has named no limit.
+    double limit_ = -1;
+    // Microseconds since the sender heard the server name it.
+    std::int64_t limitAge_ = 0;
+    // The request was sent without a placement by the receiver.
+    bool isForeign_ = false;
+
+    MSGPACK_DEFINE(service_,
+                   number_,
+                   outcome_,
+                   duration_,
+                   hasLoad_,
+                   running_,
+                   waiting_,
+                   slots_,
+                   delayFactor_,
+                   server_,
+                   startTime_,
+                   isServerLeaving_,
+                   heldBackFor_,
+                   limit_,
+                   limitAge_,
+                   isForeign_)
 };
 
 // The sender still occupies a placement that a previous coordinator decided on.
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -16,6 +16,11 @@
 constexpr Duration DecisionInterval = 20ms;
 constexpr Duration RejectionRetryAfter = 100ms;
 
+LimitKnowledge toLimitKnowledge(std::uint8_t value)
+{
+    return value <= static_cast<std::uint8_t>(LimitKnowledge::Ended) ? static_cast<LimitKnowledge>(value) : LimitKnowledge::None;
+}
+
 } // namespace
 
 const char *placementSourceName(PlacementSource source)
@@ -178,6 +183,7 @@
                                               const std::shared_ptr<RequestControl> &control)
 {
     const TimePoint startedAt = bootNow();
+    reportLimits(service, link, startedAt);
     link->send(toMessage(service, request, startedAt));
     for (;;) {
         const TimePoint now = bootNow();
@@ -254,14 +260,63 @@
     }
     state->second.pool_->finish({instance_, place.number_}, report, now);
     if (!isCoordinating(service)) {
-        const auto *coordinator = view_.coordinator(service);
-        if (const auto link = coordinator == nullptr ? nullptr : network_.link(coordinator->member_.peerAddress_, now)) {
-            link->send(toMessage(service, place.number_, place.server(), report));
-        }
+        reportFinished(service, place, report, now);
+    } else if (place.source_ != PlacementSource::Coordinator && wasSent(report)) {
+        state->second.pool_->countForeignRequest(place.server(), now);
     }
     scheduleDecision(service);
 }
 
+void PlacementService::reportFinished(const std::string &service, const PlacementResult &place, const PlacementReport &report, TimePoint now)
+{
+    const auto *coordinator = view_.coordinator(service);
+    const auto link = coordinator == nullptr ? nullptr : network_.link(coordinator->member_.peerAddress_, now);
+    if (!link) {
+        return;
+    }
+    auto message = toMessage(service, place.number_, place.server(), report);
+    if (wasSent(report) && place.coordinator_.lock() != link) {
+        message.isForeign_ = true;
+        message.server_ = place.server_;
+        message.startTime_ = place.startTime_;
+    }
+    if (report.namedLimit_) {
+        limitReports_.record(place.server(), link, nextNumber_, now);
+    }
+    link->send(message);
+}
+
+void PlacementService::reportLimits(const std::string &service, const std::shared_ptr<PeerLink> &link, TimePoint now)
+{
+    for (const auto &[server, limit] : notices_->limits().entries()) {
+        const auto *description = view_.server(server.id_);
+        const bool isOfService = description != nullptr && description->service_ == service;
+        if (!isOfService || limitReports_.isTold(server, link, limit.namedAt_)) {
+            continue;
+        }
+        PlacementReport report;
+        report.namedLimit_ = limit.rate_;
+        report.limitAge_ = now - limit.namedAt_;
+        link->send(toMessage(service, 0, server, report));
+        // The request that is about to be sent follows the report.
+        limitReports_.record(server, link, nextNumber_ - 1, now);
+    }
+}
+
+bool PlacementService::mayExceedLimit(const PlacementResult &place, TimePoint now)
+{
+    const auto server = place.server();
+    if (notices_->limits().isEmpty() || notices_->limits().find(server) == nullptr || place.limit_ == LimitKnowledge::Counted) {
+        return false;
+    }
+    const bool hasEnded = place.limit_ == LimitKnowledge::Ended && limitReports_.wasToldBefore(server, place.coordinator_.lock(), place.number_);
+    if (hasEnded) {
+        notices_->limits().recordAbsent(server, now, now);
+        limitReports_.forget(server);
+    }
+    return !hasEnded;
+}
+
 void PlacementService::handlePlacementRequest(const std::shared_ptr<PeerLink> &link, const PlacementRequestMessage &message, TimePoint now)
 {
     const auto found = services_.find(message.service_);
@@ -292,6 +347,7 @@
 {
     recordReportedSigns(link->instance(), message, now);
     if (auto *known = pool(message.service_)) {
+        recordReportedLimit(message, known, known->placementOf({link->instance(), message.number_}), now);
         known->finish({link->instance(), message.number_}, toPlacementReport(message), now);
         scheduleDecision(message.service_);
     }
@@ -306,6 +362,22 @@
     notices_->holdBack(server, instance, Duration(message.heldBackFor_), now);
 }
 
+void PlacementService::recordReportedLimit(const FinishMessage &message, ServicePool *known, const std::optional<PlacedRequest> &placed, TimePoint now)
+{
+    const auto report = toPlacementReport(message);
+    const ServerIncarnation server{message.server_, message.startTime_};
+    if (report.namedLimit_) {
+        // An instance that was not asked for the placement cannot say when the request was sent.
+        const TimePoint sentAt = placed ? placed->placedAt_ : TimePoint();
+        notices_->limits().recordReported(server, *report.namedLimit_, now - report.limitAge_, sentAt, now);
+    } else if (placed && report.outcome_ == PlacementOutcome::Answered) {
+        notices_->limits().recordAbsent(placed->server_, placed->placedAt_, now);
+    }
+    if (message.isForeign_) {
+        known->countForeignRequest(server, now);
+    }
+}
+
 void PlacementService::handleHeldPlacement(const std::shared_ptr<PeerLink> &link, const HeldPlacementMessage &message, TimePoint now)
 {
     if (auto *known = pool(message.service_)) {
@@ -354,6 +426,8 @@
     result.address_ = message.address_;
     result.startTime_ = message.startTime_;
     result.revision_ = message.revision_;
+    result.limit_ = toLimitKnowledge(message.limitKnowledge_);
+    result.coordinator_ = link;
     result.source_ = PlacementSource::RemoteCoordinator;
     resolve(message.number_, result);
 }
@@ -361,8 +435,10 @@
 void PlacementService::handleRejection(const RejectionMessage &message)
 {
     PlacementResult result;
-    result.reason_ = message.reason_ <= static_cast<std::uint8_t>(RejectReason::HeldBack) ? static_cast<RejectReason>(message.reason_) : RejectReason::NoServer;
+    result.reason_ =
+        message.reason_ <= static_cast<std::uint8_t>(RejectReason::ServerLimit) ? static_cast<RejectReason>(message.reason_) : RejectReason::NoServer;
     result.retryAfter_ = Duration(message.retryAfter_);
+    result.limitedServer_ = message.limitedServer_;
     result.source_ = PlacementSource::RemoteCoordinator;
     resolve(message.number_, result);
 }
@@ -445,6 +521,7 @@
         result.address_ = address;
         result.startTime_ = startTime;
         result.revision_ = view_.at();
+        result.limit_ = placed.limit_;
         result.source_ = isCoordinating(state.pool_->service().name_) ? PlacementSource::Coordinator : PlacementSource::Local;
         if (!pending_.contains(placed.id_.number_)) {
             state.pool_->finish(placed.id_, PlacementReport(), now);
@@ -455,7 +532,8 @@
     const auto requester = state.requesters_.find(placed.id_.instance_);
     const auto link = requester == state.requesters_.end() ? nullptr : requester->second.lock();
     if (link) {
-        link->send(PlacementMessage{state.pool_->service().name_, placed.id_.number_, placed.server_, address, startTime, view_.at()});
+        link->send(PlacementMessage{
+            state.pool_->service().name_, placed.id_.number_, placed.server_, address, startTime, view_.at(), static_cast<std::uint8_t>(placed.limit_)});
     } else {
         state.pool_->finish(placed.id_, PlacementReport(), now);
     }
@@ -467,13 +545,14 @@
         PlacementResult result;
         result.reason_ = rejected.reason_;
         result.retryAfter_ = rejected.retryAfter_;
+        result.limitedServer_ = rejected.limitedServer_;
         result.source_ = isCoordinating(state.pool_->service().name_) ? PlacementSource::Coordinator : PlacementSource::Local;
         resolve(rejected.id_.number_, result);
         return;
     }
     const auto requester = state.requesters_.find(rejected.id_.instance_);
     if (const auto link = requester == state.requesters_.end() ? nullptr : requester->second.lock()) {
-        link->send(RejectionMessage{rejected.id_.number_, static_cast<std::uint8_t>(rejected.reason_), rejected.retryAfter_.count()});
+        link->send(RejectionMessage{rejected.id_.number_, static_cast<std::uint8_t>(rejected.reason_), rejected.retryAfter_.count(), rejected.limitedServer_});
     }
 }
 
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -232,7 +232,7 @@
     return request;
 }
 
-SendDecision RequestFlow::decideSend(const PlacementResult &place, TimePoint now) const
+SendDecision RequestFlow::decideSend(const PlacementResult &place, TimePoint now)
 {
     const auto *server = view_.server(place.server_);
     const bool isEvacuated = server != nullptr && view_.evacuatedDomains().contains(server->domain_);
@@ -242,6 +242,9 @@
     if (decision.isAllowed() && server == nullptr && isNewerView) {
         return {SendVerdict::Leaving, LeavingNotice{LeavingReason::Removed, NoticeSource::Read, now, now, view_.at()}, {}};
     }
+    if (decision.isAllowed() && placement_.mayExceedLimit(place, now)) {
+        return {SendVerdict::LimitUnknown, std::nullopt, {}};
+    }
     return decision;
 }
 
@@ -251,6 +254,10 @@
     // A removed entry may only have expired during a store outage, so the coordinator has to learn of that from the store.
     report.isServerLeaving_ = decision.notice_ && decision.notice_->reason_ != LeavingReason::Removed;
     report.heldBackFor_ = decision.verdict_ == SendVerdict::HeldBack ? decision.heldBackUntil_ - now : Duration::zero();
+    if (const auto *limit = announcements_.limitOf(place.server())) {
+        report.namedLimit_ = limit->rate_;
+        report.limitAge_ = now - limit->namedAt_;
+    }
     placement_.release(progress.service_, place, report, now);
     progress.withheldFrom_.push_back(place.server_);
     progress.lastFailure_ = sendVerdictName(decision.verdict_);
@@ -301,6 +308,7 @@
         }
         report.isServerLeaving_ = announcement.isLeaving_;
         report.heldBackFor_ = announcement.retryAfter_.value_or(Duration::zero());
+        report.namedLimit_ = announcement.limit_;
     }
     if (const auto decision = announcements_.decide(place.server(), false, now); decision.notice_) {
         report_.leavingServerResponded(progress, place, *decision.notice_, startedAt, now);
@@ -353,6 +361,7 @@
     if (progress.mayHaveRun_) {
         return answerFailed(progress, now);
     }
+    progress.limitedServer_ = place.limitedServer_;
     report_.ended(progress, 503, rejectReasonName(place.reason_), now);
     metrics_.increment("goldcrestwall_rejected_total", {{"service", progress.service_}, {"reason", rejectReasonName(place.reason_)}});
     return makeResponse(progress, 503, place.retryAfter_);
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -41,7 +41,7 @@
     std::optional<HttpResponse> checkRoute(const HttpRequest &request, RequestProgress &progress, TimePoint now);
     Task<NextStep> attempt(const HttpRequest &request, RequestProgress &progress, const PlacementResult &place);
     // Whether the request may be sent to the server of its placement. Whoever chose the server may have known less than this instance.
-    SendDecision decideSend(const PlacementResult &place, TimePoint now) const;
+    SendDecision decideSend(const PlacementResult &place, TimePoint now);
     // Gives up a placement at a server that gets no requests, and tells the coordinator why.
     void withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now);
     PlacementRequest makePlacementRequest(const RequestProgress &progress) const;
--- a/Libraries/LibGateway/RequestProgress.h
+++ b/Libraries/LibGateway/RequestProgress.h
@@ -21,6 +21,8 @@
     std::vector<std::string> servers_;
     // Servers that the request was kept from.
     std::vector<std::string> withheldFrom_;
+    // The server whose limit was the reason for a rejection.
+    std::string limitedServer_;
     std::uint32_t sends_ = 0;
     std::uint32_t replacements_ = 0;
     bool mayHaveRun_ = false;
--- a/Libraries/LibGateway/RequestReport.cpp
+++ b/Libraries/LibGateway/RequestReport.cpp
@@ -30,6 +30,9 @@
     if (!progress.servers_.empty()) {
         line.add("server", progress.servers_.back());
     }
+    if (!progress.limitedServer_.empty()) {
+        line.add("limitedServer", progress.limitedServer_);
+    }
     const bool isSuccess = status >= 200 && status < 300;
     log_.write(line, isSuccess ? LogImportance::Sampled : LogImportance::Kept, now);
 }
--- a/Libraries/LibPlacement/Placement.cpp
+++ b/Libraries/LibPlacement/Placement.cpp
@@ -1,4 +1,4 @@
-// Names of the reasons for rejections.
+// Names of the reasons for rejections, and what reports say.
 #include "Placement.h"
 
 namespace Goldcrestwall::Gateway {
@@ -16,8 +16,15 @@
         return "no-owner";
     case RejectReason::HeldBack:
         return "held-back";
+    case RejectReason::ServerLimit:
+        return "server-limit";
     }
     return "unknown";
 }
 
+bool wasSent(const PlacementReport &report)
+{
+    return report.outcome_ != PlacementOutcome::Unreachable && report.duration_ > Duration::zero();
+}
+
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/Placement.h
+++ b/Libraries/LibPlacement/Placement.h
@@ -4,6 +4,8 @@
 #include <LibPlacement/ShardAssignment.h>
 #include <LibPlacement/WorkEstimator.h>
 
+#include <LibTopology/LibTopology.h>
+
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -65,15 +67,28 @@
     NoOwner,
     // Every server that could run the request has asked the instance to send nothing for a while.
     HeldBack,
+    // The only server that could run the request accepts no more requests per second.
+    ServerLimit,
 };
 
 const char *rejectReasonName(RejectReason reason);
 
+// What whoever places a request knows of a limit that the chosen server has named.
+enum class LimitKnowledge : std::uint8_t {
+    // Of no limit.
+    None,
+    // The placement was counted against the limit.
+    Counted,
+    // The server has named a limit and names it no more.
+    Ended,
+};
+
 // Permission to send a request to a server now.
 struct Placement
 {
     PlacementId id_;
     std::string server_;
+    LimitKnowledge limit_ = LimitKnowledge::None;
 
     auto operator<=>(const Placement &) const = default;
 };
@@ -85,6 +100,8 @@
     RejectReason reason_ = RejectReason::NoServer;
     // Estimated time until a slot is free.
     Duration retryAfter_ = Duration::zero();
+    // The server whose limit is the reason; empty for other reasons.
+    std::string limitedServer_ = {};
 
     auto operator<=>(const Rejection &) const = default;
 };
@@ -111,6 +128,15 @@
     Abandoned,
 };
 
+// A request that a server has been given.
+struct PlacedRequest
+{
+    ServerIncarnation server_;
+    TimePoint placedAt_;
+
+    auto operator<=>(const PlacedRequest &) const = default;
+};
+
 // What the instance that held the placement observed.
 struct PlacementReport
 {
@@ -121,8 +147,14 @@
     bool isServerLeaving_ = false;
     // How long the server wants no requests from the instance; zero if it has not said so.
     Duration heldBackFor_ = Duration::zero();
+    // The limit that the server has named, in requests per second, and how long ago it last did.
+    std::optional<double> namedLimit_;
+    Duration limitAge_ = Duration::zero();
 
     auto operator<=>(const PlacementReport &) const = default;
 };
 
+// Whether the request reached the server, as far as the instance knows.
+bool wasSent(const PlacementReport &report);
+
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/PoolServer.cpp
+++ b/Libraries/LibPlacement/PoolServer.cpp
@@ -45,6 +45,58 @@
     return isSuspect(now) || now < coldUntil_;
 }
 
+void PoolServer::setLimitAllowance(const std::optional<RateAllowance> &allowance, TimePoint now)
+{
+    if (!allowance) {
+        limitRate_.reset();
+        return;
+    }
+    if (!limitRate_) {
+        limitRate_.emplace();
+    }
+    if (limitRate_->allowance() != *allowance) {
+        limitRate_->setAllowance(*allowance, now);
+    }
+}
+
+TimePoint PoolServer::nextRequestAt(TimePoint now, std::mt19937_64 &random)
+{
+    TimePoint next = now;
+    if (isCold(now) && hasWarmupRate_) {
+        next = std::max(next, warmupLimiter_.nextTokenAt(now));
+    }
+    if (limitRate_) {
+        next = std::max(next, limitRate_->nextAt(now, random));
+    }
+    return next;
+}
+
+Duration PoolServer::requestInterval(TimePoint now) const
+{
+    Duration interval = limitRate_ ? limitRate_->interval() : Duration::zero();
+    if (isCold(now) && hasWarmupRate_) {
+        interval = std::max(interval, warmupLimiter_.interval());
+    }
+    return interval;
+}
+
+void PoolServer::countRequest(TimePoint now)
+{
+    if (isCold(now)) {
+        warmupLimiter_.take(now);
+    }
+    if (limitRate_) {
+        limitRate_->take(now);
+    }
+}
+
+void PoolServer::uncountRequest(TimePoint now)
+{
+    if (limitRate_) {
+        limitRate_->giveBack(now);
+    }
+}
+
 Duration PoolServer::failurePenalty(TimePoint now) const
 {
     const double age = std::chrono::duration<double>(now - failedAt_).count();
--- a/Libraries/LibPlacement/PoolServer.h
+++ b/Libraries/LibPlacement/PoolServer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibPlacement/Placement.h>
+#include <LibPlacement/ServerLimits.h>
 #include <LibPlacement/WarmupRateLimiter.h>
 
 #include <LibTopology/LibTopology.h>
@@ -30,6 +31,8 @@
     std::string workKind_;
     TimePoint startedAt_;
     Duration expected_ = Duration::zero();
+    // It was counted against the server's rates.
+    bool isCounted_ = false;
 };
 
 // What a pool knows of one run of a server.
@@ -38,6 +41,10 @@
     PoolServerInput input_;
     ServerSpeed speed_;
     WarmupRateLimiter warmupLimiter_;
+    // The service's servers bear only a rate of requests while they are cold.
+    bool hasWarmupRate_ = false;
+    // Requests counted against the limit that the server names, if it does.
+    std::optional<SharedRate> limitRate_;
     TimePoint coldUntil_;
     // Whether a request was ever placed on this server.
     bool hasReceivedRequest_ = false;
@@ -63,6 +70,16 @@
     // Whether the server is suspect for so long that it may hold no keys.
     bool isSuspectTooLong(TimePoint now) const;
     bool isCold(TimePoint now) const;
+    // Sets or ends the limit; `allowance` is what the pool may use of it.
+    void setLimitAllowance(const std::optional<RateAllowance> &allowance, TimePoint now);
+    // The earliest time at which the rates of the server allow a request.
+    TimePoint nextRequestAt(TimePoint now, std::mt19937_64 &random);
+    // Pause between requests that the rates of the server demand; zero if none is in force.
+    Duration requestInterval(TimePoint now) const;
+    // Counts a request that is sent now, or that another instance has sent.
+    void countRequest(TimePoint now);
+    // Takes back a counted request that was not sent after all.
+    void uncountRequest(TimePoint now);
     // Penalty on the expected completion of a request, for recent failures.
     Duration failurePenalty(TimePoint now) const;
     void recordLoad(const ReportedLoad &load, TimePoint now);
--- a/Libraries/LibPlacement/ServerLimits.cpp
+++ b/Libraries/LibPlacement/ServerLimits.cpp
@@ -9,14 +9,43 @@
 
 // Far more servers than are in need at the same time.
 constexpr std::size_t MaxLimits = 4000;
+// Fraction of a limit that an instance uses which places requests for all. Two may do so for a while.
+constexpr double CoordinatorFraction = 0.7;
+// Fraction that all instances together use which decide alone.
+constexpr double AloneFraction = 0.1;
+// Requests per second that are sent however low the limit is: without any, its end would not be noticed.
+constexpr double MinRate = 0.25;
+constexpr double MinBurst = 1;
+constexpr double MaxBurst = 2;
+
+template<typename Map, typename Projection>
+void forgetOldest(Map &entries, Projection timeOf)
+{
+    if (entries.size() > MaxLimits) {
+        entries.erase(std::ranges::min_element(entries, {}, timeOf));
+    }
+}
 
 } // namespace
 
+RateAllowance allowanceOf(double limit, RatePart part, std::size_t instanceCount)
+{
+    const double rate = std::max(limit * CoordinatorFraction, MinRate);
+    if (part == RatePart::Whole) {
+        return {rate, std::clamp(rate, MinBurst, MaxBurst), part};
+    }
+    const double alone = std::max(limit, MinRate) * AloneFraction;
+    return {alone / static_cast<double>(std::max<std::size_t>(1, instanceCount)), MinBurst, part};
+}
+
 void ServerLimits::recordNamed(const ServerIncarnation &server, double rate, NoticeSource source, TimePoint sentAt, TimePoint now)
 {
+    ended_.erase(server);
     const auto [entry, isNew] = limits_.try_emplace(server, ServerLimit{rate, source, now, now, now});
     if (isNew) {
-        forgetOldest();
+        forgetOldest(limits_, [](const auto &known) {
+            return known.second.namedAt_;
+        });
         report({server, std::nullopt, ServerLimit{rate, source, now, now, now}}, now);
         return;
     }
@@ -39,22 +68,25 @@
     }
     const LimitChange change{server, known->second, std::nullopt};
     limits_.erase(known);
+    ended_[server] = sentAt;
+    forgetOldest(ended_, [](const auto &entry) {
+        return entry.second;
+    });
     report(change, now);
 }
 
-const ServerLimit *ServerLimits::find(const ServerIncarnation &server) const
+void ServerLimits::recordReported(const ServerIncarnation &server, double rate, TimePoint heardAt, TimePoint sentAt, TimePoint now)
 {
-    const auto found = limits_.find(server);
-    return found == limits_.end() ? nullptr : &found->second;
+    const auto ended = ended_.find(server);
+    if (ended == ended_.end() || heardAt > ended->second) {
+        recordNamed(server, rate, NoticeSource::Peer, sentAt, now);
+    }
 }
 
-void ServerLimits::forgetOldest()
+const ServerLimit *ServerLimits::find(const ServerIncarnation &server) const
 {
-    if (limits_.size() > MaxLimits) {
-        limits_.erase(std::ranges::min_element(limits_, {}, [](const auto &entry) {
-            return entry.second.namedAt_;
-        }));
-    }
+    const auto found = limits_.find(server);
+    return found == limits_.end() ? nullptr : &found->second;
 }
 
 void ServerLimits::report(const LimitChange &change, TimePoint now) const
--- a/Libraries/LibPlacement/ServerLimits.h
+++ b/Libraries/LibPlacement/ServerLimits.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibPlacement/NoticeSource.h>
+#include <LibPlacement/SharedRate.h>
 
 #include <LibTopology/LibTopology.h>
 
@@ -12,6 +13,9 @@
 
 namespace Goldcrestwall::Gateway {
 
+// No server handles more requests per second; a higher limit is taken to be an error.
+inline constexpr double MaxServerLimit = 1e6;
+
 // The limit that one run of a server has named.
 struct ServerLimit
 {
@@ -29,6 +33,10 @@
     auto operator<=>(const ServerLimit &) const = default;
 };
 
+// Returns what one of `instanceCount` instances may send of the requests that a limit allows. Two instances that count for all at the same
+// time, each without knowing of the other, together with all that decide alone, stay within one and a half times the limit.
+RateAllowance allowanceOf(double limit, RatePart part, std::size_t instanceCount);
+
 // A change of the limit of one run of a server. Without a new limit, the old one has ended.
 struct LimitChange
 {
@@ -57,8 +65,16 @@
     void recordNamed(const ServerIncarnation &server, double rate, NoticeSource source, TimePoint sentAt, TimePoint now);
     // A response to a request sent at `sentAt` named no limit.
     void recordAbsent(const ServerIncarnation &server, TimePoint sentAt, TimePoint now);
+    // Another instance has heard the server name a limit at `heardAt`, in a response to a request sent at `sentAt`. Ignored if a later
+    // request was answered without one.
+    void recordReported(const ServerIncarnation &server, double rate, TimePoint heardAt, TimePoint sentAt, TimePoint now);
     // The limit in force, or null.
     const ServerLimit *find(const ServerIncarnation &server) const;
+    // Whether the server has named a limit and names it no more.
+    bool hasEnded(const ServerIncarnation &server) const
+    {
+        return ended_.contains(server);
+    }
     bool isEmpty() const
     {
         return limits_.empty();
@@ -69,11 +85,12 @@
     }
 
 private:
-    void forgetOldest();
     void report(const LimitChange &change, TimePoint now) const;
 
     ChangeHandler handler_;
     std::map<ServerIncarnation, ServerLimit> limits_;
+    // When the request was sent whose response ended the limit of a server.
+    std::map<ServerIncarnation, TimePoint> ended_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/ServerNotices.cpp
+++ b/Libraries/LibPlacement/ServerNotices.cpp
@@ -56,6 +56,8 @@
         return "evacuated";
     case SendVerdict::HeldBack:
         return "held-back";
+    case SendVerdict::LimitUnknown:
+        return "limit-unknown";
     }
     return "unknown";
 }
--- a/Libraries/LibPlacement/ServerNotices.h
+++ b/Libraries/LibPlacement/ServerNotices.h
@@ -66,6 +66,8 @@
     Evacuated,
     // The server has asked the sender for no requests until a time.
     HeldBack,
+    // The server has named a limit of which whoever chose it did not know.
+    LimitUnknown,
 };
 
 const char *sendVerdictName(SendVerdict verdict);
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -30,6 +30,7 @@
 constexpr std::size_t MinServersForReserve = 4;
 constexpr Duration MinRetryAfter = 50ms;
 constexpr Duration MaxRetryAfter = 1s;
+constexpr double KeyedWorkLearningRate = 0.02;
 // Fraction of the warm-up rate that instances without a coordinator use; it is divided by their number.
 constexpr double LocalScopeFraction = 0.5;
 
@@ -62,6 +63,24 @@
     }
 }
 
+void ServicePool::updateLimits(TimePoint now)
+{
+    const auto &limits = notices_->limits();
+    const auto part = scope_ == PoolScope::Shared ? RatePart::Whole : RatePart::Fraction;
+    for (auto &[id, server] : servers_) {
+        const auto *limit = limits.isEmpty() ? nullptr : limits.find(server.input_.description_.incarnation());
+        server.setLimitAllowance(limit == nullptr ? std::nullopt : std::make_optional(allowanceOf(limit->rate_, part, instanceCount_)), now);
+    }
+}
+
+LimitKnowledge ServicePool::limitKnowledge(const PoolServer &server) const
+{
+    if (server.limitRate_) {
+        return LimitKnowledge::Counted;
+    }
+    return notices_->limits().hasEnded(server.input_.description_.incarnation()) ? LimitKnowledge::Ended : LimitKnowledge::None;
+}
+
 void ServicePool::setServers(const std::vector<PoolServerInput> &servers, TimePoint now)
 {
     std::map<std::string, PoolServer> next;
@@ -82,6 +101,7 @@
         }
         server.input_ = input;
         server.warmupLimiter_.setRate(service_.warmupRate_ * budgetShare(), now);
+        server.hasWarmupRate_ = service_.warmup_ > Duration::zero();
         next.emplace(id, std::move(server));
     }
     servers_ = std::move(next);
@@ -106,6 +126,10 @@
         topPriority_ = request.priority_;
         topPriorityQueuedAt_ = now;
     }
+    if (request.key_) {
+        const double work = std::chrono::duration<double>(typicalWork(request)).count();
+        keyedWorkSeconds_ = keyedWorkSeconds_ == 0 ? work : keyedWorkSeconds_ + KeyedWorkLearningRate * (work - keyedWorkSeconds_);
+    }
     waiting_.push_back(std::move(request));
 }
 
@@ -138,6 +162,9 @@
         return;
     }
     const std::string workKind = running->workKind_;
+    if (running->isCounted_ && !wasSent(report)) {
+        server.uncountRequest(now);
+    }
     server.running_.erase(running);
     learn(server, workKind, report, now);
 }
@@ -152,6 +179,43 @@
     found->second.running_.push_back({id, workKind, now, estimator_.typicalWork(workKind, 50ms)});
 }
 
+std::optional<PlacedRequest> ServicePool::placementOf(const PlacementId &id) const
+{
+    const auto place = serverOfPlacement_.find(id);
+    const auto server = place == serverOfPlacement_.end() ? servers_.end() : servers_.find(place->second);
+    if (server == servers_.end()) {
+        return std::nullopt;
+    }
+    const auto running = std::ranges::find(server->second.running_, id, &RunningRequest::id_);
+    if (running == server->second.running_.end()) {
+        return std::nullopt;
+    }
+    return PlacedRequest{server->second.input_.description_.incarnation(), running->startedAt_};
+}
+
+void ServicePool::countForeignRequest(const ServerIncarnation &server, TimePoint now)
+{
+    const auto found = servers_.find(server.id_);
+    if (found != servers_.end() && found->second.input_.description_.incarnation() == server) {
+        found->second.countRequest(now);
+    }
+}
+
+bool ServicePool::tryCountHealthCheck(const std::string &server, TimePoint now)
+{
+    updateLimits(now);
+    const auto found = servers_.find(server);
+    if (found == servers_.end() || !found->second.limitRate_) {
+        return true;
+    }
+    auto &rate = *found->second.limitRate_;
+    if (rate.nextAt(now, random_) > now) {
+        return false;
+    }
+    rate.take(now);
+    return true;
+}
+
 void ServicePool::removeInstance(const std::string &instance)
 {
     std::erase_if(waiting_, [&instance](const PlacementRequest &request) {
@@ -244,6 +308,7 @@
 
 std::vector<ServicePool::SlotForecast> ServicePool::forecastSlots(TimePoint now)
 {
+    updateLimits(now);
     std::vector<SlotForecast> forecasts;
     forecasts.reserve(servers_.size());
     for (auto &[id, server] : servers_) {
@@ -269,10 +334,8 @@
             forecast.slots_.erase(forecast.slots_.begin(), forecast.slots_.end() - static_cast<std::ptrdiff_t>(slots));
         }
         forecast.slots_.insert(forecast.slots_.begin(), slots - forecast.slots_.size(), now);
-        forecast.earliest_ = std::max(now, server.backoffUntil_);
-        if (server.isCold(now) && service_.warmup_ > Duration::zero()) {
-            forecast.earliest_ = std::max(forecast.earliest_, server.warmupLimiter_.nextTokenAt(now));
-        }
+        forecast.earliest_ = std::max(server.backoffUntil_, server.nextRequestAt(now, random_));
+        forecast.interval_ = server.requestInterval(now);
         server.forecast_ = forecasts.size();
         forecasts.push_back(std::move(forecast));
     }
@@ -350,7 +413,7 @@
 
 std::optional<ServicePool::Candidate> ServicePool::chooseServer(const PlacementRequest &request, std::vector<SlotForecast> &forecasts, TimePoint now)
 {
-    if (service_.isSharded_ && request.key_) {
+    if (isBoundToHolder(request)) {
         const auto *holder = holderOf(request);
         if (holder == nullptr || !holder->forecast_ || isHeldBack(*holder, request, now)) {
             return std::nullopt;
@@ -370,12 +433,25 @@
     return best;
 }
 
+Rejection ServicePool::rejectLate(const PlacementRequest &request, const Candidate &candidate, TimePoint now)
+{
+    const auto &server = *candidate.forecast_->server_;
+    const Duration wait = std::max<Duration>(candidate.startAt_ - now, MinRetryAfter);
+    if (!server.limitRate_) {
+        const Duration bounded = std::min(wait, MaxRetryAfter);
+        return {request.id_, RejectReason::Overload, bounded + jitter(bounded / 2)};
+    }
+    // A coordinator allows more than an instance that decides alone, which soon asks it again.
+    const Duration untilAllowed = scope_ == PoolScope::Shared ? wait : std::min(wait, MaxRetryAfter);
+    return {request.id_, RejectReason::ServerLimit, untilAllowed + jitter(MinRetryAfter), server.input_.description_.id_};
+}
+
 Rejection ServicePool::rejectUnplaceable(const PlacementRequest &request, const std::vector<SlotForecast> &forecasts, TimePoint now)
 {
     const auto *holder = holderOf(request);
     std::optional<TimePoint> earliest;
     for (const auto &forecast : forecasts) {
-        const bool mayRun = !service_.isSharded_ || !request.key_ || forecast.server_ == holder;
+        const bool mayRun = !isBoundToHolder(request) || forecast.server_ == holder;
         if (mayRun && isHeldBack(*forecast.server_, request, now)) {
             const auto until = notices_->heldBackUntil(forecast.server_->input_.description_.incarnation(), request.id_.instance_);
             earliest = std::min(earliest.value_or(until), until);
@@ -413,13 +489,11 @@
 {
     auto &server = *candidate.forecast_->server_;
     server.hasReceivedRequest_ = true;
-    if (server.isCold(now)) {
-        server.warmupLimiter_.take(now);
-    }
+    server.countRequest(now);
     const auto &id = server.input_.description_.id_;
-    server.running_.push_back({request.id_, request.workKind_, now, candidate.endAt_ - candidate.startAt_});
+    server.running_.push_back({request.id_, request.workKind_, now, candidate.endAt_ - candidate.startAt_, true});
     serverOfPlacement_[request.id_] = id;
-    decisions.placements_.push_back({request.id_, id});
+    decisions.placements_.push_back({request.id_, id, limitKnowledge(server)});
 }
 
 PlacementDecisions ServicePool::decide(TimePoint now)
@@ -450,8 +524,7 @@
         }
         const Duration work = candidate->endAt_ - candidate->startAt_;
         if (candidate->endAt_ - scaled(work, DeadlineToleranceFraction) > request.deadline_) {
-            const Duration wait = std::clamp(candidate->startAt_ - now, MinRetryAfter, MaxRetryAfter);
-            decisions.rejections_.push_back({request.id_, RejectReason::Overload, wait + jitter(wait / 2)});
+            decisions.rejections_.push_back(rejectLate(request, *candidate, now));
             continue;
         }
         const bool isFree = candidate->startAt_ <= now;
@@ -465,10 +538,8 @@
         auto &forecast = *candidate->forecast_;
         forecast.slots_.front() = candidate->endAt_;
         std::ranges::sort(forecast.slots_);
-        if (forecast.server_->isCold(now) && service_.warmup_ > Duration::zero()) {
-            forecast.earliest_ = isFree
-                ? forecast.server_->warmupLimiter_.nextTokenAt(now)
-                : candidate->startAt_ + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / (service_.warmupRate_ * budgetShare())));
+        if (forecast.interval_ > Duration::zero()) {
+            forecast.earliest_ = isFree ? forecast.server_->nextRequestAt(now, random_) : candidate->startAt_ + forecast.interval_;
         }
         if (!isFree) {
             remaining.push_back(std::move(request));
@@ -495,12 +566,12 @@
     std::vector<ServerLoadView> views;
     for (const auto &[id, server] : servers_) {
         const auto &description = server.input_.description_;
-        views.push_back({id,
-                         description.startTime_,
-                         description.slots_,
-                         server.speed_.typicalFactor(),
-                         server.isCold(now),
-                         isUsable(server, now) && !server.isSuspectTooLong(now)});
+        const bool isEligible = isUsable(server, now) && !server.isSuspectTooLong(now);
+        ServerLoadView view{id, description.startTime_, description.slots_, server.speed_.typicalFactor(), server.isCold(now), isEligible};
+        if (server.limitRate_ && keyedWorkSeconds_ > 0) {
+            view.limitedSlots_ = server.limitRate_->allowance().rate_ * keyedWorkSeconds_;
+        }
+        views.push_back(std::move(view));
     }
     return views;
 }
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -56,6 +56,12 @@
     void restorePlacement(const PlacementId &id, const std::string &server, const std::string &workKind, TimePoint now);
     // Removes all queued requests and placements of an instance.
     void removeInstance(const std::string &instance);
+    // The server of a placement that has not finished, and when it was placed; nothing if it is not known.
+    std::optional<PlacedRequest> placementOf(const PlacementId &id) const;
+    // Another instance has sent a request to the server without asking this pool.
+    void countForeignRequest(const ServerIncarnation &server, TimePoint now);
+    // Whether a health check may be sent to the server now; it counts against the server's limit.
+    bool tryCountHealthCheck(const std::string &server, TimePoint now);
     // Learns from a finished request that another coordinator placed.
     void observe(const std::string &server, const std::string &workKind, const PlacementReport &report, TimePoint now);
     // Records a successful health check and the load that the server reported.
@@ -85,6 +91,8 @@
         PoolServer *server_ = nullptr;
         std::vector<TimePoint> slots_;
         TimePoint earliest_;
+        // Pause between requests that the server's rates demand; zero if there is none.
+        Duration interval_ = Duration::zero();
     };
 
     struct Candidate
@@ -109,6 +117,9 @@
     // Whether the server wants no requests from the instance that holds this request.
     bool isHeldBack(const PoolServer &server, const PlacementRequest &request, TimePoint now) const;
     double budgetShare() const;
+    // Makes the rates follow the limits that servers name.
+    void updateLimits(TimePoint now);
+    LimitKnowledge limitKnowledge(const PoolServer &server) const;
     Duration expectedWork(const PlacementRequest &request, const PoolServer &server, TimePoint begin, TimePoint now) const;
     void learn(PoolServer &server, const std::string &workKind, const PlacementReport &report, TimePoint now);
     std::vector<SlotForecast> forecastSlots(TimePoint now);
@@ -118,6 +129,8 @@
     auto rankOf(const PlacementRequest &request, double meanFactor, TimePoint now) const;
     void sortWaiting(TimePoint now);
     std::optional<Candidate> chooseServer(const PlacementRequest &request, std::vector<SlotForecast> &forecasts, TimePoint now);
+    // Makes the rejection of a request that would miss its deadline.
+    Rejection rejectLate(const PlacementRequest &request, const Candidate &candidate, TimePoint now);
     // Makes the rejection of a request for which there is no server.
     Rejection rejectUnplaceable(const PlacementRequest &request, const std::vector<SlotForecast> &forecasts, TimePoint now);
     Candidate evaluate(const PlacementRequest &request, SlotForecast &forecast, TimePoint now) const;
@@ -125,6 +138,11 @@
     void place(const PlacementRequest &request, Candidate &candidate, PlacementDecisions &decisions, TimePoint now);
     // When the holder of the request's key can serve it.
     TimePoint keyAvailableAt(const PlacementRequest &request, TimePoint now) const;
+    // Whether the request can only run at the holder of its key.
+    bool isBoundToHolder(const PlacementRequest &request) const
+    {
+        return service_.isSharded_ && request.key_.has_value();
+    }
     Duration jitter(Duration span);
 
     Service service_;
@@ -139,6 +157,8 @@
     std::vector<PendingRange> pendingRanges_;
     std::vector<PlacementRequest> waiting_;
     std::map<PlacementId, std::string> serverOfPlacement_;
+    // Smoothed service time of the requests for keys, in seconds on an average server.
+    double keyedWorkSeconds_ = 0;
     std::uint32_t topPriority_ = 0;
     TimePoint topPriorityQueuedAt_;
 };
--- a/Libraries/LibPlacement/ShardAssignment.h
+++ b/Libraries/LibPlacement/ShardAssignment.h
@@ -80,6 +80,8 @@
     bool isCold_ = false;
     // Whether the server may hold keys: ready and not in an evacuated failure domain.
     bool isEligible_ = true;
+    // Slots of an average server that it keeps busy at most while it names a limit.
+    std::optional<double> limitedSlots_ = {};
 
     auto operator<=>(const ServerLoadView &) const = default;
 };
--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -40,7 +40,8 @@
 
     double costOf(double load) const
     {
-        return load * view_->slowness_ * (view_->isCold_ ? ColdSlowness : 1) / view_->slots_;
+        const double cost = load * view_->slowness_ * (view_->isCold_ ? ColdSlowness : 1) / view_->slots_;
+        return view_->limitedSlots_ ? std::max(cost, load / *view_->limitedSlots_) : cost;
     }
 };
 
--- a/Libraries/LibPlacement/WarmupRateLimiter.h
+++ b/Libraries/LibPlacement/WarmupRateLimiter.h
@@ -34,6 +34,11 @@
         tokens_ -= 1;
     }
 
+    Duration interval() const
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / std::max(rate_, MinRate)));
+    }
+
     // Returns the earliest time at which the next request may be sent.
     TimePoint nextTokenAt(TimePoint now)
     {
