LibPlacement: Count a cold server's requests as those of a limited one

Each instance saved up to two requests for each server while a coordinator decided, and sent them when it began to decide alone. Requests sent without the coordinator were not debited.

SharedRate takes the place of WarmupRateLimiter: 0.75 of the rate at a coordinator, 0.25 divided among those that decide alone, saving nothing. The limits of servers use the same fractions now (0.7 and 0.1 before).

--- a/Libraries/LibPlacement/PoolServer.cpp
+++ b/Libraries/LibPlacement/PoolServer.cpp
@@ -20,6 +20,20 @@
 // A server that has been suspect for longer, without a successful health check, is not eligible to hold keys.
 constexpr Duration MaxSuspicion = 1s;
 
+void updateRate(std::optional<SharedRate> &rate, const std::optional<RateAllowance> &allowance, TimePoint now)
+{
+    if (!allowance) {
+        rate.reset();
+        return;
+    }
+    if (!rate) {
+        rate.emplace();
+    }
+    if (rate->allowance() != *allowance) {
+        rate->setAllowance(*allowance, now);
+    }
+}
+
 } // namespace
 
 bool PoolServer::isSuspect(TimePoint now) const
@@ -45,25 +59,21 @@
     return isSuspect(now) || now < coldUntil_;
 }
 
+void PoolServer::setWarmupAllowance(const std::optional<RateAllowance> &allowance, TimePoint now)
+{
+    updateRate(warmupRate_, allowance, now);
+}
+
 void PoolServer::setLimitAllowance(const std::optional<RateAllowance> &allowance, TimePoint now)
 {
-    if (!allowance) {
-        limitRate_.reset();
-        return;
-    }
-    if (!limitRate_) {
-        limitRate_.emplace();
-    }
-    if (limitRate_->allowance() != *allowance) {
-        limitRate_->setAllowance(*allowance, now);
-    }
+    updateRate(limitRate_, allowance, now);
 }
 
 TimePoint PoolServer::nextRequestAt(TimePoint now, std::mt19937_64 &random)
 {
     TimePoint next = now;
-    if (isCold(now) && hasWarmupRate_) {
-        next = std::max(next, warmupLimiter_.nextTokenAt(now));
+    if (isCold(now) && warmupRate_) {
+        next = std::max(next, warmupRate_->nextAt(now, random));
     }
     if (limitRate_) {
         next = std::max(next, limitRate_->nextAt(now, random));
@@ -74,16 +84,16 @@
 Duration PoolServer::requestInterval(TimePoint now) const
 {
     Duration interval = limitRate_ ? limitRate_->interval() : Duration::zero();
-    if (isCold(now) && hasWarmupRate_) {
-        interval = std::max(interval, warmupLimiter_.interval());
+    if (isCold(now) && warmupRate_) {
+        interval = std::max(interval, warmupRate_->interval());
     }
     return interval;
 }
 
 void PoolServer::countRequest(TimePoint now)
 {
-    if (isCold(now)) {
-        warmupLimiter_.take(now);
+    if (isCold(now) && warmupRate_) {
+        warmupRate_->take(now);
     }
     if (limitRate_) {
         limitRate_->take(now);
@@ -92,6 +102,9 @@
 
 void PoolServer::uncountRequest(TimePoint now)
 {
+    if (isCold(now) && warmupRate_) {
+        warmupRate_->giveBack(now);
+    }
     if (limitRate_) {
         limitRate_->giveBack(now);
     }
--- a/Libraries/LibPlacement/PoolServer.h
+++ b/Libraries/LibPlacement/PoolServer.h
@@ -3,7 +3,6 @@
 
 #include <LibPlacement/Placement.h>
 #include <LibPlacement/ServerLimits.h>
-#include <LibPlacement/WarmupRateLimiter.h>
 
 #include <LibTopology/LibTopology.h>
 
@@ -40,9 +39,8 @@
 {
     PoolServerInput input_;
     ServerSpeed speed_;
-    WarmupRateLimiter warmupLimiter_;
-    // The service's servers bear only a rate of requests while they are cold.
-    bool hasWarmupRate_ = false;
+    // Requests counted against the rate that the server bears while it is cold, if its service has one.
+    std::optional<SharedRate> warmupRate_;
     // Requests counted against the limit that the server names, if it does.
     std::optional<SharedRate> limitRate_;
     TimePoint coldUntil_;
@@ -70,7 +68,8 @@
     // Whether the server is suspect for so long that it may hold no keys.
     bool isSuspectTooLong(TimePoint now) const;
     bool isCold(TimePoint now) const;
-    // Sets or ends the limit; `allowance` is what the pool may use of it.
+    // Set or end a rate; `allowance` is what the pool may use of it.
+    void setWarmupAllowance(const std::optional<RateAllowance> &allowance, TimePoint now);
     void setLimitAllowance(const std::optional<RateAllowance> &allowance, TimePoint now);
     // The earliest time at which the rates of the server allow a request.
     TimePoint nextRequestAt(TimePoint now, std::mt19937_64 &random);
--- a/Libraries/LibPlacement/ServerLimits.cpp
+++ b/Libraries/LibPlacement/ServerLimits.cpp
@@ -9,14 +9,8 @@
 
 // Far more servers than are in need at the same time.
 constexpr std::size_t MaxLimits = 4000;
-// Fraction of a limit that an instance uses which places requests for all. Two may do so for a while.
-constexpr double CoordinatorFraction = 0.7;
-// Fraction that all instances together use which decide alone.
-constexpr double AloneFraction = 0.1;
-// Requests per second that are sent however low the limit is: without any, its end would not be noticed.
-constexpr double MinRate = 0.25;
-constexpr double MinBurst = 1;
-constexpr double MaxBurst = 2;
+// Requests per second that count as allowed however low the limit is: without any, its end would not be noticed.
+constexpr double MinLimit = 0.33;
 
 template<typename Map, typename Projection>
 void forgetOldest(Map &entries, Projection timeOf)
@@ -28,14 +22,9 @@
 
 } // namespace
 
-RateAllowance allowanceOf(double limit, RatePart part, std::size_t instanceCount)
+RateAllowance limitAllowance(double limit, RatePart part, std::size_t instanceCount)
 {
-    const double rate = std::max(limit * CoordinatorFraction, MinRate);
-    if (part == RatePart::Whole) {
-        return {rate, std::clamp(rate, MinBurst, MaxBurst), part};
-    }
-    const double alone = std::max(limit, MinRate) * AloneFraction;
-    return {alone / static_cast<double>(std::max<std::size_t>(1, instanceCount)), MinBurst, part};
+    return allowanceOf(std::max(limit, MinLimit), part, instanceCount);
 }
 
 void ServerLimits::recordNamed(const ServerIncarnation &server, double rate, NoticeSource source, TimePoint sentAt, TimePoint now)
--- a/Libraries/LibPlacement/ServerLimits.h
+++ b/Libraries/LibPlacement/ServerLimits.h
@@ -33,9 +33,8 @@
     auto operator<=>(const ServerLimit &) const = default;
 };
 
-// Returns what one of `instanceCount` instances may send of the requests that a limit allows. Two instances that count for all at the same
-// time, each without knowing of the other, together with all that decide alone, stay within one and a half times the limit.
-RateAllowance allowanceOf(double limit, RatePart part, std::size_t instanceCount);
+// Returns what one of `instanceCount` instances may send of the requests that a limit allows. A few are sent however low the limit is.
+RateAllowance limitAllowance(double limit, RatePart part, std::size_t instanceCount);
 
 // A change of the limit of one run of a server. Without a new limit, the old one has ended.
 struct LimitChange
--- a/Libraries/LibPlacement/ServicePool.cpp
+++ b/Libraries/LibPlacement/ServicePool.cpp
@@ -31,7 +31,7 @@
 constexpr Duration MinRetryAfter = 50ms;
 constexpr Duration MaxRetryAfter = 1s;
 constexpr double KeyedWorkLearningRate = 0.02;
-// Fraction of the warm-up rate that instances without a coordinator use; it is divided by their number.
+// Fraction of the retry budget that instances without a coordinator use; it is divided by their number.
 constexpr double LocalScopeFraction = 0.5;
 
 } // namespace
@@ -59,17 +59,27 @@
     scope_ = scope;
     instanceCount_ = instanceCount;
     for (auto &[id, server] : servers_) {
-        server.warmupLimiter_.setRate(service_.warmupRate_ * budgetShare(), now);
+        updateWarmupRate(server, now);
     }
 }
 
+RatePart ServicePool::ratePart() const
+{
+    return scope_ == PoolScope::Shared ? RatePart::Whole : RatePart::Fraction;
+}
+
+void ServicePool::updateWarmupRate(PoolServer &server, TimePoint now) const
+{
+    const bool hasRate = service_.warmup_ > Duration::zero();
+    server.setWarmupAllowance(hasRate ? std::make_optional(allowanceOf(service_.warmupRate_, ratePart(), instanceCount_)) : std::nullopt, now);
+}
+
 void ServicePool::updateLimits(TimePoint now)
 {
     const auto &limits = notices_->limits();
-    const auto part = scope_ == PoolScope::Shared ? RatePart::Whole : RatePart::Fraction;
     for (auto &[id, server] : servers_) {
         const auto *limit = limits.isEmpty() ? nullptr : limits.find(server.input_.description_.incarnation());
-        server.setLimitAllowance(limit == nullptr ? std::nullopt : std::make_optional(allowanceOf(limit->rate_, part, instanceCount_)), now);
+        server.setLimitAllowance(limit == nullptr ? std::nullopt : std::make_optional(limitAllowance(limit->rate_, ratePart(), instanceCount_)), now);
     }
 }
 
@@ -100,8 +110,7 @@
             server.coldUntil_ = std::max(server.coldUntil_, input.describedAt_ + input.description_.warmupLeft_);
         }
         server.input_ = input;
-        server.warmupLimiter_.setRate(service_.warmupRate_ * budgetShare(), now);
-        server.hasWarmupRate_ = service_.warmup_ > Duration::zero();
+        updateWarmupRate(server, now);
         next.emplace(id, std::move(server));
     }
     servers_ = std::move(next);
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -117,6 +117,8 @@
     // Whether the server wants no requests from the instance that holds this request.
     bool isHeldBack(const PoolServer &server, const PlacementRequest &request, TimePoint now) const;
     double budgetShare() const;
+    RatePart ratePart() const;
+    void updateWarmupRate(PoolServer &server, TimePoint now) const;
     // Makes the rates follow the limits that servers name.
     void updateLimits(TimePoint now);
     LimitKnowledge limitKnowledge(const PoolServer &server) const;
--- a/Libraries/LibPlacement/SharedRate.cpp
+++ b/Libraries/LibPlacement/SharedRate.cpp
@@ -8,9 +8,15 @@
 namespace {
 
 constexpr double MinRate = 0.001;
+// Fraction of a rate that an instance uses which counts for all. Two may do so for a while.
+constexpr double WholeFraction = 0.75;
+// Fraction that all instances together use which decide alone.
+constexpr double AloneFraction = 0.25;
+constexpr double MinBurst = 1;
+constexpr double MaxBurst = 2;
 // How long a request allowed to a fraction may still be sent.
 constexpr Duration DueLifetime = 500ms;
-// Sent requests beyond the rate for longer than this are forgotten.
+// Debits that it would take longer to make up for are forgotten.
 constexpr double MaxDebtSeconds = 4;
 
 Duration toDuration(double seconds)
@@ -20,6 +26,15 @@
 
 } // namespace
 
+RateAllowance allowanceOf(double rate, RatePart part, std::size_t instanceCount)
+{
+    if (part == RatePart::Whole) {
+        const double whole = rate * WholeFraction;
+        return {whole, std::clamp(whole, MinBurst, MaxBurst), part};
+    }
+    return {rate * AloneFraction / static_cast<double>(std::max<std::size_t>(1, instanceCount)), MinBurst, part};
+}
+
 Duration SharedRate::interval() const
 {
     return toDuration(1 / std::max(allowance_.rate_, MinRate));
--- a/Libraries/LibPlacement/SharedRate.h
+++ b/Libraries/LibPlacement/SharedRate.h
@@ -3,6 +3,7 @@
 
 #include <LibBase/LibBase.h>
 
+#include <cstddef>
 #include <random>
 
 namespace Goldcrestwall::Gateway {
@@ -27,6 +28,12 @@
     auto operator<=>(const RateAllowance &) const = default;
 };
 
+// Returns what one of `instanceCount` instances may use of a rate, in requests per second.
+//
+// Two instances that count for all at the same time, without knowing of each other, together stay within one and a half times the rate and
+// the requests that they have saved. So do one of them and all that decide alone.
+RateAllowance allowanceOf(double rate, RatePart part, std::size_t instanceCount);
+
 // Counts the requests that one instance sends, or places for all instances, against a rate.
 //
 // An instance that counts for all uses a token bucket. It starts empty, so that an instance that has just started to count does not add a
--- a/Tests/LibPlacement/TestLimitedServers.cpp
+++ b/Tests/LibPlacement/TestLimitedServers.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration Step = 10ms;
 constexpr Duration Window = 4s;
+constexpr Duration ColdWindow = 1s;
 
 TimePoint at(Duration sinceStart)
 {
@@ -89,13 +90,13 @@
         return found == arrivals_.end() ? 0 : found->second.size();
     }
 
-    // The most requests that a server got in any window.
-    std::size_t mostInWindow(const std::string &server) const
+    // The most requests that a server got in any window of that length.
+    std::size_t mostInWindow(const std::string &server, Duration window = Window) const
     {
         const auto found = arrivals_.find(server);
         std::size_t most = 0;
         for (std::size_t first = 0, last = 0; found != arrivals_.end() && last < found->second.size(); ++last) {
-            while (found->second[first] + Window <= found->second[last]) {
+            while (found->second[first] + window <= found->second[last]) {
                 ++first;
             }
             most = std::max(most, last - first + 1);
@@ -143,6 +144,20 @@
     return 1.5 * limit * std::chrono::duration<double>(Window).count() + 5;
 }
 
+// What a cold server may get in a second.
+double allowedWhileCold()
+{
+    return 1.5 * makeService(false).warmupRate_ + 5;
+}
+
+std::vector<PoolServerInput> makeColdServers(Duration warmupLeft, Duration describedAt)
+{
+    auto servers = makeServers(1);
+    servers[0].description_.warmupLeft_ = warmupLeft;
+    servers[0].describedAt_ = at(describedAt);
+    return servers;
+}
+
 } // namespace
 
 class TestLimitedServers : public CppUnit::TestFixture
@@ -153,6 +168,9 @@
     CPPUNIT_TEST(callersWhoReturnWhenToldAreServedByPriority);
     CPPUNIT_TEST(twoCoordinatorsStayWithinTheLimit);
     CPPUNIT_TEST(instancesThatBeginToDecideAloneTogetherStayWithinTheLimit);
+    CPPUNIT_TEST(coldServerOfInstancesThatBeginToDecideAloneTogether);
+    CPPUNIT_TEST(coldServerOfTwoCoordinators);
+    CPPUNIT_TEST(coldServerIsSparedForRequestsSentByOthers);
     CPPUNIT_TEST(newCoordinatorStartsWithoutSavedRequests);
     CPPUNIT_TEST(limitThatFallsToATenth);
     CPPUNIT_TEST(limitOfZeroLeavesATrickle);
@@ -260,6 +278,51 @@
         }
     }
 
+    void coldServerOfInstancesThatBeginToDecideAloneTogether()
+    {
+        std::vector<std::unique_ptr<Instance>> owners;
+        std::vector<Instance *> instances;
+        for (std::uint64_t i = 0; i < 10; ++i) {
+            owners.push_back(std::make_unique<Instance>(1, false, PoolScope::Local, 10, i + 1));
+            owners.back()->pool_.setServers(makeColdServers(30s, 20s), at(20s));
+            instances.push_back(owners.back().get());
+        }
+        Traffic traffic;
+        traffic.run(instances, 20s, 45s);
+        CPPUNIT_ASSERT(traffic.arrivals("s0") > 10);
+        CPPUNIT_ASSERT(static_cast<double>(traffic.mostInWindow("s0", ColdWindow)) <= allowedWhileCold());
+    }
+
+    void coldServerOfTwoCoordinators()
+    {
+        Instance one(1, false, PoolScope::Shared, 10, 1);
+        Instance other(1, false, PoolScope::Shared, 10, 2);
+        one.pool_.setServers(makeColdServers(30s, 20s), at(20s));
+        other.pool_.setServers(makeColdServers(30s, 20s), at(20s));
+        Traffic traffic;
+        traffic.run({&one, &other}, 20s, 45s);
+        CPPUNIT_ASSERT(traffic.arrivals("s0") > 100);
+        CPPUNIT_ASSERT(static_cast<double>(traffic.mostInWindow("s0", ColdWindow)) <= allowedWhileCold());
+    }
+
+    void coldServerIsSparedForRequestsSentByOthers()
+    {
+        Instance instance(1, false, PoolScope::Shared, 3);
+        instance.pool_.setServers(makeColdServers(30s, 20s), at(20s));
+        for (int i = 0; i < 7; ++i) {
+            instance.pool_.countForeignRequest(Limited, at(20s));
+        }
+        Traffic traffic;
+        traffic.run({&instance}, 20s, 21s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), traffic.arrivals("s0"));
+        // Requests of others are forgotten after some seconds, however many they were.
+        for (int i = 0; i < 1000; ++i) {
+            instance.pool_.countForeignRequest(Limited, at(21s));
+        }
+        traffic.run({&instance}, 21s, 30s);
+        CPPUNIT_ASSERT(traffic.arrivals("s0") > 5);
+    }
+
     void newCoordinatorStartsWithoutSavedRequests()
     {
         Instance before(1, true, PoolScope::Shared, 3);
--- a/Tests/LibPlacement/TestPlacementComponents.cpp
+++ b/Tests/LibPlacement/TestPlacementComponents.cpp
@@ -23,7 +23,9 @@
     CPPUNIT_TEST_SUITE(TestPlacementComponents);
     CPPUNIT_TEST(rotationKeepsWeightsExactly);
     CPPUNIT_TEST(rotationFollowsNewWeights);
-    CPPUNIT_TEST(warmupRateLimiterStartsEmpty);
+    CPPUNIT_TEST(sharedRateStartsEmpty);
+    CPPUNIT_TEST(savedRequestsOfASharedRateAreBounded);
+    CPPUNIT_TEST(fractionOfASharedRateSavesNothing);
     CPPUNIT_TEST(retryBudgetWindowSlides);
     CPPUNIT_TEST(dividedRetryBudgetStaysWithinTheTotal);
     CPPUNIT_TEST(workAndSpeedAreLearned);
@@ -59,15 +61,47 @@
         }
     }
 
-    void warmupRateLimiterStartsEmpty()
+    void sharedRateStartsEmpty()
     {
-        WarmupRateLimiter rate;
-        rate.setRate(5, at(0));
-        CPPUNIT_ASSERT(!rate.hasToken(at(0)));
-        CPPUNIT_ASSERT(rate.nextTokenAt(at(0)) > at(150));
-        CPPUNIT_ASSERT(rate.hasToken(at(250)));
+        std::mt19937_64 random(1);
+        SharedRate rate;
+        rate.setAllowance({5, 2, RatePart::Whole}, at(0));
+        CPPUNIT_ASSERT(rate.nextAt(at(0), random) > at(150));
+        CPPUNIT_ASSERT(rate.nextAt(at(250), random) == at(250));
         rate.take(at(250));
-        CPPUNIT_ASSERT(!rate.hasToken(at(250)));
+        CPPUNIT_ASSERT(rate.nextAt(at(250), random) > at(250));
+    }
+
+    void savedRequestsOfASharedRateAreBounded()
+    {
+        std::mt19937_64 random(1);
+        SharedRate rate;
+        rate.setAllowance({5, 2, RatePart::Whole}, at(0));
+        int sent = 0;
+        while (rate.nextAt(at(60'000), random) == at(60'000)) {
+            rate.take(at(60'000));
+            ++sent;
+        }
+        CPPUNIT_ASSERT_EQUAL(2, sent);
+        rate.giveBack(at(60'000));
+        CPPUNIT_ASSERT(rate.nextAt(at(60'000), random) == at(60'000));
+    }
+
+    void fractionOfASharedRateSavesNothing()
+    {
+        std::mt19937_64 random(1);
+        SharedRate rate;
+        rate.setAllowance({5, 1, RatePart::Fraction}, at(0));
+        int sent = 0;
+        for (int now = 0; now < 60'000; now += 10) {
+            // Asks in one second out of ten.
+            if (now % 10'000 < 1000 && rate.nextAt(at(now), random) == at(now)) {
+                rate.take(at(now));
+                ++sent;
+            }
+        }
+        CPPUNIT_ASSERT(sent >= 15);
+        CPPUNIT_ASSERT(sent <= 35);
     }
 
     void retryBudgetWindowSlides()
