--- a/Tests/Platform/TestDocuments.cpp
+++ b/Tests/Platform/TestDocuments.cpp
@@ -56,6 +56,9 @@
     CPPUNIT_TEST(unusableConfigurationsAreRefusedWithAReason);
     CPPUNIT_TEST(serverEntriesAreDecoded);
     CPPUNIT_TEST(unusableServerEntriesAreRefused);
+    CPPUNIT_TEST(addressesThatNameNoServerAreRefused);
+    CPPUNIT_TEST(numbersBeyondAnyMeaningAreRefused);
+    CPPUNIT_TEST(unusableAssignmentsAreRefused);
     CPPUNIT_TEST(settingsAreRead);
     CPPUNIT_TEST(invalidSettingsAreReported);
     CPPUNIT_TEST(changedBytesNeverCrash);
@@ -147,6 +150,87 @@
         }
     }
 
+    void addressesThatNameNoServerAreRefused()
+    {
+        const auto entry = [](const std::string &address) {
+            return R"({"service":"one","address":")" + address + R"(","zone":"north","capacity":2,"state":"ready"})";
+        };
+        CPPUNIT_ASSERT(decodeServer("i-1", entry("10.1.0.9:8080")).value_);
+        for (const char *address : {"10.1.0.9:99999",
+                                    "10.1.0.9:65536",
+                                    "10.1.0.9:0",
+                                    "10.1.0.9:-1",
+                                    "10.1.0.9:+80",
+                                    "10.1.0.9:8080x",
+                                    "10.1.0.9:",
+                                    "10.1.0.9",
+                                    "x:1",
+                                    "999.1.1.1:80",
+                                    "10.1.0:80",
+                                    "0.0.0.0:80",
+                                    "255.255.255.255:80",
+                                    "224.0.0.1:80",
+                                    ":80",
+                                    ":"}) {
+            const auto decoded = decodeServer("i-1", entry(address));
+            CPPUNIT_ASSERT_MESSAGE(address, !decoded.value_);
+            CPPUNIT_ASSERT_MESSAGE(address, !decoded.problem_.reason_.empty());
+        }
+    }
+
+    // Guards against numbers that overflow when they are converted.
+    void numbersBeyondAnyMeaningAreRefused()
+    {
+        const auto entry = [](const std::string &name, const std::string &value) {
+            return R"({"service":"one","address":"10.1.0.9:80","zone":"north","capacity":2,"state":"ready",")" + name + "\":" + value + "}";
+        };
+        CPPUNIT_ASSERT(decodeServer("i-1", entry("warmupLeftS", "3.5")).value_);
+        CPPUNIT_ASSERT(decodeServer("i-1", entry("born", "1790083048095")).value_);
+        for (const char *value : {"1e15", "1e999", "-1", "18446744073709551616", "\"3\"", "null", "[]"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", entry("warmupLeftS", value)).value_);
+        }
+        for (const char *value : {"1700000000123.5", "1e999", "-1", "18446744073709551616", "\"3\"", "null", "{}"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", entry("born", value)).value_);
+            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", entry("sequence", value)).value_);
+        }
+        const std::vector<std::pair<std::string, std::string>> changes{
+            {"\"maxConns\":120", "\"maxConns\":1e15"},
+            {"\"priority\":1", "\"priority\":1e15"},
+            {"\"maxAttempts\":2", "\"maxAttempts\":99999999999"},
+            {"\"weight\":90", "\"weight\":1e15"},
+            {"\"maxHeaderBytes\":16384", "\"maxHeaderBytes\":1e15"},
+            {"\"timeoutS\":1", "\"timeoutS\":1e15"},
+            {"\"warmupS\":3.0", "\"warmupS\":1e14"},
+            {"\"idleTimeoutS\":15", "\"idleTimeoutS\":1e14"},
+        };
+        for (const auto &[from, to] : changes) {
+            CPPUNIT_ASSERT_MESSAGE(to, !decodeConfiguration(replaced(GoodConfiguration, from, to)).value_);
+        }
+    }
+
+    void unusableAssignmentsAreRefused()
+    {
+        const std::string good = R"({"nextToken":9,"ranges":[{"first":0,"last":65535,"holder":["s0",1,3],"previous":[["s1",2,1]]}]})";
+        CPPUNIT_ASSERT(Gateway::decodeAssignment(good));
+        const std::vector<std::pair<std::string, std::string>> changes{
+            {"65535", "131071"},
+            {"65535", "65535.5"},
+            {"\"first\":0", "\"first\":-65536"},
+            {"\"first\":0", "\"first\":65536"},
+            {"\"first\":0", "\"first\":1e300"},
+            {"[\"s0\",1,3]", "[\"s0\",1,-3]"},
+            {"[\"s0\",1,3]", "[\"s0\",1,1e300]"},
+            {"[\"s0\",1,3]", "[\"s0\",1e300,3]"},
+            {"[\"s0\",1,3]", "[\"s0\"]"},
+            {"\"nextToken\":9", "\"nextToken\":-9"},
+            // A later move would use this token a second time.
+            {"\"nextToken\":9", "\"nextToken\":3"},
+        };
+        for (const auto &[from, to] : changes) {
+            CPPUNIT_ASSERT_MESSAGE(to, !Gateway::decodeAssignment(replaced(good, from, to)));
+        }
+    }
+
     void settingsAreRead()
     {
         const auto reading = parseSettings(GoodSettings);
