Platform: Leave out what cannot be read in the store, and keep its neighbours

One item of a range or a watch that could not be read made the whole response unreadable: the instance asked again from the same revision for ever and followed nothing any more. Members' and assignments' values were converted without a check: a port of 99999 as a peer's address, a key of 131071 that became 65535, tokens below those in use. They are refused now and logged.

--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -17,6 +17,8 @@
 constexpr const char *CoordinatorPrefix = "goldcrestwall/leaders/";
 constexpr const char *AssignmentPrefix = "goldcrestwall/shards/";
 constexpr std::size_t MaxRemovals = 2000;
+// No machine has more.
+constexpr std::uint64_t MaxCpuMillicores = 1'000'000;
 
 // Returns the rest of the key after the prefix, or nothing if the key does not start with it.
 std::optional<std::string> withoutPrefix(const std::string &key, std::string_view prefix)
@@ -33,7 +35,12 @@
         document.at("incarnation").get_to(member.incarnation_);
         document.at("peerAddress").get_to(member.peerAddress_);
         document.at("domain").get_to(member.domain_);
-        document.at("processorMilli").get_to(member.cpuMillicores_);
+        const auto &cpu = document.at("processorMilli");
+        const bool isUsable = cpu.is_number_unsigned() && cpu.get<std::uint64_t>() <= MaxCpuMillicores && parseEndpoint(member.peerAddress_);
+        if (!isUsable) {
+            return std::nullopt;
+        }
+        member.cpuMillicores_ = cpu.get<std::uint32_t>();
         return member;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/Libraries/LibPlacement/ShardAssignment.cpp
+++ b/Libraries/LibPlacement/ShardAssignment.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace Goldcrestwall::Gateway {
 
@@ -11,6 +12,25 @@
 
 namespace {
 
+// Reads a whole number from 0 to `maximum`; throws if the value is none.
+std::uint64_t readNumber(const Json &value, std::uint64_t maximum)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > maximum) {
+        throw std::out_of_range("not a number in the range of the field");
+    }
+    return value.get<std::uint64_t>();
+}
+
+ShardKey readKey(const Json &value)
+{
+    return static_cast<ShardKey>(readNumber(value, ShardKeyCount - 1));
+}
+
+FencingToken readToken(const Json &value)
+{
+    return readNumber(value, std::numeric_limits<FencingToken>::max());
+}
+
 Json encodeHolder(const ShardHolder &holder)
 {
     return Json::array({holder.server_, holder.startTime_, holder.token_});
@@ -18,14 +38,15 @@
 
 ShardHolder decodeHolder(const Json &value)
 {
-    return {value.at(0).get<std::string>(), value.at(1).get<UnixMilliseconds>(), value.at(2).get<FencingToken>()};
+    const auto startTime = readNumber(value.at(1), std::numeric_limits<UnixMilliseconds>::max());
+    return {value.at(0).get<std::string>(), static_cast<UnixMilliseconds>(startTime), readToken(value.at(2))};
 }
 
 ShardRange decodeRange(const Json &value)
 {
     ShardRange range;
-    range.first_ = value.at("first").get<ShardKey>();
-    range.last_ = value.at("last").get<ShardKey>();
+    range.first_ = readKey(value.at("first"));
+    range.last_ = readKey(value.at("last"));
     range.holder_ = decodeHolder(value.at("holder"));
     for (const auto &previous : value.at("previous")) {
         range.previous_.push_back(decodeHolder(previous));
@@ -33,6 +54,18 @@
     return range;
 }
 
+FencingToken highestToken(const ShardAssignment &assignment)
+{
+    FencingToken highest = 0;
+    for (const auto &range : assignment.ranges_) {
+        highest = std::max(highest, range.holder_.token_);
+        for (const auto &previous : range.previous_) {
+            highest = std::max(highest, previous.token_);
+        }
+    }
+    return highest;
+}
+
 } // namespace
 
 const ShardRange *ShardAssignment::rangeOf(ShardKey key) const
@@ -75,14 +108,12 @@
     try {
         const auto document = Json::parse(text);
         ShardAssignment assignment;
-        assignment.nextToken_ = document.at("nextToken").get<FencingToken>();
+        assignment.nextToken_ = readToken(document.at("nextToken"));
         for (const auto &range : document.at("ranges")) {
             assignment.ranges_.push_back(decodeRange(range));
         }
-        if (!assignment.isComplete()) {
-            return std::nullopt;
-        }
-        return assignment;
+        const bool isUsable = assignment.isComplete() && highestToken(assignment) < assignment.nextToken_;
+        return isUsable ? std::make_optional(std::move(assignment)) : std::nullopt;
     } catch (const std::exception &) {
         return std::nullopt;
     }
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -276,6 +276,15 @@
     if (fault == PlatformStoreFault::SendsMalformedBytes) {
         reply.body_ = "{\"items\": [";
     }
+    if (fault == PlatformStoreFault::AddsUnreadableItem) {
+        auto document = Json::parse(reply.body_, nullptr, false);
+        for (const char *list : {"items", "events"}) {
+            if (document.is_object() && document.contains(list)) {
+                document[list].insert(document[list].begin(), Json{{"key", 7}, {"value", "!"}});
+            }
+        }
+        reply.body_ = document.dump();
+    }
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status_));
     response.setContentType("application/json");
     response.sendBuffer(reply.body_.data(), reply.body_.size());
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -33,6 +33,8 @@
     SendsMalformedBytes,
     // Does not respond to any call.
     Unresponsive,
+    // Lists an item without a key and a revision before all others.
+    AddsUnreadableItem,
 };
 
 // Stores items in memory, with one revision counter, leases, and a history for watches. Thread-safe.
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST_SUITE(TestStoreView);
     CPPUNIT_TEST(entriesAreDecoded);
     CPPUNIT_TEST(invalidEntriesAreReportedAndSkipped);
+    CPPUNIT_TEST(oddEntriesOfOtherWritersNameNothing);
     CPPUNIT_TEST(olderStatesChangeNothing);
     CPPUNIT_TEST(delayedWatchResponseDoesNotBringBackRemovedServers);
     CPPUNIT_TEST(delayedUpdateOfAPeerDoesNotBringBackRemovedServers);
@@ -96,6 +97,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), view_.serverCount());
     }
 
+    void oddEntriesOfOtherWritersNameNothing()
+    {
+        const std::string nested(100000, '[');
+        const auto member = [](const std::string &address, const std::string &cpu) {
+            return R"({"name":"a","incarnation":"7","domain":"north","peerAddress":")" + address + R"(","processorMilli":)" + cpu + "}";
+        };
+        const std::vector<std::pair<std::string, std::string>> entries{
+            {"servers/odd-1", nested},
+            {"servers/odd-2", nested + std::string(nested.size(), ']')},
+            {"servers/odd-3", R"({"service":"one","address":"10.1.0.9:99999","zone":"north","capacity":2,"state":"ready"})"},
+            {"servers/odd-4", R"({"service":"one","address":"10.1.0.9:80","zone":"north","capacity":1e999,"state":"ready"})"},
+            {memberKey("a"), member("10.0.0.1:99999", "200")},
+            {memberKey("a"), member("nowhere", "200")},
+            {memberKey("a"), member("10.0.0.1:80", "-1")},
+            {memberKey("a"), member("10.0.0.1:80", "1e300")},
+            {memberKey("a"), member("10.0.0.1:80", "18446744073709551615")},
+            {memberKey("a"), nested},
+            {coordinatorKey("one"), member("10.0.0.1:99999", "200")},
+            {coordinatorKey("one"), nested},
+            {assignmentKey("one"), nested},
+            {assignmentKey("one"), R"({"nextToken":9,"ranges":{}})"},
+        };
+        Revision revision = 10;
+        for (const auto &[key, value] : entries) {
+            ++revision;
+            view_.apply({put(key, value, revision), put("servers/i-1", serverText(), revision + 1)}, revision + 1, at(0));
+            ++revision;
+            CPPUNIT_ASSERT_EQUAL(revision, view_.at());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), view_.serverCount());
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+        CPPUNIT_ASSERT(view_.members().empty());
+        CPPUNIT_ASSERT(view_.coordinator("one") == nullptr);
+        CPPUNIT_ASSERT(view_.assignment("one") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(entries.size(), problems_.size());
+    }
+
     void olderStatesChangeNothing()
     {
         view_.apply({put("servers/i-1", serverText("draining"), 20)}, 20, at(0));
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(compactedHistoryIsReported);
     CPPUNIT_TEST(leasesEndWithTheirKeys);
     CPPUNIT_TEST(faultsMapToOutcomes);
+    CPPUNIT_TEST(unreadableItemDoesNotHideItsNeighbours);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +129,22 @@
         CPPUNIT_ASSERT(await(loop_, unreachableStore.readRange("", "")).outcome_ == StoreOutcome::Unreachable);
     }
 
+    // Guards against a watch that asks again from the same revision for ever because of one item.
+    void unreadableItemDoesNotHideItsNeighbours()
+    {
+        const auto before = standIn_.revision();
+        standIn_.put("servers/a", "1");
+        standIn_.setFault(PlatformStoreFault::AddsUnreadableItem);
+        const auto page = await(loop_, store_.readRange("servers/", ""));
+        CPPUNIT_ASSERT(page.outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.items_.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("servers/a"), page.items_.front().key_);
+        const auto changes = await(loop_, store_.watch("", before, 1s, nullptr));
+        CPPUNIT_ASSERT(changes.outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.events_.size());
+        CPPUNIT_ASSERT_EQUAL(standIn_.revision(), changes.at_);
+    }
+
 private:
     boost::asio::io_context loop_;
     PlatformStoreStandIn standIn_{0};
