LibGateway: Send a retry to the same server on a new connection

A faulty server wrote an earlier rejection once more on a kept connection. A retry for a key goes to the same holder with the same request id, on the most recently used connection: the copy was taken for the answer to the second send, and the caller was told 'not run' of a request that ran. The id cannot tell the two apart; a connection that has never carried it can.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -1,6 +1,7 @@
 // Route lookup, attempts, retries and the response of a request.
 #include "RequestFlow.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace Goldcrestwall::Gateway {
@@ -276,6 +277,8 @@
     options.connectTimeout_ = ServerConnectTimeout;
     options.timeout_ = std::max<Duration>(1ms, progress.deadline_ + DeadlineGrace - startedAt);
     options.maxIdle_ = isIdempotent ? MaxIdleIdempotent : MaxIdleNonIdempotent;
+    // A retry at the same server has the request's id, as has a late copy of the rejection that it follows.
+    options.needsNewConnection_ = std::ranges::find(progress.servers_, place.server_) != progress.servers_.end();
     options.correlationHeader_ = Platform::RequestIdHeader;
     options.correlationId_ = progress.headers_.requestId_;
     options.bodyReservation_ = &progress.control_->responseReservation();
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -219,7 +219,7 @@
 {
     ExchangeResult result;
     const TimePoint startedAt = bootNow();
-    auto stream = takeIdle(address, options.maxIdle_, startedAt);
+    auto stream = options.needsNewConnection_ ? nullptr : takeIdle(address, options.maxIdle_, startedAt);
     if (!stream) {
         result.isNewConnection_ = true;
         stream = co_await connect(address, std::min(options.connectTimeout_, options.timeout_), handle);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -72,6 +72,9 @@
     Duration timeout_ = 1s;
     // An idle connection is reused only if it has been idle for less than this.
     Duration maxIdle_ = 4s;
+    // No idle connection is reused, because it may still bring a copy of a response that the correlation header cannot tell from the one to
+    // this request.
+    bool needsNewConnection_ = false;
     // Name of the header that correlates responses with requests, and the value of this request. Responses with another value are
     // skipped.
     std::string correlationHeader_;
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -383,6 +383,9 @@
         return true;
     }
     recordArrival();
+    if (fault_ == PlatformServerFault::RepeatsRejections && isRejectedOnce(request)) {
+        return true;
+    }
     if (fault_ == PlatformServerFault::Sheds || isLeftAlone() || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
         reject(response, 503);
         return true;
@@ -492,6 +495,24 @@
     response.sendBuffer(text.data(), text.size());
 }
 
+bool PlatformServerStandIn::isRejectedOnce(Poco::Net::HTTPServerRequest &request)
+{
+    // Bypasses the response object, so that the connection stays open.
+    auto &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    const std::string requestId = request.get("Goldcrestwall-Request-Id");
+    const auto port = request.clientAddress().port();
+    if (!rejectedOnce_.insert(requestId).second) {
+        const auto &copy = lastRejections_[port];
+        socket.sendBytes(copy.data(), static_cast<int>(copy.size()));
+        return false;
+    }
+    const std::string rejection =
+        "HTTP/1.1 503 Service Unavailable\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nGoldcrestwall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    lastRejections_[port] = rejection;
+    socket.sendBytes(rejection.data(), static_cast<int>(rejection.size()));
+    return true;
+}
+
 void PlatformServerStandIn::sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer)
 {
     // Bypasses the response object, so that the connection stays open.
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -61,6 +61,8 @@
     RespondsInPairs,
     // Sends a copy of the previous response on the connection right before each response.
     RepeatsPreviousResponse,
+    // Rejects each request once. When a request comes on the connection of a rejection, sends that rejection once more and runs the request.
+    RepeatsRejections,
 };
 
 // A request that a server started to run.
@@ -159,6 +161,8 @@
     void release(const std::string &body, Poco::Net::HTTPServerResponse &response);
     bool isRejected(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
+    // Rejects the request if it is its first arrival. Otherwise sends the last rejection on the connection once more.
+    bool isRejectedOnce(Poco::Net::HTTPServerRequest &request);
     void sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer);
     // Sends `head` once, then `filler` repeatedly until the connection is closed or the fault is cleared.
     void sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler);
@@ -188,6 +192,9 @@
     std::uint32_t running_ = 0;
     // Number of runs at all servers when the fault was set.
     std::size_t runsBeforeFault_ = 0;
+    // The requests that were rejected once, and the last rejection on each connection, by the peer's port.
+    std::set<std::string> rejectedOnce_;
+    std::map<std::uint16_t, std::string> lastRejections_;
     // The last response on each connection, by the peer's port.
     std::map<std::uint16_t, std::string> lastResponses_;
     std::uint32_t waiting_ = 0;
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -116,6 +116,7 @@
 {
     CPPUNIT_TEST_SUITE(TestHttpClient);
     CPPUNIT_TEST(answersAreJudged);
+    CPPUNIT_TEST(responseCutOffAtAnyByteIsNoAnswer);
     CPPUNIT_TEST(connectionsAreKeptOnlyWhenClean);
     CPPUNIT_TEST(closedConnectionIsNotReused);
     CPPUNIT_TEST(idleConnectionIsNotReusedAfterItsTimeout);
@@ -128,6 +129,27 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void responseCutOffAtAnyByteIsNoAnswer()
+    {
+        const std::vector<std::string> responses{
+            makeResponse("Id: 1\r\nContent-Length: 12\r\nMore: x\r\n", "hello, world"),
+            makeResponse("Id: 1\r\nContent-Length: 0\r\nMore: x\r\n", ""),
+            makeResponse("Id: 1\r\nTransfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n\r\n"),
+            "HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n",
+            // Without a length, only its head shows that it has been cut off.
+            makeResponse("Id: 1\r\nConnection: close\r\n", ""),
+        };
+        for (const auto &response : responses) {
+            for (std::size_t length = 0; length < response.size(); ++length) {
+                for (const bool isReset : {false, true}) {
+                    const auto result = runExchanges({{{response.substr(0, length)}, true, isReset}}, 1).front();
+                    CPPUNIT_ASSERT_MESSAGE(response.substr(0, length), result.outcome_ != ExchangeOutcome::Answered);
+                }
+            }
+            CPPUNIT_ASSERT(runExchanges({{{response}}}, 1).front().outcome_ == ExchangeOutcome::Answered);
+        }
+    }
+
     void bodiesStayWithinTheBudget()
     {
         BodyBudget budget(1000);
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(answersWithoutEndAreCutOff);
     CPPUNIT_TEST(serversThatNeverEndAreAvoided);
     CPPUNIT_TEST(lateSecondAnswersReachNobody);
+    CPPUNIT_TEST(repeatedRejectionIsNoAnswerToTheNextSend);
     CPPUNIT_TEST(bytesThatAreNoMessagesEndNoProcess);
     CPPUNIT_TEST_SUITE_END();
 
@@ -211,6 +212,29 @@
         checkNoViolations(deployment);
     }
 
+    // The holder of a key is the only server for a retry, which has the id of the rejected request.
+    void repeatedRejectionIsNoAnswerToTheNextSend()
+    {
+        Deployment deployment(1);
+        deployment.putConfiguration(R"({"resourceType":"routes","metadata":{"name":"r-order"},"spec":{"host":"keyed.example","prefix":"/order/",
+            "kind":"non_idempotent","timeoutS":2,"aimS":0.3,"priority":1,"service":"sharded","maxAttempts":2}},)");
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.sharded(i).setFault(PlatformServerFault::RepeatsRejections);
+        }
+        CallerRequest order = makeBooking();
+        order.host_ = "keyed.example";
+        order.path_ = "/order/1";
+        std::size_t served = 0;
+        for (std::uint32_t i = 0; i < 20; ++i) {
+            order.key_ = i * 3000;
+            const auto answer = deployment.call(0, order);
+            checkBookings(deployment, {answer});
+            served += answer.status_ == 200 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), served);
+    }
+
     void bytesThatAreNoMessagesEndNoProcess()
     {
         Deployment deployment(2);
