LibBackend: Take a response whose head is cut off for no answer

A server that stopped in the middle of a head and closed: Poco takes the end of the connection for the end of the head, so that a response whose Content-Length: 0 had arrived, or one to HEAD, was passed on as whole, without the headers that followed, among them the one that says that the request was rejected. The head is read to its empty line now, up to 64 KiB, or not at all.

--- a/Libraries/LibBackend/BackendClient.cpp
+++ b/Libraries/LibBackend/BackendClient.cpp
@@ -7,6 +7,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
 
+#include <sstream>
+
 namespace Goldcrestwall {
 
 namespace {
@@ -19,6 +21,7 @@
 constexpr const char *GrantPath = "/.goldcrestwall/grant";
 constexpr const char *HealthPath = "/.goldcrestwall/health";
 constexpr const char *CancelPath = "/.goldcrestwall/cancel";
+constexpr std::size_t MaxHeadBytes = 64 * 1024;
 constexpr std::streamsize MaxResponseBytes = 16 * 1024 * 1024;
 
 Poco::Timespan toTimespan(Duration duration)
@@ -26,6 +29,27 @@
     return Poco::Timespan(std::max<Duration>(duration, 1ms).count());
 }
 
+// A response whose head is read to its end or not at all. Poco takes the end of the connection for the end of the head, so that a head
+// which was cut off would look complete.
+class CompleteResponse : public Poco::Net::HTTPResponse
+{
+public:
+    void read(std::istream &stream) override
+    {
+        std::string head;
+        bool isComplete = false;
+        for (std::string line; !isComplete && head.size() <= MaxHeadBytes && std::getline(stream, line);) {
+            isComplete = !stream.eof() && (line.empty() || line == "\r");
+            head += line + '\n';
+        }
+        if (!isComplete) {
+            throw Poco::Net::MessageException("the response's head is too long or has no end");
+        }
+        std::istringstream whole(head);
+        Poco::Net::HTTPResponse::read(whole);
+    }
+};
+
 ServerContact readContact(const Poco::Net::HTTPResponse &response)
 {
     return {response.get("Goldcrestwall-Boot-Id", {}), response.get("Goldcrestwall-State", {}) == "draining"};
@@ -119,7 +143,7 @@
         reply.result_ = AttemptResult::Lost;
         output << request.body_ << std::flush;
         // 3. Read the response head. A response with another correlation belongs to an earlier request, so the connection is not reused.
-        Poco::Net::HTTPResponse response;
+        CompleteResponse response;
         std::istream &input = session->receiveResponse(response);
         const bool isCorrelated = response.get("Goldcrestwall-Correlation", {}) == call.correlation_;
         const bool isBounded = response.hasContentLength() && response.getContentLength() <= MaxResponseBytes;
@@ -186,7 +210,7 @@
     message.setContentLength(0);
     message.setKeepAlive(true);
     session.sendRequest(message);
-    Poco::Net::HTTPResponse response;
+    CompleteResponse response;
     std::istream &input = session.receiveResponse(response);
     std::string body;
     Poco::StreamCopier::copyToString(input, body);
--- a/Tests/LibBackend/TestBackendClient.cpp
+++ b/Tests/LibBackend/TestBackendClient.cpp
@@ -2,8 +2,13 @@
 #include <LibBackend/LibBackend.h>
 #include <StandIns/BackendStandIn.h>
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <thread>
+
 using namespace Goldcrestwall;
 
 namespace {
@@ -41,6 +46,7 @@
     CPPUNIT_TEST(requestForAnotherBootIsNotWritten);
     CPPUNIT_TEST(lateRequestIsRefused);
     CPPUNIT_TEST(unreachableServerIsNotWritten);
+    CPPUNIT_TEST(responseCutOffAtAnyByteIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +105,25 @@
         CPPUNIT_ASSERT(server.log().empty());
     }
 
+    void responseCutOffAtAnyByteIsNoAnswer()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nGoldcrestwall-Correlation: a\r\n";
+        const std::vector<std::pair<std::string, std::string>> cases{
+            {"POST", head + "Content-Length: 5\r\nMore: x\r\n\r\nhello"},
+            {"POST", head + "Content-Length: 0\r\nMore: x\r\n\r\n"},
+            {"HEAD", head + "Content-Length: 12\r\nMore: x\r\n\r\n"},
+            {"POST", "HTTP/1.1 503 Busy\r\nGoldcrestwall-Correlation: a\r\nContent-Length: 0\r\nGoldcrestwall-Refused: shed\r\n\r\n"},
+        };
+        for (const auto &[method, response] : cases) {
+            for (std::size_t length = 0; length <= response.size(); ++length) {
+                const auto reply = sendTo(method, response.substr(0, length));
+                const bool isWhole = length == response.size();
+                const bool isTaken = reply.result_ != AttemptResult::Lost && reply.result_ != AttemptResult::Truncated;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(method + " " + response.substr(0, length), isWhole, isTaken);
+            }
+        }
+    }
+
     void unreachableServerIsNotWritten()
     {
         std::string address;
@@ -110,6 +135,35 @@
         CPPUNIT_ASSERT(client.send(Request, makeCall("a", 1)).result_ == AttemptResult::NotWritten);
         CPPUNIT_ASSERT(!client.probe(100ms).isAnswered_);
     }
+
+private:
+    // Sends a request to a server that answers a health check, then sends these bytes and closes the connection.
+    static BackendReply sendTo(const std::string &method, const std::string &bytes)
+    {
+        Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+        std::thread server([&listener, &bytes] {
+            auto socket = listener.acceptConnection();
+            const std::string health = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            receiveHead(socket);
+            socket.sendBytes(health.data(), static_cast<int>(health.size()));
+            receiveHead(socket);
+            socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        });
+        BackendClient client(listener.address().toString(), 10);
+        const HttpRequestContent request{method, "/visits", {}, ""};
+        auto reply = client.send(request, makeCall("a", 1));
+        server.join();
+        return reply;
+    }
+
+    static void receiveHead(Poco::Net::StreamSocket &socket)
+    {
+        std::string head;
+        char byte = 0;
+        while (!head.ends_with("\r\n\r\n") && socket.receiveBytes(&byte, 1) == 1) {
+            head += byte;
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBackendClient);
