--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -16,11 +16,6 @@
 constexpr Duration DecisionInterval = 20ms;
 constexpr Duration RejectionRetryAfter = 100ms;
 
-LimitKnowledge toLimitKnowledge(std::uint8_t value)
-{
-    return value <= static_cast<std::uint8_t>(LimitKnowledge::Ended) ? static_cast<LimitKnowledge>(value) : LimitKnowledge::None;
-}
-
 } // namespace
 
 const char *placementSourceName(PlacementSource source)
@@ -50,8 +45,9 @@
     , view_(view)
     , network_(network)
     , retryBudgetSettings_(retryBudgetSettings)
-    , notices_(std::move(notices))
+    , notices_(notices)
     , log_(log)
+    , limits_(view, std::move(notices))
 {
 }
 
@@ -183,7 +179,7 @@
                                               const std::shared_ptr<RequestControl> &control)
 {
     const TimePoint startedAt = bootNow();
-    reportLimits(service, link, startedAt);
+    limits_.tell(service, link, request.id_.number_, startedAt);
     link->send(toMessage(service, request, startedAt));
     for (;;) {
         const TimePoint now = bootNow();
@@ -281,178 +277,11 @@
         message.startTime_ = place.startTime_;
     }
     if (report.namedLimit_) {
-        limitReports_.record(place.server(), link, nextNumber_, now);
+        limits_.recordTold(place.server(), link, nextNumber_, now);
     }
     link->send(message);
 }
 
-void PlacementService::reportLimits(const std::string &service, const std::shared_ptr<PeerLink> &link, TimePoint now)
-{
-    for (const auto &[server, limit] : notices_->limits().entries()) {
-        const auto *description = view_.server(server.id_);
-        const bool isOfService = description != nullptr && description->service_ == service;
-        if (!isOfService || limitReports_.isTold(server, link, limit.namedAt_)) {
-            continue;
-        }
-        PlacementReport report;
-        report.namedLimit_ = limit.rate_;
-        report.limitAge_ = now - limit.namedAt_;
-        link->send(toMessage(service, 0, server, report));
-        // The request that is about to be sent follows the report.
-        limitReports_.record(server, link, nextNumber_ - 1, now);
-    }
-}
-
-bool PlacementService::mayExceedLimit(const PlacementResult &place, TimePoint now)
-{
-    const auto server = place.server();
-    if (notices_->limits().isEmpty() || notices_->limits().find(server) == nullptr || place.limit_ == LimitKnowledge::Counted) {
-        return false;
-    }
-    const bool hasEnded = place.limit_ == LimitKnowledge::Ended && limitReports_.wasToldBefore(server, place.coordinator_.lock(), place.number_);
-    if (hasEnded) {
-        notices_->limits().recordAbsent(server, now, now);
-        limitReports_.forget(server);
-    }
-    return !hasEnded;
-}
-
-void PlacementService::handlePlacementRequest(const std::shared_ptr<PeerLink> &link, const PlacementRequestMessage &message, TimePoint now)
-{
-    const auto found = services_.find(message.service_);
-    if (found == services_.end() || !isCoordinating(message.service_)) {
-        link->send(DeclinedMessage{message.number_});
-        return;
-    }
-    auto &state = found->second;
-    state.requesters_[link->instance()] = link;
-    auto request = toPlacementRequest(message, link->instance(), now);
-    request.domain_ = link->domain();
-    if (request.key_) {
-        state.keyLoad_.record(*request.key_, state.pool_->typicalWork(request), now);
-    }
-    state.pool_->enqueue(std::move(request), now);
-    state.unconfirmed_.push_back({link->instance(), message.number_});
-    scheduleDecision(message.service_);
-}
-
-void PlacementService::handleCancel(const std::shared_ptr<PeerLink> &link, const CancelMessage &message)
-{
-    if (auto *known = pool(message.service_)) {
-        known->cancel({link->instance(), message.number_});
-    }
-}
-
-void PlacementService::handleFinish(const std::shared_ptr<PeerLink> &link, const FinishMessage &message, TimePoint now)
-{
-    recordReportedSigns(link->instance(), message, now);
-    if (auto *known = pool(message.service_)) {
-        recordReportedLimit(message, known, known->placementOf({link->instance(), message.number_}), now);
-        known->finish({link->instance(), message.number_}, toPlacementReport(message), now);
-        scheduleDecision(message.service_);
-    }
-}
-
-void PlacementService::recordReportedSigns(const std::string &instance, const FinishMessage &message, TimePoint now)
-{
-    const ServerIncarnation server{message.server_, message.startTime_};
-    if (message.isServerLeaving_) {
-        notices_->recordLeaving(server, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
-    }
-    notices_->holdBack(server, instance, Duration(message.heldBackFor_), now);
-}
-
-void PlacementService::recordReportedLimit(const FinishMessage &message, ServicePool *known, const std::optional<PlacedRequest> &placed, TimePoint now)
-{
-    const auto report = toPlacementReport(message);
-    const ServerIncarnation server{message.server_, message.startTime_};
-    if (report.namedLimit_) {
-        // An instance that was not asked for the placement cannot say when the request was sent.
-        const TimePoint sentAt = placed ? placed->placedAt_ : TimePoint();
-        notices_->limits().recordReported(server, *report.namedLimit_, now - report.limitAge_, sentAt, now);
-    } else if (placed && report.outcome_ == PlacementOutcome::Answered) {
-        notices_->limits().recordAbsent(placed->server_, placed->placedAt_, now);
-    }
-    if (message.isForeign_) {
-        known->countForeignRequest(server, now);
-    }
-}
-
-void PlacementService::handleHeldPlacement(const std::shared_ptr<PeerLink> &link, const HeldPlacementMessage &message, TimePoint now)
-{
-    if (auto *known = pool(message.service_)) {
-        known->restorePlacement({link->instance(), message.number_}, message.server_, message.workKind_, now);
-    }
-}
-
-void PlacementService::removePeer(const std::shared_ptr<PeerLink> &link)
-{
-    for (auto &[name, state] : services_) {
-        const auto requester = state.requesters_.find(link->instance());
-        if (requester != state.requesters_.end() && requester->second.lock() == link) {
-            state.requesters_.erase(requester);
-            state.pool_->removeInstance(link->instance());
-            scheduleDecision(name);
-        }
-    }
-}
-
-void PlacementService::handleQueued(const QueuedMessage &message)
-{
-    if (const auto found = pending_.find(message.number_); found != pending_.end()) {
-        found->second->isQueued_ = true;
-    }
-}
-
-void PlacementService::handleDeclined(const DeclinedMessage &message)
-{
-    if (const auto found = pending_.find(message.number_); found != pending_.end()) {
-        found->second->isDeclined_ = true;
-        found->second->timer_.cancel();
-    }
-}
-
-void PlacementService::handlePlacement(const std::shared_ptr<PeerLink> &link, const PlacementMessage &message)
-{
-    const auto found = pending_.find(message.number_);
-    if (found == pending_.end() || found->second->result_) {
-        // The request was cancelled, rejected or decided locally in the meantime.
-        link->send(toMessage(message.service_, message.number_, ServerIncarnation(), PlacementReport()));
-        return;
-    }
-    PlacementResult result;
-    result.isPlaced_ = true;
-    result.server_ = message.server_;
-    result.address_ = message.address_;
-    result.startTime_ = message.startTime_;
-    result.revision_ = message.revision_;
-    result.limit_ = toLimitKnowledge(message.limitKnowledge_);
-    result.coordinator_ = link;
-    result.source_ = PlacementSource::RemoteCoordinator;
-    resolve(message.number_, result);
-}
-
-void PlacementService::handleRejection(const RejectionMessage &message)
-{
-    PlacementResult result;
-    result.reason_ =
-        message.reason_ <= static_cast<std::uint8_t>(RejectReason::ServerLimit) ? static_cast<RejectReason>(message.reason_) : RejectReason::NoServer;
-    result.retryAfter_ = Duration(message.retryAfter_);
-    result.limitedServer_ = message.limitedServer_;
-    result.source_ = PlacementSource::RemoteCoordinator;
-    resolve(message.number_, result);
-}
-
-void PlacementService::reportHeldPlacements(const std::string &address, const std::shared_ptr<PeerLink> &link)
-{
-    for (const auto &[number, held] : heldPlacements_) {
-        const auto *coordinator = view_.coordinator(held.service_);
-        if (coordinator != nullptr && coordinator->member_.peerAddress_ == address) {
-            link->send(HeldPlacementMessage{held.service_, number, held.server_, held.workKind_});
-        }
-    }
-}
-
 void PlacementService::resolve(std::uint64_t number, const PlacementResult &result)
 {
     const auto found = pending_.find(number);
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -1,7 +1,7 @@
 // Obtains a backend server for each request, from the coordinator of its service or from a local decision.
 #pragma once
 
-#include <LibGateway/LimitReports.h>
+#include <LibGateway/LimitExchange.h>
 #include <LibGateway/PeerNetwork.h>
 
 #include <map>
@@ -46,52 +46,6 @@
     std::function<void()> onAbandon_;
 };
 
-// Which instance decided on a placement.
-enum class PlacementSource {
-    // This instance, as the coordinator of the service.
-    Coordinator,
-    RemoteCoordinator,
-    // This instance from its own view, because no coordinator responded.
-    Local,
-};
-
-const char *placementSourceName(PlacementSource source);
-
-// Who is to decide on a placement.
-enum class PlacementDecider {
-    // The coordinator of the service, or this instance while the coordinator does not respond.
-    Coordinator,
-    // This instance, although there may be a coordinator.
-    Self,
-};
-
-// A placement at a server, or the reason for the rejection.
-struct PlacementResult
-{
-    bool isPlaced_ = false;
-    std::uint64_t number_ = 0;
-    std::string server_;
-    std::string address_;
-    // Which run of the server is meant.
-    UnixMilliseconds startTime_ = 0;
-    // The revision of the view by which the server was chosen.
-    Platform::Revision revision_ = 0;
-    LimitKnowledge limit_ = LimitKnowledge::None;
-    // The connection to the coordinator that chose the server, if that is another instance.
-    std::weak_ptr<PeerLink> coordinator_;
-    // The server whose limit is the reason for the rejection.
-    std::string limitedServer_;
-    RejectReason reason_ = RejectReason::NoServer;
-    Duration retryAfter_ = Duration::zero();
-    PlacementSource source_ = PlacementSource::Local;
-    Duration waited_ = Duration::zero();
-
-    ServerIncarnation server() const
-    {
-        return {server_, startTime_};
-    }
-};
-
 // Owns the server pools of all services and exchanges messages with their coordinators. A request is queued here until it is placed or
 // rejected.
 class PlacementService
@@ -118,9 +72,11 @@
     // Waits for a placement. A request that gets none before its deadline is rejected.
     Task<PlacementResult> acquire(std::string service, PlacementRequest request, PlacementDecider decider, std::shared_ptr<RequestControl> control);
     void release(const std::string &service, const PlacementResult &place, const PlacementReport &report, TimePoint now);
-    // Whether a request sent for this placement could exceed a limit that this instance knows of: whoever chose the server has not counted
-    // the request and did not know the limit.
-    bool mayExceedLimit(const PlacementResult &place, TimePoint now);
+    // Whether a request sent for this placement could exceed a limit that this instance knows of.
+    bool mayExceedLimit(const PlacementResult &place, TimePoint now)
+    {
+        return limits_.mayBeExceeded(place, now);
+    }
 
     // Messages from instances that this one coordinates for.
     void handlePlacementRequest(const std::shared_ptr<PeerLink> &link, const PlacementRequestMessage &message, TimePoint now);
@@ -196,10 +152,6 @@
     void resolve(std::uint64_t number, const PlacementResult &result);
     // Records what another instance reports about further requests to a server.
     void recordReportedSigns(const std::string &instance, const FinishMessage &message, TimePoint now);
-    // Records the limit that a server has or has not named in the response to a request of another instance.
-    void recordReportedLimit(const FinishMessage &message, ServicePool *known, const std::optional<PlacedRequest> &placed, TimePoint now);
-    // Tells a coordinator of the limits of the service's servers that it may not know.
-    void reportLimits(const std::string &service, const std::shared_ptr<PeerLink> &link, TimePoint now);
     // Tells the coordinator how a request ended.
     void reportFinished(const std::string &service, const PlacementResult &place, const PlacementReport &report, TimePoint now);
 
@@ -215,7 +167,7 @@
     std::set<std::string> coordinated_;
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
     std::map<std::uint64_t, HeldPlacement> heldPlacements_;
-    LimitReports limitReports_;
+    LimitExchange limits_;
     std::uint64_t nextNumber_ = 1;
 };
 
