LibPlacement: Keep two coordinators within the retry budget

The third sum over all instances: each of two coordinators used 0.6 of the reserve, 72 retries in a window that allows 60 (twoCoordinatorsStayWithin- TheRetryBudget, failed before). Each uses 0.45 of the reserve now, and 0.6 of what its own requests allow. Not changed: retries of instances that decide alone are not debited at the coordinator.

--- a/Libraries/LibPlacement/RetryBudget.cpp
+++ b/Libraries/LibPlacement/RetryBudget.cpp
@@ -18,7 +18,7 @@
         retries += each.retries_;
     }
     // An instance without a coordinator counts only its own requests, so that only the reserve is divided.
-    const double allowed = UsableFraction * (settings_.ratio_ * requests + settings_.reserve_ * share);
+    const double allowed = UsableFraction * settings_.ratio_ * requests + UsableReserveFraction * settings_.reserve_ * share;
     if (retries + 1 > allowed) {
         return false;
     }
--- a/Libraries/LibPlacement/RetryBudget.h
+++ b/Libraries/LibPlacement/RetryBudget.h
@@ -36,6 +36,8 @@
 private:
     // Maximum fraction of the budget that is used: other instances may spend a part of it before they learn which instance coordinates.
     static constexpr double UsableFraction = 0.6;
+    // The same for the reserve, which two coordinators may each use for a while; requests each counts for itself.
+    static constexpr double UsableReserveFraction = 0.45;
     static constexpr int WindowSlotCount = 20;
 
     struct WindowSlot
--- a/Tests/LibPlacement/TestPlacementComponents.cpp
+++ b/Tests/LibPlacement/TestPlacementComponents.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(savedRequestsOfASharedRateAreBounded);
     CPPUNIT_TEST(fractionOfASharedRateSavesNothing);
     CPPUNIT_TEST(retryBudgetWindowSlides);
+    CPPUNIT_TEST(twoCoordinatorsStayWithinTheRetryBudget);
     CPPUNIT_TEST(dividedRetryBudgetStaysWithinTheTotal);
     CPPUNIT_TEST(workAndSpeedAreLearned);
     CPPUNIT_TEST(reportedSpeedOutlastsTheReport);
@@ -116,6 +117,21 @@
         CPPUNIT_ASSERT(budget.tryTake(1, at(21000)));
     }
 
+    void twoCoordinatorsStayWithinTheRetryBudget()
+    {
+        const RetryBudgetSettings settings{0.2, 60, 10s};
+        int taken = 0;
+        for (int coordinator = 0; coordinator < 2; ++coordinator) {
+            RetryBudget budget(settings);
+            budget.recordRequest(at(0));
+            while (budget.tryTake(1, at(100))) {
+                ++taken;
+            }
+        }
+        CPPUNIT_ASSERT(taken > 30);
+        CPPUNIT_ASSERT(taken <= 60);
+    }
+
     void dividedRetryBudgetStaysWithinTheTotal()
     {
         const RetryBudgetSettings settings{0.2, 60, 10s};
