--- a/Tests/OnPlatform/TestLimitedServers.cpp
+++ b/Tests/OnPlatform/TestLimitedServers.cpp
@@ -21,7 +21,7 @@
 {
 public:
     // Starts `perInstance` callers at each instance.
-    Callers(Deployment &deployment, CallerRequest request, int perInstance)
+    Callers(Deployment &deployment, const CallerRequest &request, int perInstance)
     {
         for (std::size_t instance = 0; instance < deployment.instanceCount(); ++instance) {
             for (int i = 0; i < perInstance; ++i) {
