--- a/review/standins/CaseKit.cpp
+++ b/review/standins/CaseKit.cpp
@@ -11,6 +11,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <sstream>
@@ -230,14 +231,14 @@
     return answer;
 }
 
-SmallDeployment::SmallDeployment(std::size_t routers, const CallerLimits &limits, std::string program, Record &record)
+SmallDeployment::SmallDeployment(std::size_t routers, const CallerLimits &limits, std::string program, Record &record, bool hasServers)
     : program_(std::move(program))
     , record_(record)
 {
     std::string name = (std::filesystem::temp_directory_path() / "goldcrestwall-review-XXXXXX").string();
     folder_ = ::mkdtemp(name.data());
     putConfiguration(limits);
-    for (int i = 0; i < ServerCount; ++i) {
+    for (int i = 0; hasServers && i < ServerCount; ++i) {
         PlatformServerBehaviour behaviour;
         behaviour.service_ = "plain";
         behaviour.domain_ = domainOf(static_cast<std::size_t>(i));
@@ -249,10 +250,6 @@
         routers_.push_back(std::make_unique<Router>("edge-" + std::to_string(i), domainOf(i), store_.address(), folder_, seeds));
         seeds.push_back(routers_.back()->peerAddress());
     }
-    for (const auto &router : routers_) {
-        router->start(program_);
-        record_.write("started " + router->name());
-    }
 }
 
 SmallDeployment::~SmallDeployment()
@@ -270,21 +267,27 @@
     version_ += 4;
 }
 
-bool SmallDeployment::awaitServing()
+bool SmallDeployment::start()
 {
+    for (const auto &router : routers_) {
+        router->start(program_);
+        record_.write("started " + router->name());
+    }
     return eventually(
         [this] {
-            for (const auto &router : routers_) {
-                CallerConnection connection(router->callerPort(), record_);
-                if (!router->isReady() || connection.call(nextRequestId(), CallerRequest()).status_ != 200) {
-                    return false;
-                }
-            }
-            return true;
+            return isServing();
         },
         ServingTimeout);
 }
 
+bool SmallDeployment::isServing()
+{
+    return std::ranges::all_of(routers_, [this](const auto &router) {
+        CallerConnection connection(router->callerPort(), record_);
+        return router->isReady() && connection.call(nextRequestId(), CallerRequest()).status_ == 200;
+    });
+}
+
 std::string SmallDeployment::nextRequestId()
 {
     return "q" + std::to_string(++lastRequest_);
--- a/review/standins/CaseKit.h
+++ b/review/standins/CaseKit.h
@@ -19,7 +19,7 @@
 namespace Goldcrestwall::Review {
 
 // Exit statuses of a case.
-enum class Verdict {
+enum class CaseResult {
     Held = 0,
     Broken = 1,
     NotRun = 2,
@@ -121,12 +121,12 @@
     Record &record_;
 };
 
-// A store, four servers of one service and some routers in two failure domains. Everything it starts ends with it.
+// A store, some servers of one service and some routers in two failure domains. Everything it starts ends with it.
 class SmallDeployment
 {
 public:
-    // `program` is the program that the deploy file names.
-    SmallDeployment(std::size_t routers, const CallerLimits &limits, std::string program, Record &record);
+    // `program` is the program that the deploy file names. Without `hasServers` the case brings servers of its own, in the store already.
+    SmallDeployment(std::size_t routers, const CallerLimits &limits, std::string program, Record &record, bool hasServers = true);
     ~SmallDeployment();
     SmallDeployment(const SmallDeployment &) = delete;
     SmallDeployment &operator=(const SmallDeployment &) = delete;
@@ -147,13 +147,15 @@
     {
         return routers_.size();
     }
+    // Starts the routers and waits until all are ready and serve a request.
+    bool start();
     // Writes the next version of the operator's document. The store's response acknowledges it.
     void putConfiguration(const CallerLimits &limits);
-    // Waits until all routers are ready and serve a request.
-    bool awaitServing();
     std::string nextRequestId();
 
 private:
+    bool isServing();
+
     std::filesystem::path folder_;
     std::string program_;
     Record &record_;
--- a/review/standins/StaleLimitsCase.cpp
+++ b/review/standins/StaleLimitsCase.cpp
@@ -35,20 +35,20 @@
     return request;
 }
 
-Verdict runCase(const std::string &program, Record &record)
+CaseResult runCase(const std::string &program, Record &record)
 {
     // Without the disruption, the raised limits are in force from the start.
     SmallDeployment deployment(RouterCount, hasTrouble() ? SmallLimits : LargeLimits, program, record);
-    if (!deployment.awaitServing()) {
+    if (!deployment.start()) {
         record.write("the deployment does not serve");
-        return Verdict::NotRun;
+        return CaseResult::NotRun;
     }
     std::vector<std::unique_ptr<CallerConnection>> connections;
     for (std::size_t i = 0; i < RouterCount * ConnectionsPerRouter; ++i) {
         connections.push_back(std::make_unique<CallerConnection>(deployment.router(i % RouterCount).callerPort(), record));
         if (connections.back()->call(deployment.nextRequestId(), CallerRequest()).status_ != 200) {
             record.write("a small request is not served");
-            return Verdict::NotRun;
+            return CaseResult::NotRun;
         }
     }
     if (hasTrouble()) {
@@ -59,7 +59,7 @@
         CallerConnection connection(deployment.router(i % RouterCount).callerPort(), record);
         if (connection.call(deployment.nextRequestId(), makeLargeRequest(i / RouterCount)).status_ != 200) {
             record.write("a large request on a new connection is not served");
-            return Verdict::NotRun;
+            return CaseResult::NotRun;
         }
     }
     std::size_t refused = 0;
@@ -69,7 +69,7 @@
     }
     record.write(std::to_string(refused) + " of " + std::to_string(connections.size())
                  + " requests on kept connections were refused as only the older configuration demands");
-    return refused == 0 ? Verdict::Held : Verdict::Broken;
+    return refused == 0 ? CaseResult::Held : CaseResult::Broken;
 }
 
 } // namespace
@@ -78,7 +78,7 @@
 {
     if (argumentCount != 3) {
         std::cerr << "usage: case-stale-limits PROGRAM RECORD_FILE\n";
-        return static_cast<int>(Verdict::NotRun);
+        return static_cast<int>(CaseResult::NotRun);
     }
     Record record(argumentValues[2]);
     const auto verdict = runCase(argumentValues[1], record);
