--- a/review/standins/CaseKit.cpp
+++ b/review/standins/CaseKit.cpp
@@ -53,17 +53,21 @@
     return index % 2 == 0 ? "north" : "south";
 }
 
-std::string formatRoute(const std::string &name, const std::string &prefix, const std::string &kind)
+std::string formatRoute(const std::string &name, const std::string &prefix, const std::string &kind, const std::string &service = "plain")
 {
     return R"({"resourceType":"routes","metadata":{"name":")" + name + R"("},"spec":{"host":"plain.example","prefix":")" + prefix + R"(","kind":")" + kind
-        + R"(","timeoutS":2,"aimS":0.4,"priority":1,"service":"plain","maxAttempts":2}},)";
+        + R"(","timeoutS":2,"aimS":0.4,"priority":1,"service":")" + service + R"(","maxAttempts":2}},)";
 }
 
-std::string formatConfiguration(int version, const CallerLimits &limits)
+std::string formatService(const std::string &name)
+{
+    return R"({"resourceType":"services","metadata":{"name":")" + name + R"("},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5}},)";
+}
+
+std::string formatConfiguration(int version, const CallerLimits &limits, const std::string &addedResources)
 {
     return R"({"version":)" + std::to_string(version) + R"(,"resources":[)" + formatRoute("r-plain", "/plain/", "idempotent")
-        + formatRoute("r-book", "/book/", "non_idempotent")
-        + R"({"resourceType":"services","metadata":{"name":"plain"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5}},)"
+        + formatRoute("r-book", "/book/", "non_idempotent") + formatService("plain") + addedResources
         + R"({"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":)" + std::to_string(limits.maxHeaderBytes_) + R"(,"maxBodyBytes":)"
         + std::to_string(limits.maxBodyBytes_) + R"(,"headerTimeoutS":3,"idleTimeoutS":15}}]})";
 }
@@ -219,8 +223,7 @@
         }
         session_.sendRequest(message) << request.body_;
         Poco::Net::HTTPResponse response;
-        std::string body;
-        Poco::StreamCopier::copyToString(session_.receiveResponse(response), body);
+        Poco::StreamCopier::copyToString(session_.receiveResponse(response), answer.body_);
         answer.status_ = response.getStatus();
         answer.isSigned_ = response.has("Goldcrestwall-Server-Signature");
     } catch (const Poco::Exception &error) {
@@ -234,6 +237,7 @@
 SmallDeployment::SmallDeployment(std::size_t routers, const CallerLimits &limits, std::string program, Record &record, bool hasServers)
     : program_(std::move(program))
     , record_(record)
+    , limits_(limits)
 {
     std::string name = (std::filesystem::temp_directory_path() / "goldcrestwall-review-XXXXXX").string();
     folder_ = ::mkdtemp(name.data());
@@ -261,12 +265,19 @@
 
 void SmallDeployment::putConfiguration(const CallerLimits &limits)
 {
-    store_.put("op/config", formatConfiguration(version_, limits));
+    limits_ = limits;
+    store_.put("op/config", formatConfiguration(version_, limits, addedResources_));
     record_.write("the store has accepted configuration " + std::to_string(version_) + ": maxHeaderBytes " + std::to_string(limits.maxHeaderBytes_)
                   + ", maxBodyBytes " + std::to_string(limits.maxBodyBytes_));
     version_ += 4;
 }
 
+void SmallDeployment::addService(const std::string &name)
+{
+    addedResources_.append(formatRoute(name, std::string("/").append(name).append("/"), "idempotent", name)).append(formatService(name));
+    putConfiguration(limits_);
+}
+
 bool SmallDeployment::start()
 {
     for (const auto &router : routers_) {
--- a/review/standins/CaseKit.h
+++ b/review/standins/CaseKit.h
@@ -106,6 +106,7 @@
     int status_ = 0;
     std::string requestId_;
     bool isSigned_ = false;
+    std::string body_;
 };
 
 // A caller's connection to one router, kept for several requests.
@@ -151,6 +152,8 @@
     bool start();
     // Writes the next version of the operator's document. The store's response acknowledges it.
     void putConfiguration(const CallerLimits &limits);
+    // Adds a service and a route to it, with the prefix `/NAME/`, to the operator's document. To be called before the start.
+    void addService(const std::string &name);
     std::string nextRequestId();
 
 private:
@@ -159,6 +162,9 @@
     std::filesystem::path folder_;
     std::string program_;
     Record &record_;
+    CallerLimits limits_;
+    // Resources of the operator's document beyond those that each case has.
+    std::string addedResources_;
     PlatformStoreStandIn store_{0};
     PlatformRunRecorder recorder_;
     std::vector<std::unique_ptr<PlatformServerStandIn>> servers_;
