--- a/review/standins/ForeignEntryCase.cpp
+++ b/review/standins/ForeignEntryCase.cpp
@@ -16,7 +16,7 @@
 constexpr auto HeartbeatInterval = std::chrono::milliseconds(870);
 // How many heartbeats pass between two entries of the other writer.
 constexpr std::size_t HeartbeatsBetweenForeignEntries = 3;
-constexpr std::size_t ForeignEntryCount = 4;
+constexpr std::size_t ForeignEntryCount = 6;
 constexpr auto BookingInterval = std::chrono::milliseconds(10);
 constexpr std::size_t CallersPerRouter = 3;
 
