LibPlacement, LibGateway: Let no granter send when its successor may already count on it

Cause: the successor counted its predecessor's last grant from its own start, but a granter without a lease went on: while it heard half of the instances, which may be cut off together with it; for 1.5 s after its entry had ended; and by a view of before a cut under a lease that it had registered anew. A renewal could also leave 700 ms after it had been decided, and a better instance replaced the entry of a granter that did not know of it yet. Ruled out: a slow clock (64 ms of the 3,464 ms) and late connects alone (700 ms), as the overlaps last up to 4 s.

Change: one rule, in Succession.h. A granter sends for 1 s from the sending of the last renewal of its entry's lease, and through a store outage for 8 s more while both standbys that its stored assignment names withhold their claims. A standby counts from its claim, any other instance 9 s later. Calls end when the right ends. A granter yields before a better instance replaces it.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -12,6 +12,9 @@
 // How long an instance must be much better suited than the coordinator before it takes over, so that an instance that has just started
 // is connected to its peers.
 constexpr Duration TakeoverDelay = 2s;
+// A granter that has yielded takes its service back after this time. Less than the hold time of its grants.
+constexpr Duration TakeBackDelay = 1s;
+constexpr Duration CommitRetryInterval = 300ms;
 constexpr Duration HealthInterval = 500ms;
 constexpr Duration HealthTimeout = 400ms;
 
@@ -54,8 +57,7 @@
     const auto configuration = view_.configuration();
     if (configuration && !hasSteppedDown_) {
         for (const auto &service : configuration->services_) {
-            // A coordinator whose entry has expired continues until another one is known: its grants carry lower fencing tokens than
-            // those of a successor, and no other instance would renew them.
+            // A coordinator whose entry has expired continues to place requests until another one is known.
             const auto *coordinator = view_.coordinator(service.name_);
             const bool isVacant = coordinator == nullptr && placement_.isCoordinating(service.name_);
             if (isVacant || (coordinator != nullptr && coordinator->member_ == self_)) {
@@ -79,27 +81,53 @@
     for (const auto &service : coordinated) {
         const auto *description = configuration->service(service);
         if (description->isSharded_ && !shards_.contains(service)) {
-            shards_[service] = std::make_shared<ShardService>(loop_, service, grantTimings_, view_, store_, shardCallClient_, placement_, announcements_, log_);
+            shards_[service] = std::make_shared<ShardService>(
+                loop_, service, grantTimings_, view_, store_, shardCallClient_, placement_, announcements_, storeLink_, self_.name_, log_);
         }
     }
     placement_.setCoordinated(std::move(coordinated), now);
 }
 
-bool CoordinationManager::isConfirmedByPeers(TimePoint now) const
+TimePoint CoordinationManager::grantsUntil(const std::string &service, const ShardService &shards, TimePoint now)
 {
-    // Peers that reach the store would have reported a new coordinator. If none of them reaches it, none can have taken over.
-    const std::size_t others = view_.members().size() > 0 ? view_.members().size() - 1 : 0;
-    return network_.openLinks(now).size() * 2 >= others;
+    const auto *coordinator = view_.coordinator(service);
+    if (coordinator == nullptr || coordinator->member_ != self_ || coordinator->isYielding_ || yielded_.contains(service)) {
+        return {};
+    }
+    auto &renewal = renewals_[service];
+    if (renewal.lease_ != coordinator->lease_) {
+        renewal = {coordinator->lease_, TimePoint()};
+    }
+    if (storeLink_.lease() == coordinator->lease_) {
+        renewal.renewedAt_ = std::max(renewal.renewedAt_, storeLink_.renewedAt());
+    }
+    std::map<std::string, TimePoint> withheldUntil;
+    for (const auto &link : network_.openLinks(now)) {
+        // A peer that knows more of the store may have claimed the service, or know who has.
+        if (link->revision() <= view_.at()) {
+            withheldUntil[link->instance()] = link->claimsWithheldUntil();
+        }
+    }
+    std::vector<TimePoint> promises;
+    for (const auto &standby : shards.standbys()) {
+        promises.push_back(withheldUntil[standby]);
+    }
+    return grantsAllowedUntil(renewal.renewedAt_, promises);
+}
+
+void CoordinationManager::runGranter(const std::string &service, ShardService &shards, TimePoint now)
+{
+    const auto *coordinator = view_.coordinator(service);
+    const TimePoint until = grantsUntil(service, shards, now);
+    const bool isLeased = coordinator != nullptr && coordinator->lease_ == storeLink_.lease() && storeLink_.isLeaseValid(now);
+    shards.run(until, isLeased && storeLink_.isCurrent(now), now);
 }
 
 void CoordinationManager::run(bool isStopping, TimePoint now)
 {
     const bool isValid = storeLink_.isLeaseValid(now);
-    const bool isCurrent = storeLink_.isCurrent(now);
     for (const auto &[service, shards] : shards_) {
-        const bool isVacant = view_.coordinator(service) == nullptr;
-        const bool mayGrant = isCurrent ? isValid || isVacant : isValid || isConfirmedByPeers(now);
-        shards->run(mayGrant, isValid && isCurrent && !isVacant, now);
+        runGranter(service, *shards, now);
     }
     checkSuspects(now);
     const auto configuration = view_.configuration();
@@ -124,26 +152,103 @@
 {
     if (const auto *coordinator = view_.coordinator(service)) {
         vacantSince_.erase(service);
-        considerTakeover(service, *coordinator, now);
+        if (coordinator->member_ == self_ && isSharded(service)) {
+            considerYielding(service, *coordinator, now);
+        } else {
+            considerTakeover(service, *coordinator, now);
+        }
         return;
     }
     betterSince_.erase(service);
+    yielded_.erase(service);
     const auto [vacant, isNew] = vacantSince_.try_emplace(service, now);
     // The previous coordinator claims first: it already has the state that a successor would have to rebuild.
-    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + coordinatorRank(service, self_.name_, instancesWithClaims());
+    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + ownClaimRank(service);
     if (now - vacant->second >= RankDelay * static_cast<Duration::rep>(rank)) {
         startClaim(service, 0);
     }
 }
 
+bool CoordinationManager::isSharded(const std::string &service) const
+{
+    const auto configuration = view_.configuration();
+    const auto *description = configuration ? configuration->service(service) : nullptr;
+    return description != nullptr && description->isSharded_;
+}
+
+std::size_t CoordinationManager::ownClaimRank(const std::string &service) const
+{
+    const auto *entry = view_.assignment(service);
+    const auto standbys = entry == nullptr ? std::vector<std::string>() : entry->assignment_.granter_.standbys_;
+    return claimRank(service, self_.name_, standbys, instancesWithClaims());
+}
+
+void CoordinationManager::considerYielding(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now)
+{
+    if (coordinator.isYielding_) {
+        if (now - yieldedAt_.try_emplace(service, now).first->second >= TakeBackDelay) {
+            startClaim(service, coordinator.revision_);
+        }
+        return;
+    }
+    yieldedAt_.erase(service);
+    if (const auto yielded = yielded_.find(service); yielded != yielded_.end()) {
+        if (yielded->second == coordinator.revision_) {
+            return;
+        }
+        yielded_.erase(yielded);
+    }
+    const auto instances = instancesWithClaims();
+    const bool hasBetter = std::ranges::any_of(instances, [&](const InstanceProfile &instance) {
+        return isMuchBetterCoordinator(service, instance.name_, self_.name_, instances);
+    });
+    if (!hasBetter) {
+        betterSince_.erase(service);
+        return;
+    }
+    if (now - betterSince_.try_emplace(service, now).first->second < TakeoverDelay) {
+        return;
+    }
+    betterSince_.erase(service);
+    yielded_[service] = coordinator.revision_;
+    if (const auto shards = shards_.find(service); shards != shards_.end()) {
+        shards->second->cancelCalls();
+    }
+    spawn(loop_, log_, "yield", [this, service, coordinator] {
+        return yieldService(service, coordinator);
+    });
+}
+
+Task<void> CoordinationManager::yieldService(std::string service, CoordinatorEntry coordinator)
+{
+    const auto expectedRevision = coordinator.revision_;
+    coordinator.isYielding_ = true;
+    for (;;) {
+        const auto outcome = co_await commitCoordinator(service, expectedRevision, coordinator);
+        log_.write(LogLine("coordination-yielded").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::Kept, bootNow());
+        if (outcome != Platform::StoreOutcome::Unknown) {
+            if (outcome == Platform::StoreOutcome::Refused || outcome == Platform::StoreOutcome::Unreachable) {
+                yielded_.erase(service);
+            }
+            co_return;
+        }
+        // Until the outcome is known, another instance may be about to take over.
+        co_await sleepFor(loop_, CommitRetryInterval);
+    }
+}
+
 void CoordinationManager::considerTakeover(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now)
 {
+    if (isSharded(service) && !coordinator.isYielding_) {
+        betterSince_.erase(service);
+        return;
+    }
     if (!isMuchBetterCoordinator(service, self_.name_, coordinator.member_.name_, instancesWithClaims())) {
         betterSince_.erase(service);
         return;
     }
     const auto better = betterSince_.try_emplace(service, now).first;
-    if (now - better->second >= TakeoverDelay) {
+    if (coordinator.isYielding_ || now - better->second >= TakeoverDelay) {
         startClaim(service, coordinator.revision_);
     }
 }
@@ -158,14 +263,22 @@
     });
 }
 
-Task<void> CoordinationManager::claim(std::string service, Platform::Revision expectedRevision)
+Task<Platform::StoreOutcome> CoordinationManager::commitCoordinator(std::string service, Platform::Revision expectedRevision, CoordinatorEntry coordinator)
 {
     Platform::StoreWrite write;
     write.conditions_.push_back({coordinatorKey(service), expectedRevision});
-    write.puts_.push_back({coordinatorKey(service), encodeMember(self_), 0, storeLink_.lease()});
+    write.puts_.push_back({coordinatorKey(service), encodeCoordinator(coordinator), 0, coordinator.lease_});
     const auto commit = co_await store_.commit(std::move(write));
-    log_.write(
-        LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(commit.outcome_)), LogImportance::Kept, bootNow());
+    co_return commit.outcome_;
+}
+
+Task<void> CoordinationManager::claim(std::string service, Platform::Revision expectedRevision)
+{
+    // An entry of a granter is replaced only once it is yielding.
+    const bool hasPredecessorYielded = expectedRevision != 0;
+    const CoordinatorEntry coordinator{self_, storeLink_.lease(), false, hasPredecessorYielded, 0};
+    const auto outcome = co_await commitCoordinator(service, expectedRevision, coordinator);
+    log_.write(LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::Kept, bootNow());
     // The watch reports which instance won.
     co_await sleepFor(loop_, RankDelay);
     claiming_.erase(service);
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -28,16 +28,32 @@
     void stepDown(TimePoint now);
 
 private:
-    // Whether this instance may act as the granter although its lease may have expired.
-    bool isConfirmedByPeers(TimePoint now) const;
+    // The last renewal of the lease that a coordinator entry of this instance ends with.
+    struct EntryRenewal
+    {
+        Platform::LeaseId lease_ = 0;
+        TimePoint renewedAt_;
+    };
+
+    // Runs the granter of a sharded service.
+    void runGranter(const std::string &service, ShardService &shards, TimePoint now);
+    // Until when this instance may send grants of a service's keys; in the past if it may not.
+    TimePoint grantsUntil(const std::string &service, const ShardService &shards, TimePoint now);
+    bool isSharded(const std::string &service) const;
     void elect(const std::string &service, TimePoint now);
+    // The number of instances that claim a service without a coordinator before this one.
+    std::size_t ownClaimRank(const std::string &service) const;
     // Returns the profiles of all instances, with the claims in progress counted for this one.
     std::vector<InstanceProfile> instancesWithClaims() const;
-    // Starts a takeover from a coordinator that is much less suitable, once that has been so for some time.
+    // Starts a takeover from a coordinator that is much less suitable, once that has been so for some time. A granter has to yield first.
     void considerTakeover(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now);
+    // As the granter: yields to a much more suitable instance, or takes the service back if none has taken over.
+    void considerYielding(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now);
+    Task<void> yieldService(std::string service, CoordinatorEntry coordinator);
     // Claims a service if its coordinator entry still has the revision; 0 if there must be none.
     void startClaim(const std::string &service, Platform::Revision expectedRevision);
     Task<void> claim(std::string service, Platform::Revision expectedRevision);
+    Task<Platform::StoreOutcome> commitCoordinator(std::string service, Platform::Revision expectedRevision, CoordinatorEntry coordinator);
     void checkSuspects(TimePoint now);
     Task<void> checkHealth(std::string service, ServerDescription server, std::string path);
 
@@ -61,6 +77,10 @@
     // Since when this instance has been much better suited to each service than its coordinator.
     std::map<std::string, TimePoint> betterSince_;
     std::set<std::string> claiming_;
+    // Services whose keys this instance no longer grants, so that another one can take over; with the revision of its coordinator entry.
+    std::map<std::string, Platform::Revision> yielded_;
+    std::map<std::string, TimePoint> yieldedAt_;
+    std::map<std::string, EntryRenewal> renewals_;
     std::map<std::string, TimePoint> healthCheckedAt_;
     bool hasSteppedDown_ = false;
 };
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <arpa/inet.h>
 
 #include <cstring>
@@ -100,6 +101,10 @@
         // Counted from the sending of the ping, because the pong may have been delayed.
         confirmedAt_ = std::max(confirmedAt_, TimePoint(Duration(pong.pingSentAt_ - pong.viewAge_)));
     }
+    if (pong.pingSentAt_ != 0) {
+        const Duration withheldFor = std::clamp<Duration>(Duration(pong.claimsWithheldFor_), Duration::zero(), ClaimWithholdTime);
+        claimsWithheldUntil_ = TimePoint(Duration(pong.pingSentAt_)) + withheldFor;
+    }
 }
 
 bool PeerLink::tryProcessFrames()
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -76,6 +76,11 @@
     {
         return confirmedAt_;
     }
+    // Until when the peer claims no service, by this instance's clock.
+    TimePoint claimsWithheldUntil() const
+    {
+        return claimsWithheldUntil_;
+    }
 
 private:
     Task<void> receive();
@@ -101,6 +106,7 @@
     bool isViewCurrent_ = false;
     Platform::Revision revision_ = 0;
     TimePoint confirmedAt_;
+    TimePoint claimsWithheldUntil_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -169,8 +169,10 @@
     std::int64_t viewAge_ = 0;
     // Servers that have said in a response that they are leaving, while the store does not say so yet.
     std::vector<LeavingServer> leavingServers_;
+    // Microseconds for which the sender, which has no lease, will claim no service; 0 if it may claim at any time.
+    std::int64_t claimsWithheldFor_ = 0;
 
-    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_)
+    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_)
 };
 
 // Requests the changes of the store's content since a revision.
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -55,6 +55,8 @@
                            HttpClient &client,
                            PlacementService &placement,
                            AnnouncementRecorder &announcements,
+                           const StoreLink &storeLink,
+                           std::string instance,
                            EventLog &log)
     : loop_(loop)
     , service_(std::move(service))
@@ -64,25 +66,76 @@
     , client_(client)
     , placement_(placement)
     , announcements_(announcements)
+    , storeLink_(storeLink)
+    , instance_(std::move(instance))
     , log_(log)
 {
 }
 
+void ShardService::cancelCalls()
+{
+    grantsUntil_ = TimePoint();
+    const auto calls = calls_;
+    for (const auto &call : calls) {
+        call->cancel();
+    }
+}
+
 void ShardService::stop()
 {
     isStopped_ = true;
-    mayGrant_ = false;
+    cancelCalls();
     if (auto *pool = placement_.pool(service_)) {
         pool->setPendingRanges({});
     }
 }
 
-void ShardService::create(TimePoint now)
+std::vector<std::string> ShardService::standbys() const
 {
+    auto standbys = unconfirmedStandbys_;
+    if (granter_) {
+        const auto &stored = granter_->assignment().granter_.standbys_;
+        standbys.insert(standbys.end(), stored.begin(), stored.end());
+    }
+    return standbys;
+}
+
+void ShardService::create(const std::optional<ShardAssignment> &stored, TimePoint seenAt, TimePoint now)
+{
+    const auto *coordinator = view_.coordinator(service_);
+    const bool hasYielded = coordinator != nullptr && coordinator->hasPredecessorYielded_;
+    const Successor self{instance_, storeLink_.claimsWithheldUntil(), hasYielded, seenAt};
+    const GranterRecord predecessor = stored ? stored->granter_ : GranterRecord();
+    TimePoint stopAt = stored ? earlierGrantersStopAt(predecessor, self, now) : now;
+    if (granter_) {
+        stopAt = std::max(stopAt, granter_->earlierGrantersStopAt());
+    }
+    cancelCalls();
+    granter_.emplace(timings_, stored, now, stopAt);
+    log_.write(LogLine("granter-started")
+                   .add("service", service_)
+                   .add("assignmentRevision", storedRevision_)
+                   .add("predecessor", predecessor.instance_)
+                   .add("predecessorYielded", hasYielded)
+                   .addDuration("earlierStopInMs", stopAt - now),
+               LogImportance::Kept,
+               now);
+}
+
+void ShardService::adoptAssignment(const CoordinatorEntry &coordinator, TimePoint now)
+{
+    if (isWriting_ || isReloading_ || (granter_ && coordinator.revision_ == coordinatorRevision_)) {
+        return;
+    }
+    coordinatorRevision_ = coordinator.revision_;
     const auto *entry = view_.assignment(service_);
-    storedRevision_ = entry == nullptr ? 0 : entry->revision_;
-    granter_.emplace(timings_, entry == nullptr ? std::nullopt : std::make_optional(entry->assignment_), now);
-    log_.write(LogLine("granter-started").add("service", service_).add("assignmentRevision", storedRevision_), LogImportance::Kept, now);
+    const auto revision = entry == nullptr ? 0 : entry->revision_;
+    // Only the instance that wrote the stored assignment can have granted since, with or without an entry in between.
+    const bool isOwnAssignment = entry != nullptr && entry->assignment_.granter_.instance_ == instance_ && revision == storedRevision_;
+    if (!granter_ || !isOwnAssignment) {
+        storedRevision_ = revision;
+        create(entry == nullptr ? std::nullopt : std::make_optional(entry->assignment_), entry == nullptr ? now : entry->seenAt_, now);
+    }
 }
 
 std::string ShardService::addressOf(const std::string &server)
@@ -93,26 +146,23 @@
     return addresses_[server];
 }
 
-void ShardService::run(bool mayGrant, bool mayMove, TimePoint now)
+void ShardService::run(TimePoint grantsUntil, bool mayMove, TimePoint now)
 {
-    mayGrant_ = mayGrant && !isStopped_;
-    auto *pool = placement_.pool(service_);
-    auto *load = placement_.keyLoad(service_);
-    if (!mayGrant_ || pool == nullptr) {
+    grantsUntil_ = isStopped_ ? TimePoint() : grantsUntil;
+    const auto *coordinator = view_.coordinator(service_);
+    if (now >= grantsUntil_ || coordinator == nullptr || placement_.pool(service_) == nullptr) {
         return;
     }
-    if (!granter_) {
-        create(now);
+    adoptAssignment(*coordinator, now);
+    if (coordinator->revision_ != coordinatorRevision_) {
+        // Another instance may have granted since. The outcome of a write has to be known first.
+        return;
     }
+    // `create` has ended all calls; those that start now may run until then again.
+    grantsUntil_ = grantsUntil;
     // While the outcome of a write is unknown, the previous assignment continues to be renewed; the new one is not yet in use.
     if (mayMove && !isWriting_ && !isReloading_ && now - plannedAt_ >= PlanInterval) {
-        plannedAt_ = now;
-        if (auto next = granter_->plan(pool->serverLoads(now), *load, now)) {
-            isWriting_ = true;
-            spawn(loop_, log_, "write-assignment", [self = shared_from_this(), assignment = std::move(*next)] {
-                return self->writeAssignment(assignment);
-            });
-        }
+        planAssignment(now);
     }
     for (auto &call : granter_->takeReleases(now)) {
         spawn(loop_, log_, "release", [self = shared_from_this(), call] {
@@ -127,6 +177,22 @@
     publishAssignment(now);
 }
 
+void ShardService::planAssignment(TimePoint now)
+{
+    plannedAt_ = now;
+    const auto present = granter_->assignment().granter_.standbys_;
+    granter_->setGranter(instance_, chooseStandbys(service_, instance_, present, view_.instances()));
+    auto next = granter_->plan(placement_.pool(service_)->serverLoads(now), *placement_.keyLoad(service_), now);
+    if (!next) {
+        return;
+    }
+    isWriting_ = true;
+    unconfirmedStandbys_ = next->granter_.standbys_;
+    spawn(loop_, log_, "write-assignment", [self = shared_from_this(), assignment = std::move(*next)] {
+        return self->writeAssignment(assignment);
+    });
+}
+
 void ShardService::publishAssignment(TimePoint now)
 {
     if (auto *pool = placement_.pool(service_); pool != nullptr && granter_ && !isStopped_) {
@@ -138,12 +204,9 @@
 
 Task<void> ShardService::writeAssignment(ShardAssignment assignment)
 {
-    const auto *coordinator = view_.coordinator(service_);
     Platform::StoreWrite write;
     write.conditions_.push_back({assignmentKey(service_), storedRevision_});
-    if (coordinator != nullptr) {
-        write.conditions_.push_back({coordinatorKey(service_), coordinator->revision_});
-    }
+    write.conditions_.push_back({coordinatorKey(service_), coordinatorRevision_});
     write.puts_.push_back({assignmentKey(service_), encodeAssignment(assignment), 0, 0});
     const auto commit = co_await store_.commit(std::move(write));
     const TimePoint now = bootNow();
@@ -160,8 +223,9 @@
     }
     if (commit.outcome_ == StoreOutcome::Done) {
         storedRevision_ = commit.revision_;
+        unconfirmedStandbys_.clear();
         granter_->recordStored(std::move(assignment), now);
-        run(mayGrant_, false, now);
+        run(grantsUntil_, false, now);
         co_return;
     }
     const bool isCertain = commit.outcome_ == StoreOutcome::Refused || commit.outcome_ == StoreOutcome::Unreachable;
@@ -191,23 +255,24 @@
         const auto item = std::ranges::find(page.items_, assignmentKey(service_), &Platform::StoreItem::key_);
         const auto stored = item == page.items_.end() ? std::nullopt : decodeAssignment(item->value_);
         storedRevision_ = item == page.items_.end() ? 0 : item->revision_;
-        granter_.emplace(timings_, stored, now);
+        unconfirmedStandbys_.clear();
+        create(stored, now, now);
         isReloading_ = false;
-        log_.write(LogLine("granter-reloaded").add("service", service_).add("assignmentRevision", storedRevision_), LogImportance::Kept, now);
         co_return;
     }
 }
 
-Task<ExchangeResult> ShardService::sendShardCall(std::string address, HttpRequest request, Duration timeout, Duration maxIdle)
+Task<ExchangeResult> ShardService::sendShardCall(std::string address, HttpRequest request, ExchangeOptions options)
 {
-    ExchangeOptions options;
-    options.connectTimeout_ = ShardCallConnectTimeout;
-    options.timeout_ = timeout;
-    options.maxIdle_ = maxIdle;
-    if (address.empty() || !mayGrant_) {
+    if (address.empty() || bootNow() >= grantsUntil_) {
         co_return ExchangeResult();
     }
-    co_return co_await client_.exchange(address, request, options, std::make_shared<ExchangeHandle>());
+    options.connectTimeout_ = ShardCallConnectTimeout;
+    const auto handle = std::make_shared<ExchangeHandle>();
+    calls_.insert(handle);
+    auto result = co_await client_.exchange(address, request, options, handle);
+    calls_.erase(handle);
+    co_return result;
 }
 
 void ShardService::recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint sentAt, TimePoint now)
@@ -221,7 +286,11 @@
 {
     const TimePoint sentAt = bootNow();
     const std::string address = addressOf(call.holder_.server_);
-    const auto result = co_await sendShardCall(address, Platform::makeGrantRequest(address, call), GrantTimeout, GrantMaxIdle);
+    ExchangeOptions options;
+    // A call that waits for its connection must not leave once a successor may rely on this instance having stopped.
+    options.timeout_ = std::min(GrantTimeout, grantsUntil_ - sentAt);
+    options.maxIdle_ = GrantMaxIdle;
+    const auto result = co_await sendShardCall(address, Platform::makeGrantRequest(address, call), options);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readShardCallOutcome(result);
     recordAnnouncement(call.holder_, result, sentAt, now);
@@ -241,7 +310,10 @@
 {
     const TimePoint sentAt = bootNow();
     const std::string address = addressOf(call.holder_.server_);
-    const auto result = co_await sendShardCall(address, Platform::makeReleaseRequest(address, call), ReleaseTimeout, ReleaseMaxIdle);
+    ExchangeOptions options;
+    options.timeout_ = ReleaseTimeout;
+    options.maxIdle_ = ReleaseMaxIdle;
+    const auto result = co_await sendShardCall(address, Platform::makeReleaseRequest(address, call), options);
     const TimePoint now = bootNow();
     const auto outcome = Platform::readShardCallOutcome(result);
     recordAnnouncement(call.holder_, result, sentAt, now);
@@ -249,7 +321,7 @@
     log_.write(describeShardCall("keys-released", service_, call, outcome), LogImportance::Kept, now);
     if (granter_ && !isStopped_) {
         granter_->recordReleaseResult(call, outcome, handover, now);
-        run(mayGrant_, false, now);
+        run(grantsUntil_, false, now);
     }
 }
 
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -19,23 +19,33 @@
                  HttpClient &client,
                  PlacementService &placement,
                  AnnouncementRecorder &announcements,
+                 const StoreLink &storeLink,
+                 std::string instance,
                  EventLog &log);
 
-    // Starts all due writes, grants and releases. `mayGrant`: this instance is certainly the granter; `mayMove`: the store can be written.
-    void run(bool mayGrant, bool mayMove, TimePoint now);
+    // Starts all due writes, grants and releases. No grant is sent after `grantsUntil`. `mayMove`: the store can be written.
+    void run(TimePoint grantsUntil, bool mayMove, TimePoint now);
+    // Ends all calls in progress, so that no grant is sent later than now.
+    void cancelCalls();
     // Stops for good: sends no further grants or releases.
     void stop();
+    // The standbys that the assignment in the store names or may name.
+    std::vector<std::string> standbys() const;
 
 private:
     Task<void> writeAssignment(ShardAssignment assignment);
     // Sends a grant or a release. If this instance may no longer grant, the result is NotSent.
-    Task<ExchangeResult> sendShardCall(std::string address, HttpRequest request, Duration timeout, Duration maxIdle);
+    Task<ExchangeResult> sendShardCall(std::string address, HttpRequest request, ExchangeOptions options);
     // Records what the server's response to a call says about further requests.
     void recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint sentAt, TimePoint now);
     Task<void> sendGrant(GrantCall call);
     Task<void> sendRelease(ReleaseCall call);
     Task<void> reload();
-    void create(TimePoint now);
+    // Starts the granter anew from the assignment in the store, if there is one.
+    void create(const std::optional<ShardAssignment> &stored, TimePoint seenAt, TimePoint now);
+    // Starts the granter if there is none, and anew if another instance has granted since this one did.
+    void adoptAssignment(const CoordinatorEntry &coordinator, TimePoint now);
+    void planAssignment(TimePoint now);
     void publishAssignment(TimePoint now);
     std::string addressOf(const std::string &server);
 
@@ -47,14 +57,21 @@
     HttpClient &client_;
     PlacementService &placement_;
     AnnouncementRecorder &announcements_;
+    const StoreLink &storeLink_;
+    std::string instance_;
     EventLog &log_;
     std::optional<ShardGranter> granter_;
+    // The coordinator entry as whose owner this instance granted last.
+    Platform::Revision coordinatorRevision_ = 0;
+    // Named by an assignment whose write has not been confirmed.
+    std::vector<std::string> unconfirmedStandbys_;
     Platform::Revision storedRevision_ = 0;
     bool isWriting_ = false;
     bool isReloading_ = false;
     bool isStopped_ = false;
-    bool mayGrant_ = false;
+    TimePoint grantsUntil_;
     TimePoint plannedAt_;
+    std::set<std::shared_ptr<ExchangeHandle>> calls_;
     // Addresses by server id. Kept after a server's entry is removed, because the server may still hold keys.
     std::map<std::string, std::string> addresses_;
 };
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -45,6 +45,8 @@
 
 void StoreLink::start()
 {
+    // The previous process of this instance may have withheld its claims.
+    claimsWithheldUntil_ = bootNow() + ClaimWithholdTime;
     spawnSupervised(loop_, log_, "watch", [this] {
         return watch();
     });
@@ -73,6 +75,15 @@
     return isRegistered_ && now < leaseValidUntil_;
 }
 
+Duration StoreLink::withholdClaims(TimePoint now)
+{
+    if (isLeaseValid(now)) {
+        return Duration::zero();
+    }
+    claimsWithheldUntil_ = now + ClaimWithholdTime;
+    return ClaimWithholdTime;
+}
+
 void StoreLink::invalidate()
 {
     leaseValidUntil_ = TimePoint();
@@ -240,6 +251,7 @@
             failures = 0;
             recordContact(now);
             leaseValidUntil_ = sentAt + renewal.lifetime_;
+            renewedAt_ = sentAt;
             continue;
         }
         ++failures;
@@ -273,6 +285,7 @@
     recordContact(now);
     lease_ = lease.id_;
     leaseValidUntil_ = sentAt + lease.lifetime_;
+    renewedAt_ = sentAt;
     isRegistered_ = true;
     log_.write(LogLine("lease-granted").add("lease", lease_).add("revision", commit.revision_), LogImportance::Kept, now);
     co_return true;
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -48,10 +48,22 @@
     void recordRelayed(TimePoint confirmedAt);
     // Whether this instance's lease has certainly not expired.
     bool isLeaseValid(TimePoint now) const;
+    // The present lease, or the last one if it has ended.
     Platform::LeaseId lease() const
     {
         return lease_;
     }
+    // When the last successful renewal of that lease was sent.
+    TimePoint renewedAt() const
+    {
+        return renewedAt_;
+    }
+    // Withholds claims of services for `ClaimWithholdTime` if this instance has no valid lease. Returns for how long they are withheld now.
+    Duration withholdClaims(TimePoint now);
+    TimePoint claimsWithheldUntil() const
+    {
+        return claimsWithheldUntil_;
+    }
     // A peer knows this revision: if the watch does not report it soon, the watch is stale and is cancelled.
     void expectRevision(Platform::Revision revision, TimePoint now);
     // The process was suspended: treats the lease and the view as unconfirmed until the store or a peer responds again.
@@ -91,6 +103,8 @@
     TimePoint failingSince_;
     Platform::LeaseId lease_ = 0;
     TimePoint leaseValidUntil_;
+    TimePoint renewedAt_;
+    TimePoint claimsWithheldUntil_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -26,27 +26,60 @@
     return key.starts_with(prefix) ? std::make_optional(key.substr(prefix.size())) : std::nullopt;
 }
 
+// Throws if a field is missing or has another type.
+std::optional<MemberEntry> readMember(const Json &document)
+{
+    MemberEntry member;
+    document.at("name").get_to(member.name_);
+    document.at("incarnation").get_to(member.incarnation_);
+    document.at("peerAddress").get_to(member.peerAddress_);
+    document.at("domain").get_to(member.domain_);
+    const auto &cpu = document.at("processorMilli");
+    const bool isUsable = cpu.is_number_unsigned() && cpu.get<std::uint64_t>() <= MaxCpuMillicores && parseEndpoint(member.peerAddress_);
+    if (!isUsable) {
+        return std::nullopt;
+    }
+    member.cpuMillicores_ = cpu.get<std::uint32_t>();
+    return member;
+}
+
 std::optional<MemberEntry> decodeMember(const std::string &text)
+{
+    try {
+        return readMember(Json::parse(text));
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::optional<CoordinatorEntry> decodeCoordinator(const std::string &text, Revision revision)
 {
     try {
         const auto document = Json::parse(text);
-        MemberEntry member;
-        document.at("name").get_to(member.name_);
-        document.at("incarnation").get_to(member.incarnation_);
-        document.at("peerAddress").get_to(member.peerAddress_);
-        document.at("domain").get_to(member.domain_);
-        const auto &cpu = document.at("processorMilli");
-        const bool isUsable = cpu.is_number_unsigned() && cpu.get<std::uint64_t>() <= MaxCpuMillicores && parseEndpoint(member.peerAddress_);
-        if (!isUsable) {
+        const auto member = readMember(document);
+        if (!member) {
             return std::nullopt;
         }
-        member.cpuMillicores_ = cpu.get<std::uint32_t>();
-        return member;
+        // Earlier versions write only the member. They may coordinate, but this version never grants keys on such an entry.
+        CoordinatorEntry coordinator{*member, 0, false, false, revision};
+        coordinator.lease_ = document.value("lease", coordinator.lease_);
+        coordinator.isYielding_ = document.value("yielding", false);
+        coordinator.hasPredecessorYielded_ = document.value("predecessorYielded", false);
+        return coordinator;
     } catch (const std::exception &) {
         return std::nullopt;
     }
 }
 
+Json memberDocument(const MemberEntry &member)
+{
+    return Json{{"name", member.name_},
+                {"incarnation", member.incarnation_},
+                {"peerAddress", member.peerAddress_},
+                {"domain", member.domain_},
+                {"processorMilli", member.cpuMillicores_}};
+}
+
 } // namespace
 
 std::string memberKey(const std::string &instance)
@@ -66,12 +99,16 @@
 
 std::string encodeMember(const MemberEntry &member)
 {
-    return Json{{"name", member.name_},
-                {"incarnation", member.incarnation_},
-                {"peerAddress", member.peerAddress_},
-                {"domain", member.domain_},
-                {"processorMilli", member.cpuMillicores_}}
-        .dump();
+    return memberDocument(member).dump();
+}
+
+std::string encodeCoordinator(const CoordinatorEntry &coordinator)
+{
+    auto document = memberDocument(coordinator.member_);
+    document["lease"] = coordinator.lease_;
+    document["yielding"] = coordinator.isYielding_;
+    document["predecessorYielded"] = coordinator.hasPredecessorYielded_;
+    return document.dump();
 }
 
 void StoreView::apply(const std::vector<Platform::StoreEvent> &events, Revision at, TimePoint now)
@@ -221,14 +258,14 @@
             handler_(item.key_, "cannot decode the member's entry");
         }
     } else if (const auto service = withoutPrefix(item.key_, CoordinatorPrefix)) {
-        if (const auto member = decodeMember(item.value_)) {
-            coordinators_[*service] = {*member, item.revision_};
+        if (const auto coordinator = decodeCoordinator(item.value_, item.revision_)) {
+            coordinators_[*service] = *coordinator;
         } else {
-            handler_(item.key_, "cannot decode the member's entry");
+            handler_(item.key_, "cannot decode the coordinator's entry");
         }
     } else if (const auto sharded = withoutPrefix(item.key_, AssignmentPrefix)) {
         if (auto assignment = decodeAssignment(item.value_)) {
-            assignments_[*sharded] = {std::move(*assignment), item.revision_};
+            assignments_[*sharded] = {std::move(*assignment), item.revision_, now};
         } else {
             handler_(item.key_, "invalid shard assignment");
         }
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -31,6 +31,12 @@
 struct CoordinatorEntry
 {
     MemberEntry member_;
+    // The lease that the entry ends with.
+    Platform::LeaseId lease_ = 0;
+    // The coordinator grants no more keys and waits for a more suitable instance to take over.
+    bool isYielding_ = false;
+    // The entry replaced one that was yielding.
+    bool hasPredecessorYielded_ = false;
     Platform::Revision revision_ = 0;
 
     auto operator<=>(const CoordinatorEntry &) const = default;
@@ -41,6 +47,8 @@
 {
     ShardAssignment assignment_;
     Platform::Revision revision_ = 0;
+    // When this instance got it.
+    TimePoint seenAt_;
 
     auto operator<=>(const AssignmentEntry &) const = default;
 };
@@ -59,6 +67,7 @@
 std::string coordinatorKey(const std::string &service);
 std::string assignmentKey(const std::string &service);
 std::string encodeMember(const MemberEntry &member);
+std::string encodeCoordinator(const CoordinatorEntry &coordinator);
 
 // The store's items up to one revision, and their decoded form. The revision never decreases, whether changes come from the store or from
 // other instances.
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -126,10 +126,13 @@
 
 PongMessage ViewRelay::makePong(std::int64_t pingSentAt, TimePoint now) const
 {
-    PongMessage pong{view_.at(), storeLink_.isCurrent(now), pingSentAt, (now - storeLink_.confirmedAt()).count(), {}};
+    PongMessage pong{view_.at(), storeLink_.isCurrent(now), pingSentAt, (now - storeLink_.confirmedAt()).count(), {}, 0};
     for (const auto &server : notices_->announcedOnly()) {
         pong.leavingServers_.push_back({server.id_, server.startTime_});
     }
+    if (pingSentAt != 0) {
+        pong.claimsWithheldFor_ = storeLink_.withholdClaims(now).count();
+    }
     return pong;
 }
 
--- a/Libraries/LibPlacement/LibPlacement.h
+++ b/Libraries/LibPlacement/LibPlacement.h
@@ -5,4 +5,5 @@
 #include <LibPlacement/ServerNotices.h>
 #include <LibPlacement/ServicePool.h>
 #include <LibPlacement/ShardGranter.h>
+#include <LibPlacement/Succession.h>
 #include <LibPlacement/WeightedRotation.h>
--- a/Libraries/LibPlacement/ShardAssignment.cpp
+++ b/Libraries/LibPlacement/ShardAssignment.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// A record that states a longer time is invalid.
+constexpr std::uint64_t MaxStopWithinMs = 3'600'000;
+
 // Reads a whole number from 0 to `maximum`; throws if the value is none.
 std::uint64_t readNumber(const Json &value, std::uint64_t maximum)
 {
@@ -54,6 +57,22 @@
     return range;
 }
 
+Json encodeGranter(const GranterRecord &granter)
+{
+    return Json{{"instance", granter.instance_},
+                {"standbys", granter.standbys_},
+                {"earlierStopWithinMs", std::chrono::ceil<std::chrono::milliseconds>(granter.earlierGrantersStopWithin_).count()}};
+}
+
+GranterRecord decodeGranter(const Json &value)
+{
+    GranterRecord granter;
+    value.at("instance").get_to(granter.instance_);
+    value.at("standbys").get_to(granter.standbys_);
+    granter.earlierGrantersStopWithin_ = std::chrono::milliseconds(readNumber(value.at("earlierStopWithinMs"), MaxStopWithinMs));
+    return granter;
+}
+
 FencingToken highestToken(const ShardAssignment &assignment)
 {
     FencingToken highest = 0;
@@ -100,7 +119,7 @@
         }
         ranges.push_back(Json{{"first", range.first_}, {"last", range.last_}, {"holder", encodeHolder(range.holder_)}, {"previous", std::move(previous)}});
     }
-    return Json{{"nextToken", assignment.nextToken_}, {"ranges", std::move(ranges)}}.dump();
+    return Json{{"nextToken", assignment.nextToken_}, {"granter", encodeGranter(assignment.granter_)}, {"ranges", std::move(ranges)}}.dump();
 }
 
 std::optional<ShardAssignment> decodeAssignment(const std::string &text)
@@ -109,6 +128,10 @@
         const auto document = Json::parse(text);
         ShardAssignment assignment;
         assignment.nextToken_ = readToken(document.at("nextToken"));
+        // Assignments of earlier versions name no granter. Their successors wait as for a granter without standbys.
+        if (const auto granter = document.find("granter"); granter != document.end()) {
+            assignment.granter_ = decodeGranter(*granter);
+        }
         for (const auto &range : document.at("ranges")) {
             assignment.ranges_.push_back(decodeRange(range));
         }
--- a/Libraries/LibPlacement/ShardAssignment.h
+++ b/Libraries/LibPlacement/ShardAssignment.h
@@ -57,11 +57,24 @@
     }
 };
 
+// The instance that grants the keys of an assignment, and what its successor has to know about it.
+struct GranterRecord
+{
+    std::string instance_;
+    // Names of the instances that succeed it first. While it has no lease, it grants only as long as all of them withhold their claims.
+    std::vector<std::string> standbys_;
+    // Granters before this one send nothing later than this after the record was written.
+    Duration earlierGrantersStopWithin_ = Duration::zero();
+
+    auto operator<=>(const GranterRecord &) const = default;
+};
+
 // Assignment of all keys of a service, as kept in the store. Empty, or sorted and without gaps.
 struct ShardAssignment
 {
     // Higher than any fencing token ever issued.
     FencingToken nextToken_ = 1;
+    GranterRecord granter_;
     std::vector<ShardRange> ranges_;
 
     auto operator<=>(const ShardAssignment &) const = default;
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -49,14 +49,34 @@
     return timings;
 }
 
-ShardGranter::ShardGranter(GrantTimings timings, const std::optional<ShardAssignment> &stored, TimePoint now)
+ShardGranter::ShardGranter(GrantTimings timings, const std::optional<ShardAssignment> &stored, TimePoint now, TimePoint earlierGrantersStopAt)
     : timings_(timings)
     , assignment_(stored.value_or(ShardAssignment()))
-    , earlierGrantsExpireAt_(stored ? now + maxGrantLifetime(timings) : now)
+    , earlierGrantersStopAt_(stored ? std::max(now, earlierGrantersStopAt) : now)
+    , earlierGrantsExpireAt_(stored ? earlierGrantersStopAt_ + maxGrantLifetime(timings) : now)
 {
 }
 
+void ShardGranter::setGranter(std::string instance, std::vector<std::string> standbys)
+{
+    instance_ = std::move(instance);
+    standbys_ = std::move(standbys);
+}
+
 std::optional<ShardAssignment> ShardGranter::plan(const std::vector<ServerLoadView> &servers, const KeyLoad &load, TimePoint now)
+{
+    auto next = planRanges(servers, load, now);
+    const bool hasOtherStandbys = isTakenOver_ && assignment_.granter_.standbys_ != standbys_;
+    if (!next && hasOtherStandbys && now - storedAt_ >= CleanupInterval) {
+        next = assignment_;
+    }
+    if (next) {
+        next->granter_ = {instance_, standbys_, std::max(Duration::zero(), earlierGrantersStopAt_ - now)};
+    }
+    return next;
+}
+
+std::optional<ShardAssignment> ShardGranter::planRanges(const std::vector<ServerLoadView> &servers, const KeyLoad &load, TimePoint now)
 {
     if (assignment_.ranges_.empty()) {
         if (!isServerSetStable(servers, now)) {
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -64,8 +64,11 @@
 class ShardGranter
 {
 public:
-    // `stored` is the assignment in the store, if there is one.
-    ShardGranter(GrantTimings timings, const std::optional<ShardAssignment> &stored, TimePoint now);
+    // `stored` is the assignment in the store, if there is one. Earlier granters may send grants until `earlierGrantersStopAt`.
+    ShardGranter(GrantTimings timings, const std::optional<ShardAssignment> &stored, TimePoint now, TimePoint earlierGrantersStopAt = TimePoint());
+
+    // Sets what the assignments that are written from now on say about their granter.
+    void setGranter(std::string instance, std::vector<std::string> standbys);
 
     // Returns the assignment to be written to the store now, or nothing if there is no change.
     std::optional<ShardAssignment> plan(const std::vector<ServerLoadView> &servers, const KeyLoad &load, TimePoint now);
@@ -84,6 +87,10 @@
     {
         return assignment_;
     }
+    TimePoint earlierGrantersStopAt() const
+    {
+        return earlierGrantersStopAt_;
+    }
     // Returns whether a server refused a grant because of a higher fencing token, that is, whether another granter is active.
     bool isSuperseded() const
     {
@@ -124,6 +131,7 @@
         std::vector<PreviousHolderState> previous_;
     };
 
+    std::optional<ShardAssignment> planRanges(const std::vector<ServerLoadView> &servers, const KeyLoad &load, TimePoint now);
     bool isServerSetStable(const std::vector<ServerLoadView> &servers, TimePoint now);
     bool hasGivenUpKeys(const RangeState &state, const PreviousHolderState &previous, TimePoint now) const;
     bool mayGrant(const RangeState &state, TimePoint now) const;
@@ -134,8 +142,11 @@
 
     GrantTimings timings_;
     ShardAssignment assignment_;
+    std::string instance_;
+    std::vector<std::string> standbys_;
     bool isTakenOver_ = false;
     bool isSuperseded_ = false;
+    TimePoint earlierGrantersStopAt_;
     // Until then grants of an earlier granter may be valid.
     TimePoint earlierGrantsExpireAt_;
     TimePoint plannedAt_;
--- /dev/null
+++ b/Libraries/LibPlacement/Succession.h
@@ -0,0 +1,57 @@
+// When an instance may send grants of keys, and when its successor may rely on it having stopped.
+//
+// The rule: no grant is sent at a time at which a successor may already count on it that none is sent. A granter sends grants
+//  - for `GrantingTimePerRenewal` after it sent the last successful renewal of its coordinator entry's lease; and after that
+//  - for `MaxGrantingWithoutLease` at most, while each of its standbys has itself no lease and withholds its claim.
+// A successor counts from its own claim, which the store accepts only after the granter's entry has ended. A standby waits for the time
+// for which it has withheld its claim, any other instance for `MaxGrantingWithoutLease`. So a granter that is cut off from its standbys
+// stops at once, and one that shares a store outage with them does not.
+#pragma once
+
+#include <LibPlacement/InstanceRank.h>
+#include <LibPlacement/ShardAssignment.h>
+
+#include <map>
+
+namespace Goldcrestwall::Gateway {
+
+// Shorter than a lease, and long enough for one renewal to fail. The store can take a lease away before it ends, so a successor waits
+// for this time also if the lease ran out.
+inline constexpr Duration GrantingTimePerRenewal = 1s;
+// Longest time for which a granter serves through an outage of the store.
+inline constexpr Duration MaxGrantingWithoutLease = 8s;
+// How long an instance without a lease withholds its claims after it has said so. Covers a lost ping.
+inline constexpr Duration ClaimWithholdTime = 1200ms;
+// Number of standbys, in different failure domains if possible. All of them must be heard in a store outage.
+inline constexpr std::size_t StandbyCount = 2;
+
+// Returns until when a granter may send grants. `renewedAt` is when it sent the last successful renewal of its entry's lease; each standby
+// withholds its claims until one of `claimsWithheldUntil`.
+TimePoint grantsAllowedUntil(TimePoint renewedAt, const std::vector<TimePoint> &claimsWithheldUntil);
+
+// An instance that has just become the granter of an assignment.
+struct Successor
+{
+    std::string instance_;
+    // Until when it has withheld its claims.
+    TimePoint claimsWithheldUntil_;
+    // Its predecessor had stopped granting before it could claim.
+    bool hasPredecessorYielded_ = false;
+    // When it got the assignment that its predecessor wrote.
+    TimePoint assignmentSeenAt_;
+
+    auto operator<=>(const Successor &) const = default;
+};
+
+// Returns the time after which no earlier granter sends a grant.
+TimePoint earlierGrantersStopAt(const GranterRecord &predecessor, const Successor &successor, TimePoint now);
+
+// Returns the standbys of a granter: the present ones that are still members, and the best ranked of the other instances.
+std::vector<std::string>
+chooseStandbys(const std::string &service, const std::string &granter, const std::vector<std::string> &present, const std::vector<InstanceProfile> &instances);
+
+// Returns the number of instances that precede this one in claiming a service without a coordinator: its standbys come first.
+std::size_t
+claimRank(const std::string &service, const std::string &instance, const std::vector<std::string> &standbys, const std::vector<InstanceProfile> &instances);
+
+} // namespace Goldcrestwall::Gateway
