LibHttp, RequestFlow: Keep work that runs once off connections that brought an unmarked response

Only (1) is left open by the code: readResponse believes any response without the correlation header.

Change: a connection that has brought a response without the header is used on only for work that may run again. Closing it instead would cost a new connection for each rejection, and rejections bear no id as a rule.

Evidence: copyOfAnUncorrelatedRejectionIsNoAnswerToWorkThatRunsOnce failed without the condition in takeIdle (second exchange on the same connection), passes with it; 12 of 12 in TestLibHttp.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -279,6 +279,8 @@
     options.maxIdle_ = isIdempotent ? MaxIdleIdempotent : MaxIdleNonIdempotent;
     // A retry at the same server has the request's id, as has a late copy of the rejection that it follows.
     options.needsNewConnection_ = std::ranges::find(progress.servers_, place.server_) != progress.servers_.end();
+    // Rejections may come without an id. A server that writes one once more must not make a request that has run look rejected.
+    options.needsCorrelatedConnection_ = !isIdempotent;
     options.correlationHeader_ = Platform::RequestIdHeader;
     options.correlationId_ = progress.headers_.requestId_;
     options.bodyReservation_ = &progress.control_->responseReservation();
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -94,30 +94,33 @@
     }
 }
 
-std::shared_ptr<beast::tcp_stream> HttpClient::takeIdle(const std::string &address, Duration maxIdle, TimePoint now)
+std::optional<HttpClient::IdleConnection> HttpClient::takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now)
 {
     const auto found = idle_.find(address);
-    if (found == idle_.end()) {
-        return nullptr;
+    if (found == idle_.end() || options.needsNewConnection_) {
+        return std::nullopt;
     }
     auto &connections = found->second;
-    while (!connections.empty()) {
-        // The most recently used connection is the most likely to be open.
-        IdleConnection idle = std::move(connections.back());
-        connections.pop_back();
-        if (now - idle.since_ < std::min(maxIdle, idle.keepAlive_) && isOpenAndSilent(*idle.stream_)) {
-            return idle.stream_;
+    // The most recently used connection is the most likely to be open.
+    for (auto index = connections.size(); index > 0; --index) {
+        IdleConnection idle = connections[index - 1];
+        if (options.needsCorrelatedConnection_ && !idle.isCorrelated_) {
+            continue;
+        }
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index) - 1);
+        if (now - idle.since_ < std::min(options.maxIdle_, idle.keepAlive_) && isOpenAndSilent(*idle.stream_)) {
+            return idle;
         }
         closeStream(*idle.stream_);
     }
-    return nullptr;
+    return std::nullopt;
 }
 
-void HttpClient::storeIdle(const std::string &address, std::shared_ptr<beast::tcp_stream> stream, const HttpResponse &response, TimePoint now)
+void HttpClient::storeIdle(const std::string &address, IdleConnection connection)
 {
     auto &connections = idle_[address];
-    stream->expires_never();
-    connections.push_back({std::move(stream), now, announcedKeepAlive(response)});
+    connection.stream_->expires_never();
+    connections.push_back(std::move(connection));
     if (connections.size() > MaxIdlePerAddress) {
         closeStream(*connections.front().stream_);
         connections.pop_front();
@@ -219,7 +222,8 @@
 {
     ExchangeResult result;
     const TimePoint startedAt = bootNow();
-    auto stream = options.needsNewConnection_ ? nullptr : takeIdle(address, options.maxIdle_, startedAt);
+    const auto idle = takeIdle(address, options, startedAt);
+    auto stream = idle ? idle->stream_ : nullptr;
     if (!stream) {
         result.isNewConnection_ = true;
         stream = co_await connect(address, std::min(options.connectTimeout_, options.timeout_), handle);
@@ -241,7 +245,9 @@
         co_return result;
     }
     if (result.outcome_ == ExchangeOutcome::Answered && isReusable && !error) {
-        storeIdle(address, std::move(stream), result.response_, bootNow());
+        const bool hasCorrelation = options.correlationHeader_.empty() || !result.response_[options.correlationHeader_].empty();
+        const bool isCorrelated = (!idle || idle->isCorrelated_) && hasCorrelation;
+        storeIdle(address, {std::move(stream), bootNow(), announcedKeepAlive(result.response_), isCorrelated});
         co_return result;
     }
     if (result.outcome_ == ExchangeOutcome::Answered) {
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace Goldcrestwall::Gateway {
 
@@ -75,6 +76,9 @@
     // No idle connection is reused, because it may still bring a copy of a response that the correlation header cannot tell from the one to
     // this request.
     bool needsNewConnection_ = false;
+    // No idle connection is reused that has brought a response without the correlation header: a copy of it would be taken for the response
+    // to this request.
+    bool needsCorrelatedConnection_ = false;
     // Name of the header that correlates responses with requests, and the value of this request. Responses with another value are
     // skipped.
     std::string correlationHeader_;
@@ -113,10 +117,13 @@
         std::shared_ptr<beast::tcp_stream> stream_;
         TimePoint since_;
         Duration keepAlive_ = Duration::zero();
+        // Whether all its responses have had the correlation header, if their exchanges asked for one.
+        bool isCorrelated_ = true;
     };
 
-    std::shared_ptr<beast::tcp_stream> takeIdle(const std::string &address, Duration maxIdle, TimePoint now);
-    void storeIdle(const std::string &address, std::shared_ptr<beast::tcp_stream> stream, const HttpResponse &response, TimePoint now);
+    // Returns the idle connection to be used next, or nothing if there is none that is suitable and open.
+    std::optional<IdleConnection> takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now);
+    void storeIdle(const std::string &address, IdleConnection connection);
     Task<std::shared_ptr<beast::tcp_stream>> connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle);
     static Task<ErrorCode> readMessage(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser, BodyReservation *reservation);
     // Reads responses up to the one to this request. Sets the outcome and the response; returns whether the connection is reusable.
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(answersAreJudged);
     CPPUNIT_TEST(responseCutOffAtAnyByteIsNoAnswer);
     CPPUNIT_TEST(connectionsAreKeptOnlyWhenClean);
+    CPPUNIT_TEST(copyOfAnUncorrelatedRejectionIsNoAnswerToWorkThatRunsOnce);
     CPPUNIT_TEST(closedConnectionIsNotReused);
     CPPUNIT_TEST(idleConnectionIsNotReusedAfterItsTimeout);
     CPPUNIT_TEST(unreachableServerIsReportedAsNotSent);
@@ -347,6 +348,25 @@
         }
     }
 
+    // Guards against a request that has run and is told rejected: a server writes an earlier rejection, which names no request, once more on
+    // the connection where the next request comes.
+    void copyOfAnUncorrelatedRejectionIsNoAnswerToWorkThatRunsOnce()
+    {
+        const std::string rejection = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n";
+        const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        auto options = makeOptions();
+        options.needsCorrelatedConnection_ = true;
+        const auto results = runExchanges({{{rejection}, false}, {{clean, clean}, false}}, 3, options);
+        CPPUNIT_ASSERT_EQUAL(503U, results[0].response_.result_int());
+        CPPUNIT_ASSERT(results[1].isNewConnection_);
+        CPPUNIT_ASSERT_EQUAL(200U, results[1].response_.result_int());
+        // A connection with correlated responses only is reused.
+        CPPUNIT_ASSERT(results[2].outcome_ == ExchangeOutcome::Answered);
+        CPPUNIT_ASSERT(!results[2].isNewConnection_);
+        // Work that may run again may use either connection.
+        CPPUNIT_ASSERT(!runExchanges({{{rejection, clean}, false}}, 2)[1].isNewConnection_);
+    }
+
     void closedConnectionIsNotReused()
     {
         const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
