RequestFlow: Take nothing late in a planned stop that might be cut off

What callers saw (report of other operators): requests that came late in the grace period were passed on and cut with no answer at its end, bookings among them. Shown here by a booking whose body ends 3.5 s after SIGTERM, on a route of 10 s, beside a request that keeps the process running: it reached a server, and its caller got no answer.

Cause: Gateway::stop accepted work until the process ended, whatever time that work had. Ruled out: requests on idle kept connections and new connections, which are closed 3 s after the signal, and pipelined ones behind a closing answer, which are not begun.

Change: from 3 s after the signal a request that may last beyond the end is rejected unsent: 503, Connection: close, a short Retry-After.

Evidence: plannedStopTakesNothingThatItMightCutOff failed without the call of rejectAfter (no answer at all) and passes with it.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -400,8 +400,9 @@
 Task<void> Gateway::stop()
 {
     // 1. Report not ready, close each connection with its next response, and step down as coordinator.
-    // 2. Continue serving until the platform routes no new callers here and the requests in progress have completed.
-    // 3. Stop before the platform kills the process.
+    // 2. Continue serving until the platform routes no new callers here.
+    // 3. Complete the requests in progress, and reject those that might not complete in time.
+    // 4. Stop before the platform kills the process.
     const TimePoint startedAt = bootNow();
     log_.write(LogLine("stopping").add("requests", front_.inFlightRequests()), LogImportance::Kept, startedAt);
     front_.beginStop();
@@ -409,8 +410,9 @@
         return unregister();
     });
     co_await sleepFor(loop_, ReadinessPropagationTime);
-    front_.closeIdle();
     const TimePoint endsAt = startedAt + settings_.gracePeriod_ - StopMargin;
+    flow_.rejectAfter(endsAt);
+    front_.closeIdle();
     while (front_.inFlightRequests() > 0 && bootNow() < endsAt) {
         co_await sleepFor(loop_, TickInterval);
     }
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -29,6 +29,8 @@
 constexpr Duration MinCallerRetryAge = 20ms;
 constexpr unsigned GatewayTimeout = 504;
 constexpr Duration StartupRetryAfter = 300ms;
+// A caller that returns at once reaches another instance: this one takes no new connections.
+constexpr Duration StoppingRetryAfter = 10ms;
 constexpr Duration MisdirectedDelay = 30ms;
 
 std::string pathOf(const HttpRequest &request)
@@ -152,6 +154,11 @@
     }
     const auto &route = *progress.route_;
     progress.deadline_ = progress.arrivedAt_ + std::min(route.timeout_, progress.headers_.callerTimeout_.value_or(route.timeout_));
+    if (endsAt_ && progress.deadline_ + DeadlineGrace > *endsAt_) {
+        // Sent on, it might be cut off without an answer.
+        report_.ended(progress, 503, "stopping", now);
+        return makeResponse(progress, 503, StoppingRetryAfter);
+    }
     const Duration age = estimateAge(route.name_, progress.headers_.callerTimeout_);
     progress.isCallerRetry_ = age > MinCallerRetryAge;
     progress.latencyObjectiveAt_ = progress.arrivedAt_ + scaled(route.latencyObjective_, ObjectiveFraction) - age;
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -25,6 +25,12 @@
     // read.
     Task<std::optional<HttpResponse>> run(const HttpRequest &request, std::shared_ptr<RequestControl> control, TimePoint arrivedAt);
 
+    // Rejects every request from now on that may take longer than until `endsAt`, when the process ends.
+    void rejectAfter(TimePoint endsAt)
+    {
+        endsAt_ = endsAt;
+    }
+
     // Whether the request may run more than once, or will not run because no route matches it.
     bool mayRunAgain(const HttpRequest &request) const;
 
@@ -66,6 +72,8 @@
     // Both maps are indexed by route name.
     std::map<std::string, WeightedRotation> rotations_;
     std::map<std::string, Duration> longestCallerTimeout_;
+    // When the process ends; nothing unless it is about to.
+    std::optional<TimePoint> endsAt_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(bookingWaitsForEarlierResponses);
     CPPUNIT_TEST(requestsAfterAClosingResponseAreNotRun);
     CPPUNIT_TEST(plannedStopAnswersAllThatWasBegun);
+    CPPUNIT_TEST(plannedStopTakesNothingThatItMightCutOff);
     CPPUNIT_TEST(callerDisconnectCancelsPipelinedRequests);
     CPPUNIT_TEST(answersWithoutEndAreCutOff);
     CPPUNIT_TEST(serversThatNeverEndAreAvoided);
@@ -68,6 +69,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.recorder().runsOf("one"));
     }
 
+    // Guards against a booking that is sent on late in the grace period and cut off without an answer when the process ends.
+    void plannedStopTakesNothingThatItMightCutOff()
+    {
+        Deployment deployment(1);
+        deployment.putConfiguration(R"({"resourceType":"routes","metadata":{"name":"r-slow"},"spec":{"host":"plain.example","prefix":"/slow/",
+            "kind":"non_idempotent","timeoutS":10,"aimS":0.3,"priority":1,"service":"plain","maxAttempts":2}},)");
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        setFault(deployment, PlatformServerFault::Unresponsive);
+        // A request that lasts until the end keeps the process running.
+        RawConnection other(deployment.instance(0).callerPort());
+        other.send("GET /slow/long HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: long\r\n\r\n");
+        CPPUNIT_ASSERT(awaitRun(deployment, "long"));
+        RawConnection connection(deployment.instance(0).callerPort());
+        deployment.instance(0).signal(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        // The rest of the body arrives when the platform no longer routes callers here.
+        connection.send("POST /slow/late HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: late\r\nContent-Length: 6\r\n\r\nabc");
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        connection.send("def");
+        const auto received = connection.receiveAll();
+        CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT_MESSAGE(received, received.find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.recorder().runsOf("late"));
+        CPPUNIT_ASSERT(deployment.instance(0).wait(8s) == std::optional<int>(0));
+    }
+
     void bookingWaitsForEarlierResponses()
     {
         Deployment deployment(1);
