--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -94,25 +94,37 @@
     if (coordinator == nullptr || coordinator->member_ != self_ || coordinator->isYielding_ || yielded_.contains(service)) {
         return {};
     }
+    return grantsAllowedUntil(entryRenewedAt(service, coordinator->lease_), claimsWithheldUntil(shards.standbys(), now));
+}
+
+TimePoint CoordinationManager::entryRenewedAt(const std::string &service, Platform::LeaseId lease)
+{
     auto &renewal = renewals_[service];
-    if (renewal.lease_ != coordinator->lease_) {
-        renewal = {coordinator->lease_, TimePoint()};
+    if (renewal.lease_ != lease) {
+        renewal = {lease, TimePoint()};
     }
-    if (storeLink_.lease() == coordinator->lease_) {
+    // A lease that was registered anew does not renew an entry that ended with an earlier one.
+    if (storeLink_.lease() == lease) {
         renewal.renewedAt_ = std::max(renewal.renewedAt_, storeLink_.renewedAt());
     }
-    std::map<std::string, TimePoint> withheldUntil;
+    return renewal.renewedAt_;
+}
+
+std::vector<TimePoint> CoordinationManager::claimsWithheldUntil(const std::vector<std::string> &instances, TimePoint now) const
+{
+    std::map<std::string, TimePoint> byInstance;
     for (const auto &link : network_.openLinks(now)) {
         // A peer that knows more of the store may have claimed the service, or know who has.
         if (link->revision() <= view_.at()) {
-            withheldUntil[link->instance()] = link->claimsWithheldUntil();
+            byInstance[link->instance()] = link->claimsWithheldUntil();
         }
     }
-    std::vector<TimePoint> promises;
-    for (const auto &standby : shards.standbys()) {
-        promises.push_back(withheldUntil[standby]);
+    std::vector<TimePoint> withheldUntil;
+    withheldUntil.reserve(instances.size());
+    for (const auto &instance : instances) {
+        withheldUntil.push_back(byInstance[instance]);
     }
-    return grantsAllowedUntil(renewal.renewedAt_, promises);
+    return withheldUntil;
 }
 
 void CoordinationManager::runGranter(const std::string &service, ShardService &shards, TimePoint now)
@@ -192,24 +204,28 @@
         return;
     }
     yieldedAt_.erase(service);
-    if (const auto yielded = yielded_.find(service); yielded != yielded_.end()) {
-        if (yielded->second == coordinator.revision_) {
-            return;
-        }
-        yielded_.erase(yielded);
-    }
-    const auto instances = instancesWithClaims();
-    const bool hasBetter = std::ranges::any_of(instances, [&](const InstanceProfile &instance) {
-        return isMuchBetterCoordinator(service, instance.name_, self_.name_, instances);
-    });
-    if (!hasBetter) {
-        betterSince_.erase(service);
+    const auto yielded = yielded_.find(service);
+    if (yielded != yielded_.end() && yielded->second == coordinator.revision_) {
+        // The write that says so has not been seen yet.
         return;
     }
-    if (now - betterSince_.try_emplace(service, now).first->second < TakeoverDelay) {
-        return;
+    yielded_.erase(service);
+    if (!hasMuchBetterInstance(service)) {
+        betterSince_.erase(service);
+    } else if (now - betterSince_.try_emplace(service, now).first->second >= TakeoverDelay) {
+        betterSince_.erase(service);
+        startYielding(service, coordinator);
     }
-    betterSince_.erase(service);
+}
+
+bool CoordinationManager::hasMuchBetterInstance(const std::string &service) const
+{
+    const auto instances = instancesWithClaims();
+    return isMuchBetterCoordinator(service, firstRankedInstance(service, instances), self_.name_, instances);
+}
+
+void CoordinationManager::startYielding(const std::string &service, const CoordinatorEntry &coordinator)
+{
     yielded_[service] = coordinator.revision_;
     if (const auto shards = shards_.find(service); shards != shards_.end()) {
         shards->second->cancelCalls();
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -39,6 +39,10 @@
     void runGranter(const std::string &service, ShardService &shards, TimePoint now);
     // Until when this instance may send grants of a service's keys; in the past if it may not.
     TimePoint grantsUntil(const std::string &service, const ShardService &shards, TimePoint now);
+    // When the last renewal of the lease was sent that this instance's entry for a service ends with.
+    TimePoint entryRenewedAt(const std::string &service, Platform::LeaseId lease);
+    // Until when each instance withholds its claims; in the past if it does not or is not heard.
+    std::vector<TimePoint> claimsWithheldUntil(const std::vector<std::string> &instances, TimePoint now) const;
     bool isSharded(const std::string &service) const;
     void elect(const std::string &service, TimePoint now);
     // The number of instances that claim a service without a coordinator before this one.
@@ -49,6 +53,8 @@
     void considerTakeover(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now);
     // As the granter: yields to a much more suitable instance, or takes the service back if none has taken over.
     void considerYielding(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now);
+    bool hasMuchBetterInstance(const std::string &service) const;
+    void startYielding(const std::string &service, const CoordinatorEntry &coordinator);
     Task<void> yieldService(std::string service, CoordinatorEntry coordinator);
     // Claims a service if its coordinator entry still has the revision; 0 if there must be none.
     void startClaim(const std::string &service, Platform::Revision expectedRevision);
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -149,6 +149,7 @@
 void ShardService::run(TimePoint grantsUntil, bool mayMove, TimePoint now)
 {
     grantsUntil_ = isStopped_ ? TimePoint() : grantsUntil;
+    logGranting(now);
     const auto *coordinator = view_.coordinator(service_);
     if (now >= grantsUntil_ || coordinator == nullptr || placement_.pool(service_) == nullptr) {
         return;
@@ -177,6 +178,18 @@
     publishAssignment(now);
 }
 
+void ShardService::logGranting(TimePoint now)
+{
+    const bool isGranting = now < grantsUntil_;
+    if (isGranting != isGranting_) {
+        isGranting_ = isGranting;
+        const char *event = isGranting ? "granting" : "granting-ended";
+        log_.write(LogLine(event).add("service", service_).add("coordinatorRevision", coordinatorRevision_).add("storeRevision", view_.at()),
+                   LogImportance::Kept,
+                   now);
+    }
+}
+
 void ShardService::planAssignment(TimePoint now)
 {
     plannedAt_ = now;
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -46,6 +46,7 @@
     // Starts the granter if there is none, and anew if another instance has granted since this one did.
     void adoptAssignment(const CoordinatorEntry &coordinator, TimePoint now);
     void planAssignment(TimePoint now);
+    void logGranting(TimePoint now);
     void publishAssignment(TimePoint now);
     std::string addressOf(const std::string &server);
 
@@ -69,6 +70,7 @@
     bool isWriting_ = false;
     bool isReloading_ = false;
     bool isStopped_ = false;
+    bool isGranting_ = false;
     TimePoint grantsUntil_;
     TimePoint plannedAt_;
     std::set<std::shared_ptr<ExchangeHandle>> calls_;
--- a/Libraries/LibPlacement/InstanceRank.cpp
+++ b/Libraries/LibPlacement/InstanceRank.cpp
@@ -2,6 +2,7 @@
 #include "InstanceRank.h"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace Goldcrestwall::Gateway {
@@ -17,13 +18,31 @@
     return instance.cpuMillicores_ / (instance.coordinatedServices_ + 1);
 }
 
+// The most suitable instance of a service has the highest value.
+auto suitabilityFor(const std::string &service)
+{
+    return [&service](const InstanceProfile &instance) {
+        return std::make_pair(processorPerService(instance), rendezvousWeight(service, instance.name_));
+    };
+}
+
 } // namespace
 
+std::vector<InstanceProfile> rankedInstances(const std::string &service, std::vector<InstanceProfile> instances)
+{
+    std::ranges::sort(instances, std::greater<>(), suitabilityFor(service));
+    return instances;
+}
+
+std::string firstRankedInstance(const std::string &service, const std::vector<InstanceProfile> &instances)
+{
+    const auto first = std::ranges::max_element(instances, std::less<>(), suitabilityFor(service));
+    return first == instances.end() ? std::string() : first->name_;
+}
+
 std::size_t coordinatorRank(const std::string &service, const std::string &instance, const std::vector<InstanceProfile> &instances)
 {
-    const auto suitability = [&service](const InstanceProfile &each) {
-        return std::make_pair(processorPerService(each), rendezvousWeight(service, each.name_));
-    };
+    const auto suitability = suitabilityFor(service);
     const auto self = std::ranges::find(instances, instance, &InstanceProfile::name_);
     if (self == instances.end()) {
         return instances.size();
--- a/Libraries/LibPlacement/InstanceRank.h
+++ b/Libraries/LibPlacement/InstanceRank.h
@@ -27,6 +27,12 @@
 // only a few instances try to coordinate one service at the same time.
 std::size_t coordinatorRank(const std::string &service, const std::string &instance, const std::vector<InstanceProfile> &instances);
 
+// Returns the instances in the order of their ranks.
+std::vector<InstanceProfile> rankedInstances(const std::string &service, std::vector<InstanceProfile> instances);
+
+// Returns the instance that ranks first; empty if there are none.
+std::string firstRankedInstance(const std::string &service, const std::vector<InstanceProfile> &instances);
+
 // Returns whether the instance should take over the service from its present coordinator: it ranks first and would have more than
 // twice the coordinator's CPU time per service. After a fault of all large instances, a small one would otherwise keep a service that
 // it is too slow to coordinate.
--- a/Libraries/LibPlacement/Succession.cpp
+++ b/Libraries/LibPlacement/Succession.cpp
@@ -29,20 +29,6 @@
     return std::max(stopsAt, successor.assignmentSeenAt_ + predecessor.earlierGrantersStopWithin_);
 }
 
-namespace {
-
-// The instances in the order of their ranks as coordinators.
-std::vector<InstanceProfile> rankedInstances(const std::string &service, const std::vector<InstanceProfile> &instances)
-{
-    std::vector<InstanceProfile> ranked(instances.size());
-    for (const auto &instance : instances) {
-        ranked[coordinatorRank(service, instance.name_, instances)] = instance;
-    }
-    return ranked;
-}
-
-} // namespace
-
 std::vector<std::string>
 chooseStandbys(const std::string &service, const std::string &granter, const std::vector<std::string> &present, const std::vector<InstanceProfile> &instances)
 {
--- a/Tests/LibPlacement/TestPlacementComponents.cpp
+++ b/Tests/LibPlacement/TestPlacementComponents.cpp
@@ -203,6 +203,8 @@
     {
         std::vector<InstanceProfile> instances{{"a", "x", 100, 0}, {"b", "x", 500, 0}, {"c", "y", 100, 0}, {"d", "y", 500, 1}};
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), coordinatorRank("service", "b", instances));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), firstRankedInstance("service", instances));
+        CPPUNIT_ASSERT_EQUAL(std::string("d"), rankedInstances("service", instances).at(1).name_);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), coordinatorRank("service", "d", instances));
         // A large instance that coordinates this many services has less CPU time per service than a small one that coordinates none.
         instances[1].coordinatedServices_ = 5;
