--- a/Libraries/LibPlacement/Succession.h
+++ b/Libraries/LibPlacement/Succession.h
@@ -20,7 +20,8 @@
 inline constexpr Duration GrantingTimePerRenewal = 1s;
 // Longest time for which a granter serves through an outage of the store.
 inline constexpr Duration MaxGrantingWithoutLease = 8s;
-// How long an instance without a lease withholds its claims after it has said so. Covers a lost ping.
+// How long an instance without a lease withholds its claims after it has said so. Covers a lost ping. It may claim earlier, but counts a
+// granter's last grant from the end of this time.
 inline constexpr Duration ClaimWithholdTime = 1200ms;
 // Number of standbys, in different failure domains if possible. All of them must be heard in a store outage.
 inline constexpr std::size_t StandbyCount = 2;
