LibHttp, FrontSession: Bound the unparsed bytes of a response and of a request

What callers would see (report of other operators): one faulty server's bytes without end take an instance from all its callers. Shown in a trial: a chunk extension without end did not end with the exchange's time-out of 4 s, and the program had to be ended after 60 s.

Cause: the parser bounds headers and bodies, but not the lines between chunks; the buffer grew and was scanned anew with each read, so that the event loop ran nothing else. Ruled out: headers, bodies, interim responses (seven forms ended at their bounds, peak 4.8 MB).

Change: the read buffers are bounded, 128 KB of a response and 128 KB beyond the header limit of a request.

Evidence: bytesWithoutEndAreNoAnswer with four more forms hung at the first without the bound and passes in 0.3 s with it; chunkExtensionWithoutEndIsRefused passes for callers (not run without the change).

--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -16,6 +16,8 @@
 constexpr Duration DiscardTimeout = 1s;
 constexpr std::size_t MaxDiscardedBytes = 256U << 10U;
 constexpr std::size_t ReadSize = 4096;
+// Unparsed bytes of a request beyond its header. The parser does not limit chunk extensions, and scans them anew with each read.
+constexpr std::size_t MaxUnparsedBodyBytes = 128U << 10U;
 // Requests of one connection that are read before the first of them has its response.
 constexpr std::size_t MaxPipelined = 32;
 // In seconds: by then other bodies have probably been forwarded and their memory freed.
@@ -199,6 +201,7 @@
     Parser parser;
     parser.header_limit(limits_.maxHeaderBytes_);
     parser.body_limit(limits_.maxBodyBytes_);
+    buffer_.max_size(std::max<std::size_t>(buffer_.size(), limits_.maxHeaderBytes_ + MaxUnparsedBodyBytes));
     isBetweenRequests_ = true;
     ErrorCode error = co_await awaitRequest();
     if (error) {
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::uint32_t MaxResponseHeader = 64U << 10U;
+// Unparsed bytes of a response. The parser itself limits neither chunk extensions nor lines of trailers, and scans them anew with each read.
+constexpr std::size_t MaxUnparsedBytes = 2 * MaxResponseHeader;
 // Maximum number of interim responses and responses to other requests that are skipped.
 constexpr std::size_t MaxSkippedResponses = 8;
 // Keep-alive time if the server announces none, and margin by which an idle connection is closed before the announced time.
@@ -183,7 +185,7 @@
 
 Task<bool> HttpClient::readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result)
 {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(MaxUnparsedBytes);
     for (std::size_t skipped = 0; skipped <= MaxSkippedResponses; ++skipped) {
         ResponseParser parser;
         parser.body_limit(options.maxResponseBody_);
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -201,6 +201,10 @@
             {"responses to other requests", other, other},
             {"chunks", makeResponse("Id: 1\r\nTransfer-Encoding: chunked\r\n", ""), chunk},
             {"body until the end of the connection", makeResponse("Id: 1\r\n", ""), filler},
+            {"chunk extension", makeResponse("Id: 1\r\nTransfer-Encoding: chunked\r\n", "5;x="), std::string(1000, 'x')},
+            {"chunk length", makeResponse("Id: 1\r\nTransfer-Encoding: chunked\r\n", "0"), std::string(1000, '0')},
+            {"trailers", makeResponse("Id: 1\r\nTransfer-Encoding: chunked\r\n", "0\r\n"), filler},
+            {"trailer without a line end", makeResponse("Id: 1\r\nTransfer-Encoding: chunked\r\n", "0\r\nX"), std::string(1000, 'x')},
             {"announced length", makeResponse("Id: 1\r\nContent-Length: 99999999\r\n", ""), filler},
         };
         BodyBudget budget(1U << 20U);
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(serversThatNeverEndAreAvoided);
     CPPUNIT_TEST(lateSecondAnswersReachNobody);
     CPPUNIT_TEST(repeatedRejectionIsNoAnswerToTheNextSend);
+    CPPUNIT_TEST(chunkExtensionWithoutEndIsRefused);
     CPPUNIT_TEST(bytesThatAreNoMessagesEndNoProcess);
     CPPUNIT_TEST_SUITE_END();
 
@@ -262,6 +263,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(20), served);
     }
 
+    // Guards against an instance that collects and scans one caller's line without end, and serves nobody meanwhile.
+    void chunkExtensionWithoutEndIsRefused()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        constexpr std::size_t ExtensionBytes = 400U << 10U;
+        const std::string head = "POST /book/one HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const auto received = sendAndReceiveAll(deployment.instance(0).callerPort(), head + "5;x=" + std::string(ExtensionBytes, 'x'));
+        CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 400"));
+        CPPUNIT_ASSERT_EQUAL(200, deployment.call(0, CallerRequest()).status_);
+    }
+
     void bytesThatAreNoMessagesEndNoProcess()
     {
         Deployment deployment(2);
