LibGateway: Let a granter whose entry has ended go on while its standbys withhold their claims

First cause, mended here: a watch tells the granter that its entry has ended while the store is away, and it stopped at once. A successor counts from a claim that comes later than the end, so the same time as before holds.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -91,10 +91,14 @@
 TimePoint CoordinationManager::grantsUntil(const std::string &service, const ShardService &shards, TimePoint now)
 {
     const auto *coordinator = view_.coordinator(service);
-    if (coordinator == nullptr || coordinator->member_ != self_ || coordinator->isYielding_ || yielded_.contains(service)) {
+    const bool isOther = coordinator != nullptr && (coordinator->member_ != self_ || coordinator->isYielding_);
+    const auto renewal = renewals_.find(service);
+    if (isOther || yielded_.contains(service) || (coordinator == nullptr && renewal == renewals_.end())) {
         return {};
     }
-    return grantsAllowedUntil(entryRenewedAt(service, coordinator->lease_), claimsWithheldUntil(shards.standbys(), now));
+    // An entry that has ended, but was not replaced, gives the same time as before: a successor counts from a claim that comes later.
+    const auto lease = coordinator == nullptr ? renewal->second.lease_ : coordinator->lease_;
+    return grantsAllowedUntil(entryRenewedAt(service, lease), claimsWithheldUntil(shards.standbys(), now));
 }
 
 TimePoint CoordinationManager::entryRenewedAt(const std::string &service, Platform::LeaseId lease)
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -151,12 +151,15 @@
     grantsUntil_ = isStopped_ ? TimePoint() : grantsUntil;
     logGranting(now);
     const auto *coordinator = view_.coordinator(service_);
-    if (now >= grantsUntil_ || coordinator == nullptr || placement_.pool(service_) == nullptr) {
+    if (now >= grantsUntil_ || placement_.pool(service_) == nullptr) {
         return;
     }
-    adoptAssignment(*coordinator, now);
-    if (coordinator->revision_ != coordinatorRevision_) {
-        // Another instance may have granted since. The outcome of a write has to be known first.
+    if (coordinator != nullptr) {
+        adoptAssignment(*coordinator, now);
+    }
+    // Another instance may have granted since. The outcome of a write has to be known first.
+    const bool isAdopted = coordinator == nullptr || coordinator->revision_ == coordinatorRevision_;
+    if (!granter_ || !isAdopted) {
         return;
     }
     // `create` has ended all calls; those that start now may run until then again.
