--- a/Libraries/LibGateway/EventLog.h
+++ b/Libraries/LibGateway/EventLog.h
@@ -59,6 +59,11 @@
     // Writes buffered lines as far as standard output accepts them without blocking.
     void flush();
 
+    // Size of the lines that wait to be written.
+    std::size_t pendingBytes() const
+    {
+        return pendingBytes_;
+    }
     std::uint64_t droppedCount() const
     {
         return droppedTotal_;
--- a/Libraries/LibGateway/FrontServer.cpp
+++ b/Libraries/LibGateway/FrontServer.cpp
@@ -27,6 +27,15 @@
     return listener_.listen(address);
 }
 
+std::size_t FrontServer::inputBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &session : sessions_) {
+        bytes += session->inputBytes();
+    }
+    return bytes;
+}
+
 void FrontServer::beginStop()
 {
     isStopping_ = true;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -17,6 +17,7 @@
 // A longer gap between two ticks means that the process was suspended.
 constexpr Duration SuspensionGap = 600ms;
 constexpr Duration SettingsInterval = 1s;
+constexpr Duration MemoryInterval = 500ms;
 // The platform stops routing new callers to the instance within this time after it reports that it is not ready.
 constexpr Duration ReadinessPropagationTime = 3s;
 // Fraction of the instance's memory that bodies may use; the rest is for the program, connection buffers and the view.
@@ -318,16 +319,46 @@
         relay_.follow(now);
         coordination_.run(isStopping_, now);
         checkSettingsFile(now);
+        checkMemory(now);
         client_.closeIdle(now);
         log_.flush();
     }
 }
 
+MemoryUse Gateway::memoryUse() const
+{
+    MemoryUse use;
+    use.residentBytes_ = readResidentBytes();
+    use.bodyBytes_ = bodies_.reserved();
+    use.callerInputBytes_ = front_.inputBytes();
+    for (const auto &link : network_.allLinks()) {
+        use.peerOutputBytes_ += link->outgoingBytes();
+        use.peerInputBytes_ += link->incomingBytes();
+        ++use.peerConnections_;
+    }
+    use.viewBytes_ = view_.contentBytes();
+    use.logBytes_ = log_.pendingBytes();
+    use.callerConnections_ = front_.connectionCount();
+    use.requestsInProgress_ = front_.inFlightRequests();
+    use.waitingRequests_ = placement_.queuedCount();
+    return use;
+}
+
+void Gateway::checkMemory(TimePoint now)
+{
+    if (now - memoryCheckedAt_ < MemoryInterval) {
+        return;
+    }
+    memoryCheckedAt_ = now;
+    if (memoryLog_.isDue(readResidentBytes(), settings_.memoryBytes_)) {
+        log_.write(makeMemoryLine(memoryUse(), settings_.memoryBytes_), LogImportance::Kept, now);
+    }
+}
+
 void Gateway::updateMetrics()
 {
-    metrics_.setGauge("goldcrestwall_waiting_requests", {}, static_cast<double>(placement_.waitingCount()));
+    setMemoryGauges(metrics_, memoryUse());
     metrics_.setGauge("goldcrestwall_body_bytes", {}, static_cast<double>(bodies_.reserved()));
-    metrics_.setGauge("goldcrestwall_caller_connections", {}, static_cast<double>(front_.connectionCount()));
     metrics_.setGauge("goldcrestwall_store_calls", {}, static_cast<double>(store_.counters().calls_));
     metrics_.setGauge("goldcrestwall_store_failures", {}, static_cast<double>(store_.counters().failures_));
     metrics_.setGauge("goldcrestwall_server_connections_opened", {}, static_cast<double>(client_.connectionCount()));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -4,6 +4,7 @@
 #include <LibGateway/AnnouncementRecorder.h>
 #include <LibGateway/CoordinationManager.h>
 #include <LibGateway/FrontServer.h>
+#include <LibGateway/MemoryUse.h>
 #include <LibGateway/StatusServer.h>
 #include <LibGateway/ViewRelay.h>
 
@@ -48,6 +49,9 @@
     void runLoop();
     Task<void> tick();
     void checkForSuspension(TimePoint now);
+    MemoryUse memoryUse() const;
+    // Logs the memory by holder when it has grown.
+    void checkMemory(TimePoint now);
     void updateMetrics();
 
     Task<void> awaitSignals();
@@ -82,6 +86,8 @@
     bool isStopping_ = false;
     bool hasBeenReady_ = false;
     TimePoint tickedAt_;
+    MemoryLog memoryLog_;
+    TimePoint memoryCheckedAt_;
     TimePoint settingsCheckedAt_;
     std::int64_t settingsChangedAt_ = 0;
     std::uint64_t configurationVersion_ = 0;
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -66,12 +66,14 @@
 {
     while (!outgoing_.empty() && isOpen_) {
         const std::string bytes = std::exchange(outgoing_, {});
+        transmittingBytes_ = bytes.size();
         ErrorCode error;
         co_await asio::async_write(socket_, asio::buffer(bytes), redirectErrorTo(error));
         if (error) {
             close();
         }
     }
+    transmittingBytes_ = 0;
     isTransmitting_ = false;
 }
 
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -32,6 +32,15 @@
     {
         return isOpen_;
     }
+    // Bytes that wait to be sent, and bytes received that are not a complete message yet.
+    std::size_t outgoingBytes() const
+    {
+        return outgoing_.size() + transmittingBytes_;
+    }
+    std::size_t incomingBytes() const
+    {
+        return incoming_.size();
+    }
     // When data was last received.
     TimePoint lastReceivedAt() const
     {
@@ -96,6 +105,8 @@
     Tcp::socket socket_;
     Handlers handlers_;
     std::string outgoing_;
+    // Size of the write in progress.
+    std::size_t transmittingBytes_ = 0;
     std::string incoming_;
     std::string instance_;
     std::string domain_;
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -173,6 +173,17 @@
     return links;
 }
 
+std::vector<std::shared_ptr<PeerLink>> PeerNetwork::allLinks() const
+{
+    std::vector<std::shared_ptr<PeerLink>> links(incoming_.begin(), incoming_.end());
+    for (const auto &[address, outgoing] : outgoing_) {
+        if (outgoing.link_) {
+            links.push_back(outgoing.link_);
+        }
+    }
+    return links;
+}
+
 void PeerNetwork::announce(const PeerMessage &message)
 {
     for (const auto &link : incoming_) {
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -38,6 +38,8 @@
     std::vector<std::shared_ptr<PeerLink>> openLinks(TimePoint now) const;
     // Treats all outgoing connections as unresponsive until their next message.
     void resetLiveness();
+    // All connections, also those that a peer has opened.
+    std::vector<std::shared_ptr<PeerLink>> allLinks() const;
     // Sends a message to all instances of the own failure domain that have connected to this one.
     void announce(const PeerMessage &message);
 
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -103,9 +103,13 @@
     return found == services_.end() ? nullptr : &found->second.keyLoad_;
 }
 
-std::size_t PlacementService::waitingCount() const
+std::size_t PlacementService::queuedCount() const
 {
-    return pending_.size();
+    std::size_t count = 0;
+    for (const auto &[service, state] : services_) {
+        count += state.pool_ ? state.pool_->waitingCount() : 0;
+    }
+    return count;
 }
 
 std::size_t PlacementService::heldPlacementCount(const std::string &server) const
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -96,7 +96,8 @@
     KeyLoad *keyLoad(const std::string &service);
     // Schedules a decision on the queued requests of a service.
     void scheduleDecision(const std::string &service);
-    std::size_t waitingCount() const;
+    // Number of requests, also of other instances, in the queues of this instance's pools.
+    std::size_t queuedCount() const;
     // Number of unfinished placements of this instance at a server.
     std::size_t heldPlacementCount(const std::string &server) const;
 
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -376,6 +376,15 @@
     return isChanged;
 }
 
+std::size_t StoreView::contentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, known] : items_) {
+        bytes += key.size() + known.item_.value_.size();
+    }
+    return bytes;
+}
+
 std::vector<PoolServerInput> StoreView::serversOf(const std::string &service) const
 {
     std::vector<PoolServerInput> inputs;
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -95,6 +95,9 @@
         return lateItemCount_;
     }
 
+    // Size of the keys and values.
+    std::size_t contentBytes() const;
+
     // Differs whenever the content may have changed.
     std::uint64_t changeCount() const
     {
--- a/Libraries/LibPlacement/ServicePool.h
+++ b/Libraries/LibPlacement/ServicePool.h
@@ -72,6 +72,10 @@
 
     PlacementDecisions decide(TimePoint now);
 
+    std::size_t waitingCount() const
+    {
+        return waiting_.size();
+    }
     bool hasWaiting() const
     {
         return !waiting_.empty();
