FrontSession: Answer a request that has arrived when a planned stop closes idle connections

Cause: whether a connection is idle was judged by a flag that ends only when the reading coroutine resumes. While the loop is busy the bytes are in the socket, or a read has completed whose handler waits in the loop's queue, and the connection was shut down under them. Now the read is cancelled and the reading coroutine decides: a read that had completed, or bytes in the socket, are answered; otherwise the connection ends.

--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -81,8 +81,9 @@
 void FrontSession::closeIfIdle()
 {
     if (isBetweenRequests_ && exchanges_.empty()) {
-        ErrorCode error;
-        stream_.socket().shutdown(Tcp::socket::shutdown_both, error);
+        // A read may have completed without its handler having run, so the reading coroutine decides whether the connection is idle.
+        isEndingIdle_ = true;
+        stream_.cancel();
     }
 }
 
@@ -183,17 +184,24 @@
 Task<ErrorCode> FrontSession::awaitRequest()
 {
     ErrorCode error;
-    if (buffer_.size() > 0) {
-        co_return error;
+    while (buffer_.size() == 0) {
+        // Input that the socket already holds arrived while reading was paused: the pipeline was full.
+        const bool isWaiting = stream_.socket().available(error) > 0;
+        if (isEndingIdle_ && !isWaiting) {
+            co_return asio::error::operation_aborted;
+        }
+        const TimePoint pausedAt = receivedAt_;
+        stream_.expires_never();
+        const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(ReadSize), redirectErrorTo(error));
+        buffer_.commit(size);
+        const bool isCancelledAsIdle = isEndingIdle_ && error == asio::error::operation_aborted;
+        if (error && !isCancelledAsIdle) {
+            co_return error;
+        }
+        receivedAt_ = isWaiting && !exchanges_.empty() ? pausedAt : bootNow();
     }
-    // Input that the socket already holds arrived while reading was paused: the pipeline was full.
-    const bool isWaiting = stream_.socket().available(error) > 0;
-    const TimePoint pausedAt = receivedAt_;
-    stream_.expires_never();
-    const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(ReadSize), redirectErrorTo(error));
-    buffer_.commit(size);
-    receivedAt_ = isWaiting && !exchanges_.empty() ? pausedAt : bootNow();
-    co_return error;
+    isEndingIdle_ = false;
+    co_return ErrorCode();
 }
 
 Task<bool> FrontSession::readRequest(Exchange &exchange)
--- a/Libraries/LibGateway/FrontSession.h
+++ b/Libraries/LibGateway/FrontSession.h
@@ -57,7 +57,7 @@
     Task<void> awaitDisconnect();
     // Reads one request; returns whether there is one. Invalid input gets an error response that closes the connection.
     Task<bool> readRequest(Exchange &exchange);
-    // Waits for the first bytes of a request.
+    // Waits for the first bytes of a request. Errors: operation_aborted when the connection is to be closed as idle.
     Task<ErrorCode> awaitRequest();
     // Reads the body after the header. Errors: no_memory when the body budget is exhausted.
     Task<ErrorCode> readBody(Parser &parser, BodyReservation &reservation);
@@ -94,6 +94,8 @@
     TimePoint idleSince_;
     // Whether no request is being read.
     bool isBetweenRequests_ = true;
+    // The connection is to be closed unless a request has arrived.
+    bool isEndingIdle_ = false;
     bool isWriting_ = false;
     // A response has closed the connection.
     bool isEnded_ = false;
