Gateway: End a planned stop only when all callers' connections have ended

A caller whose request was still arriving 3 s after SIGTERM saw its connection cut when the last other request had its answer: the end of the process waited for requests that had been read whole, not for those being read, nor until a last response had been received. Now it waits for all connections, until the end of the grace period less its margin. TestConnections::plannedStopWaitsForARequestThatArrivesSlowly failed before (no answer), passes now; TestConnections 14 of 14.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -444,7 +444,8 @@
     const TimePoint endsAt = startedAt + settings_.gracePeriod_ - StopMargin;
     flow_.rejectAfter(endsAt);
     front_.closeIdle();
-    while (front_.inFlightRequests() > 0 && bootNow() < endsAt) {
+    // Also waits for requests that are being read, and until callers have received their last response.
+    while (front_.connectionCount() > 0 && bootNow() < endsAt) {
         co_await sleepFor(loop_, TickInterval);
     }
     network_.stop();
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(requestsAfterAClosingResponseAreNotRun);
     CPPUNIT_TEST(plannedStopAnswersAllThatWasBegun);
     CPPUNIT_TEST(plannedStopTakesNothingThatItMightCutOff);
+    CPPUNIT_TEST(plannedStopWaitsForARequestThatArrivesSlowly);
     CPPUNIT_TEST(callerDisconnectCancelsPipelinedRequests);
     CPPUNIT_TEST(answersWithoutEndAreCutOff);
     CPPUNIT_TEST(serversThatNeverEndAreAvoided);
@@ -163,6 +164,23 @@
         checkNoViolations(deployment);
     }
 
+    // Guards against a planned stop that ends the process while the only connection brings the rest of a request.
+    void plannedStopWaitsForARequestThatArrivesSlowly()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        RawConnection connection(deployment.instance(0).callerPort());
+        deployment.instance(0).signal(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        connection.send("POST /book/late HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: late\r\nContent-Length: 6\r\n\r\nabc");
+        std::this_thread::sleep_for(std::chrono::milliseconds(1400));
+        connection.send("def");
+        const auto received = connection.receiveAll();
+        CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 200") || received.starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(received.starts_with("HTTP/1.1 200") ? 1 : 0), deployment.recorder().runsOf("late"));
+        CPPUNIT_ASSERT(deployment.instance(0).wait(5s) == std::optional<int>(0));
+    }
+
     void callerDisconnectCancelsPipelinedRequests()
     {
         Deployment deployment(1);
