FrontSession: Let a request that arrives slowly cut off no earlier one

Callers that send a further request before the first is answered saw the connection closed under the first one, if the further one took longer than the header or idle limit to arrive. Cause: the time limit for reading was the stream's own, which closes the socket, and it was taken for a caller that has left, so that the requests in progress were cancelled at their servers. Now a timer of the session rejects the request that is being read with 408, after the responses to those before it; it has not been read whole and so has not run. While they run, a caller that disconnects is still noticed.

--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -38,6 +38,9 @@
     if (error == http::error::header_limit) {
         return 431;
     }
+    if (error == beast::error::timeout) {
+        return 408;
+    }
     return error == http::error::body_limit ? 413 : 400;
 }
 
@@ -65,6 +68,7 @@
     , stream_(std::move(socket))
     , change_(server.loop_)
     , idleTimer_(server.loop_)
+    , readTimer_(server.loop_)
     , idleSince_(bootNow())
 {
     configureSocket(stream_.socket());
@@ -127,6 +131,7 @@
         cancelRequests();
     }
     idleTimer_.cancel();
+    readTimer_.cancel();
     ErrorCode error;
     stream_.socket().close(error);
     server_.sessions_.erase(shared_from_this());
@@ -158,6 +163,7 @@
         }
         auto exchange = std::make_shared<Exchange>(server_.bodies_);
         if (!co_await readRequest(*exchange)) {
+            co_await awaitDisconnect();
             co_return;
         }
         const bool isLast = !exchange->isKeepAlive_;
@@ -218,8 +224,10 @@
     }
     isBetweenRequests_ = false;
     exchange.arrivedAt_ = receivedAt_;
-    stream_.expires_after(toChrono(limits_.headerTimeout_));
+    stream_.expires_never();
+    startReadTimer(limits_.headerTimeout_);
     co_await http::async_read_header(stream_, buffer_, parser, redirectErrorTo(error));
+    stopReadTimer();
     if (!error && !isWellFramed(parser.get())) {
         error = http::error::bad_transfer_encoding;
     }
@@ -232,7 +240,7 @@
     if (!error) {
         error = co_await readBody(parser, exchange.requestReservation_);
     }
-    if (isEnded_ || isCallerDisconnected_) {
+    if (isEnded_ || isCallerDisconnected_ || hasReadTimedOut_) {
         co_return false;
     }
     if (!error) {
@@ -242,7 +250,7 @@
         co_return true;
     }
     const bool isCallerDisconnected = error == http::error::end_of_stream || error == http::error::partial_message || error == asio::error::eof
-        || error == asio::error::connection_reset || error == asio::error::operation_aborted || error == beast::error::timeout;
+        || error == asio::error::connection_reset || error == asio::error::operation_aborted;
     if (isCallerDisconnected) {
         cancelRequests();
     } else {
@@ -263,7 +271,9 @@
     if (isEnded_) {
         co_return asio::error::operation_aborted;
     }
+    stream_.expires_after(toChrono(WriteTimeout));
     co_await asio::async_write(stream_, asio::buffer(ContinueResponse), redirectErrorTo(error));
+    stream_.expires_never();
     co_return error;
 }
 
@@ -271,15 +281,35 @@
 {
     ErrorCode error;
     while (!error && !parser.is_done()) {
-        stream_.expires_after(toChrono(limits_.idleTimeout_));
+        startReadTimer(limits_.idleTimeout_);
         co_await http::async_read_some(stream_, buffer_, parser, redirectErrorTo(error));
         if (!error && !reservation.tryReserve(parser.get().body().size())) {
-            co_return asio::error::no_memory;
+            error = asio::error::no_memory;
         }
     }
+    stopReadTimer();
     co_return error;
 }
 
+void FrontSession::startReadTimer(Duration limit)
+{
+    readTimer_.expires_after(toChrono(limit));
+    readTimer_.async_wait([self = shared_from_this()](ErrorCode error) {
+        // The timer may have been set anew or stopped after its handler was queued.
+        const bool isOver = !error && asio::steady_timer::clock_type::now() >= self->readTimer_.expiry();
+        if (!isOver || self->isEnded_ || self->isCallerDisconnected_) {
+            return;
+        }
+        self->hasReadTimedOut_ = true;
+        self->answerReadError(beast::error::timeout);
+    });
+}
+
+void FrontSession::stopReadTimer()
+{
+    readTimer_.expires_at(asio::steady_timer::time_point::max());
+}
+
 void FrontSession::answerReadError(ErrorCode error)
 {
     const unsigned status = statusOfError(error);
--- a/Libraries/LibGateway/FrontSession.h
+++ b/Libraries/LibGateway/FrontSession.h
@@ -61,6 +61,10 @@
     Task<ErrorCode> awaitRequest();
     // Reads the body after the header. Errors: no_memory when the body budget is exhausted.
     Task<ErrorCode> readBody(Parser &parser, BodyReservation &reservation);
+    // Sets the time limit for the next part of the request being read. When it has passed, the request is rejected with 408 after the
+    // responses to those before it.
+    void startReadTimer(Duration limit);
+    void stopReadTimer();
     Task<ErrorCode> sendContinue(const HttpRequest &request);
     void answerReadError(ErrorCode error);
 
@@ -86,6 +90,8 @@
     beast::flat_buffer buffer_;
     asio::steady_timer change_;
     asio::steady_timer idleTimer_;
+    // Limits the time for reading a request. The stream's own time-out would close the connection under the requests in progress.
+    asio::steady_timer readTimer_;
     RequestLimits limits_;
     // In the order in which the requests were read.
     std::deque<std::shared_ptr<Exchange>> exchanges_;
@@ -94,6 +100,8 @@
     TimePoint idleSince_;
     // Whether no request is being read.
     bool isBetweenRequests_ = true;
+    // A request took too long to arrive; nothing after it is read.
+    bool hasReadTimedOut_ = false;
     // The connection is to be closed unless a request has arrived.
     bool isEndingIdle_ = false;
     bool isWriting_ = false;
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(plannedStopAnswersAllThatWasBegun);
     CPPUNIT_TEST(plannedStopTakesNothingThatItMightCutOff);
     CPPUNIT_TEST(plannedStopWaitsForARequestThatArrivesSlowly);
+    CPPUNIT_TEST(laterRequestThatArrivesSlowlyCutsOffNoEarlierOne);
     CPPUNIT_TEST(callerDisconnectCancelsPipelinedRequests);
     CPPUNIT_TEST(answersWithoutEndAreCutOff);
     CPPUNIT_TEST(serversThatNeverEndAreAvoided);
@@ -181,6 +182,26 @@
         CPPUNIT_ASSERT(deployment.instance(0).wait(5s) == std::optional<int>(0));
     }
 
+    // Guards against a time-out while a later request is read that closes the connection under the requests before it.
+    void laterRequestThatArrivesSlowlyCutsOffNoEarlierOne()
+    {
+        Deployment deployment(1);
+        deployment.putConfiguration(R"({"resourceType":"routes","metadata":{"name":"r-slow"},"spec":{"host":"plain.example","prefix":"/slow/",
+            "kind":"non_idempotent","timeoutS":10,"aimS":0.3,"priority":1,"service":"plain","maxAttempts":2}},)");
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        setFault(deployment, PlatformServerFault::RespondsInPairs);
+        RawConnection connection(deployment.instance(0).callerPort());
+        connection.send("GET /slow/one HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: one\r\n\r\nGET /slow/two HTTP/1.1\r\nHost:");
+        CPPUNIT_ASSERT(awaitRun(deployment, "one"));
+        // The time limit for a header is 3 s.
+        std::this_thread::sleep_for(std::chrono::seconds(4));
+        setFault(deployment, PlatformServerFault::None);
+        const auto received = connection.receiveAll();
+        CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_MESSAGE(received, received.find("HTTP/1.1 408") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.recorder().runsOf("two"));
+    }
+
     void callerDisconnectCancelsPipelinedRequests()
     {
         Deployment deployment(1);
