FrontSession: Count the time that a request waited in its socket

Cause: a request counted from when it was read. While the loop of a small instance is busy, requests wait in their sockets for a second and more and then look new. Now the loop's regular timer tells how late handlers run, and a request counts from that long before it was read, but not from before its connection was known to be silent. One whose deadline has passed is rejected unsent (503, true). TestConnections::requestsReadAfterTheirDeadlineAreNotSent failed before (200 for a request of 200 ms read after 500 ms), passes now.

--- a/Libraries/LibGateway/FrontServer.cpp
+++ b/Libraries/LibGateway/FrontServer.cpp
@@ -5,8 +5,15 @@
 
 namespace Goldcrestwall::Gateway {
 
-FrontServer::FrontServer(asio::io_context &loop, const StoreView &view, RequestFlow &flow, BodyBudget &bodies, EventLog &log, MetricRegistry &metrics)
+FrontServer::FrontServer(asio::io_context &loop,
+                         const LoopDelayMeter &loopDelay,
+                         const StoreView &view,
+                         RequestFlow &flow,
+                         BodyBudget &bodies,
+                         EventLog &log,
+                         MetricRegistry &metrics)
     : loop_(loop)
+    , loopDelay_(loopDelay)
     , view_(view)
     , flow_(flow)
     , bodies_(bodies)
--- a/Libraries/LibGateway/FrontServer.h
+++ b/Libraries/LibGateway/FrontServer.h
@@ -1,6 +1,7 @@
 // Accepts connections from callers.
 #pragma once
 
+#include <LibGateway/LoopDelay.h>
 #include <LibGateway/RequestFlow.h>
 
 #include <functional>
@@ -14,7 +15,13 @@
 class FrontServer
 {
 public:
-    FrontServer(asio::io_context &loop, const StoreView &view, RequestFlow &flow, BodyBudget &bodies, EventLog &log, MetricRegistry &metrics);
+    FrontServer(asio::io_context &loop,
+                const LoopDelayMeter &loopDelay,
+                const StoreView &view,
+                RequestFlow &flow,
+                BodyBudget &bodies,
+                EventLog &log,
+                MetricRegistry &metrics);
     ~FrontServer();
 
     // Errors: the address cannot be bound.
@@ -43,6 +50,7 @@
     friend class FrontSession;
 
     asio::io_context &loop_;
+    const LoopDelayMeter &loopDelay_;
     const StoreView &view_;
     RequestFlow &flow_;
     BodyBudget &bodies_;
--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -197,6 +197,7 @@
             co_return asio::error::operation_aborted;
         }
         const TimePoint pausedAt = receivedAt_;
+        const TimePoint startedAt = bootNow();
         stream_.expires_never();
         const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(ReadSize), redirectErrorTo(error));
         buffer_.commit(size);
@@ -204,7 +205,9 @@
         if (error && !isCancelledAsIdle) {
             co_return error;
         }
-        receivedAt_ = isWaiting && !exchanges_.empty() ? pausedAt : bootNow();
+        const TimePoint now = bootNow();
+        const TimePoint earliest = now - server_.loopDelay_.delay(now);
+        receivedAt_ = isWaiting && !exchanges_.empty() ? pausedAt : isWaiting ? earliest : std::max(startedAt, earliest);
     }
     isEndingIdle_ = false;
     co_return ErrorCode();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -106,7 +106,7 @@
     , coordination_(loop_, self_, GrantTimings::within(settings_.maxHoldTime_), view_, store_, storeLink_, network_, placement_, announcements_, log_)
     , flow_(loop_, view_, storeLink_, placement_, client_, announcements_, log_, metrics_)
     , bodies_(bodyMemory(settings_))
-    , front_(loop_, view_, flow_, bodies_, log_, metrics_)
+    , front_(loop_, loopDelay_, view_, flow_, bodies_, log_, metrics_)
     , readyServer_(loop_,
                    [this](const HttpRequest &request) {
                        return handleStatusRequest(request);
@@ -309,8 +309,10 @@
 Task<void> Gateway::tick()
 {
     for (;;) {
+        loopDelay_.expect(bootNow() + TickInterval);
         co_await sleepFor(loop_, TickInterval);
         const TimePoint now = bootNow();
+        loopDelay_.record(now);
         checkForSuspension(now);
         if (view_.removeExpired(now)) {
             viewChanged();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -79,6 +79,7 @@
     CoordinationManager coordination_;
     RequestFlow flow_;
     BodyBudget bodies_;
+    LoopDelayMeter loopDelay_;
     FrontServer front_;
     StatusServer readyServer_;
     StatusServer metricsServer_;
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -154,10 +154,12 @@
     }
     const auto &route = *progress.route_;
     progress.deadline_ = progress.arrivedAt_ + std::min(route.timeout_, progress.headers_.callerTimeout_.value_or(route.timeout_));
-    if (endsAt_ && progress.deadline_ + DeadlineGrace > *endsAt_) {
-        // Sent on, it might be cut off without an answer.
-        report_.ended(progress, 503, "stopping", now);
-        return makeResponse(progress, 503, StoppingRetryAfter);
+    // It may have waited in its socket while the loop was busy.
+    const bool isTooLate = now >= progress.deadline_;
+    const bool mightBeCutOff = endsAt_ && progress.deadline_ + DeadlineGrace > *endsAt_;
+    if (isTooLate || mightBeCutOff) {
+        report_.ended(progress, 503, isTooLate ? "too-late" : "stopping", now);
+        return makeResponse(progress, 503, isTooLate ? StartupRetryAfter : StoppingRetryAfter);
     }
     const Duration age = estimateAge(route.name_, progress.headers_.callerTimeout_);
     progress.isCallerRetry_ = age > MinCallerRetryAge;
--- a/Tests/LibGateway/TestFrontServer.cpp
+++ b/Tests/LibGateway/TestFrontServer.cpp
@@ -48,7 +48,8 @@
     AnnouncementRecorder announcements_{"edge-1", notices_, log_, metrics_};
     RequestFlow flow_{loop_, view_, storeLink_, placement_, client_, announcements_, log_, metrics_};
     BodyBudget bodies_{BodyMemory};
-    FrontServer front_{loop_, view_, flow_, bodies_, log_, metrics_};
+    LoopDelayMeter loopDelay_;
+    FrontServer front_{loop_, loopDelay_, view_, flow_, bodies_, log_, metrics_};
     Tcp::endpoint endpoint_ = freeEndpoint();
 
     Front()
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -50,6 +50,8 @@
     CPPUNIT_TEST(plannedStopWaitsForARequestThatArrivesSlowly);
     CPPUNIT_TEST(laterRequestThatArrivesSlowlyCutsOffNoEarlierOne);
     CPPUNIT_TEST(callerDisconnectCancelsPipelinedRequests);
+    CPPUNIT_TEST(requestsOfCallersThatHaveLeftAreNotSent);
+    CPPUNIT_TEST(requestsReadAfterTheirDeadlineAreNotSent);
     CPPUNIT_TEST(answersWithoutEndAreCutOff);
     CPPUNIT_TEST(serversThatNeverEndAreAvoided);
     CPPUNIT_TEST(lateSecondAnswersReachNobody);
@@ -225,6 +227,58 @@
         CPPUNIT_ASSERT(deployment.awaitServing());
     }
 
+    // Guards against requests that are sent on because the end of the caller's connection waits behind them in the loop's queue.
+    void requestsOfCallersThatHaveLeftAreNotSent()
+    {
+        constexpr int Callers = 200;
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        std::vector<std::unique_ptr<RawConnection>> connections;
+        for (int i = 0; i < Callers; ++i) {
+            connections.push_back(std::make_unique<RawConnection>(deployment.instance(0).callerPort()));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        deployment.instance(0).signal(SIGSTOP);
+        for (int i = 0; i < Callers; ++i) {
+            const std::string id = "gone" + std::to_string(i);
+            connections[i]->send(i % 2 == 0 ? get(id) : book(id));
+            connections[i]->close();
+        }
+        deployment.instance(0).signal(SIGCONT);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        std::size_t sent = 0;
+        for (int i = 0; i < Callers; ++i) {
+            sent += deployment.recorder().runsOf("gone" + std::to_string(i));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), sent);
+    }
+
+    // Guards against requests that waited in their sockets while the process was busy, and are sent on as if they had just been made.
+    void requestsReadAfterTheirDeadlineAreNotSent()
+    {
+        constexpr int Callers = 20;
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        std::vector<std::unique_ptr<RawConnection>> connections;
+        for (int i = 0; i < Callers; ++i) {
+            connections.push_back(std::make_unique<RawConnection>(deployment.instance(0).callerPort()));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        deployment.instance(0).signal(SIGSTOP);
+        const std::string headers = "Goldcrestwall-Request-Deadline: 200\r\n" + Close;
+        for (int i = 0; i < Callers; ++i) {
+            const std::string id = "late" + std::to_string(i);
+            connections[i]->send(i % 2 == 0 ? get(id, headers) : book(id, headers));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        deployment.instance(0).signal(SIGCONT);
+        for (int i = 0; i < Callers; ++i) {
+            const auto received = connections[i]->receiveAll();
+            CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 503"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.recorder().runsOf("late" + std::to_string(i)));
+        }
+    }
+
     void answersWithoutEndAreCutOff()
     {
         Deployment deployment(1);
