OperatorDocuments: Use only server entries that lack no field

Cause: readServer did not read version, and took 0 for a missing warmupLeftS or sequence. It now requires all eight fields that the platform lists for an entry, each with its type, and says which they are. An entry that lacks one names no server, nor does what stood there before; the server gets requests again with its next heartbeat and isn't taken to be leaving. born may still be missing, as the platform's own example of an entry has none; the question is in docs/design/PLATFORM.md.

The texts of the tests that lacked fields are completed, so that each unusable entry is unusable for one reason only. Failed before: TestDocuments::serverEntriesWithoutAFieldAreRefused and serverEntriesWithAFieldOfAnotherTypeAreRefused (version), TestStoreView::entryOfAnotherWriterTakesItsServerOutOfUse, TestOddEntries::oddEntriesAmongServersAreNotUsed (20 of 30 refusals).

--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -23,8 +23,15 @@
 
 std::string serverText(const std::string &state = "ready", UnixMilliseconds startTime = 0, int sequence = 0)
 {
-    return R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":")" + state + R"(","born":)" + std::to_string(startTime)
-        + R"(,"sequence":)" + std::to_string(sequence) + "}";
+    return R"({"service":"one","address":"10.1.0.9:8080","zone":"north","version":"v1","capacity":2,"state":")" + state + R"(","warmupLeftS":0,"sequence":)"
+        + std::to_string(sequence) + R"(,"born":)" + std::to_string(startTime) + "}";
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto position = text.find(from);
+    CPPUNIT_ASSERT(position != std::string::npos);
+    return text.replace(position, from.size(), to);
 }
 
 StoreEvent put(const std::string &key, const std::string &value, Revision revision)
@@ -45,6 +52,7 @@
     CPPUNIT_TEST(entriesAreDecoded);
     CPPUNIT_TEST(invalidEntriesAreReportedAndSkipped);
     CPPUNIT_TEST(oddEntriesOfOtherWritersNameNothing);
+    CPPUNIT_TEST(entryOfAnotherWriterTakesItsServerOutOfUse);
     CPPUNIT_TEST(olderStatesChangeNothing);
     CPPUNIT_TEST(delayedWatchResponseDoesNotBringBackRemovedServers);
     CPPUNIT_TEST(delayedUpdateOfAPeerDoesNotBringBackRemovedServers);
@@ -106,8 +114,8 @@
         const std::vector<std::pair<std::string, std::string>> entries{
             {"servers/odd-1", nested},
             {"servers/odd-2", nested + std::string(nested.size(), ']')},
-            {"servers/odd-3", R"({"service":"one","address":"10.1.0.9:99999","zone":"north","capacity":2,"state":"ready"})"},
-            {"servers/odd-4", R"({"service":"one","address":"10.1.0.9:80","zone":"north","capacity":1e999,"state":"ready"})"},
+            {"servers/odd-3", replaced(serverText(), "10.1.0.9:8080", "10.1.0.9:99999")},
+            {"servers/odd-4", replaced(serverText(), "\"capacity\":2", "\"capacity\":1e999")},
             {memberKey("a"), member("10.0.0.1:99999", "200")},
             {memberKey("a"), member("nowhere", "200")},
             {memberKey("a"), member("10.0.0.1:80", "-1")},
@@ -134,6 +142,28 @@
         CPPUNIT_ASSERT_EQUAL(entries.size(), problems_.size());
     }
 
+    // Guards against requests that a server of another service runs because another writer has overwritten the server's entry.
+    void entryOfAnotherWriterTakesItsServerOutOfUse()
+    {
+        view_.apply({put("servers/i-1", serverText("ready", 5), 11), put("servers/i-2", serverText("ready", 6), 12)}, 12, at(0));
+        const std::string foreign = replaced(serverText("ready", 5), "\"service\":\"one\"", "\"service\":\"two\"");
+        Revision revision = 12;
+        for (const char *field : {"\"version\":\"v1\",", "\"warmupLeftS\":0,", "\"sequence\":0,"}) {
+            ++revision;
+            view_.apply({put("servers/i-1", replaced(foreign, field, ""), revision)}, revision, at(1));
+            CPPUNIT_ASSERT_MESSAGE(field, view_.serversOf("two").empty());
+            // What stood there before is no longer in the store, so it names nothing either.
+            CPPUNIT_ASSERT_MESSAGE(field, view_.server("i-1") == nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), view_.serversOf("one").size());
+            // The server's next heartbeat brings it back. It was never leaving.
+            ++revision;
+            view_.apply({put("servers/i-1", serverText("ready", 5), revision)}, revision, at(2));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), view_.serversOf("one").size());
+            CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 5}, at(2)));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), problems_.size());
+    }
+
     void olderStatesChangeNothing()
     {
         view_.apply({put("servers/i-1", serverText("draining"), 20)}, 20, at(0));
--- a/Tests/OnPlatform/TestOddEntries.cpp
+++ b/Tests/OnPlatform/TestOddEntries.cpp
@@ -6,6 +6,13 @@
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::OnPlatform;
 
+namespace {
+
+// The rest of an entry that lacks nothing.
+const std::string Rest = R"(,"version":"v1","warmupLeftS":0,"sequence":1)";
+
+} // namespace
+
 class TestOddEntries : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestOddEntries);
@@ -19,19 +26,26 @@
         Deployment deployment(2);
         CPPUNIT_ASSERT(deployment.awaitServing());
         const std::string nested(100000, '[');
-        const auto entry = [](const std::string &address, const std::string &more) {
-            return R"({"service":"plain","address":")" + address + R"(","zone":"north","capacity":2,"state":"ready")" + more + "}";
+        const auto entry = [](const std::string &address, const std::string &end = Rest) {
+            return R"({"service":"plain","address":")" + address + R"(","zone":"north","capacity":2,"state":"ready")" + end + "}";
         };
+        // These would be sent requests if they were taken for entries of servers.
+        const std::string address = deployment.plain(0).address();
         const std::vector<std::string> values{
             nested,
             nested + std::string(nested.size(), ']'),
             R"({"a":)" + nested,
-            entry("127.0.0.1:99999", ""),
-            entry("127.0.0.1:0", ""),
-            entry("nowhere:1", ""),
-            entry("127.0.0.1:80", R"(,"warmupLeftS":1e15)"),
-            entry("127.0.0.1:80", R"(,"warmupLeftS":1e999)"),
-            entry("127.0.0.1:80", R"(,"born":18446744073709551616)"),
+            entry("127.0.0.1:99999"),
+            entry("127.0.0.1:0"),
+            entry("nowhere:1"),
+            entry("127.0.0.1:80", R"(,"version":"v1","warmupLeftS":1e15,"sequence":1)"),
+            entry("127.0.0.1:80", R"(,"version":"v1","warmupLeftS":1e999,"sequence":1)"),
+            entry("127.0.0.1:80", Rest + R"(,"born":18446744073709551616)"),
+            entry(address, ""),
+            entry(address, R"(,"warmupLeftS":0,"sequence":1)"),
+            entry(address, R"(,"version":"v1","sequence":1)"),
+            entry(address, R"(,"version":"v1","warmupLeftS":0)"),
+            entry(address, R"(,"version":1,"warmupLeftS":0,"sequence":1)"),
             std::string("\x00\xff\xfe", 3),
         };
         const Load load(deployment, {0, 1});
--- a/Tests/Platform/TestDocuments.cpp
+++ b/Tests/Platform/TestDocuments.cpp
@@ -39,6 +39,32 @@
 address = "10.200.1.7:8384"
 )";
 
+// An entry as a server writes it. `field` gets the JSON text `value`, or is left out if `value` is empty.
+std::string serverEntry(const std::string &field, const std::string &value)
+{
+    std::vector<std::pair<std::string, std::string>> fields{
+        {"service", "\"one\""},
+        {"address", "\"10.1.0.9:8080\""},
+        {"zone", "\"north\""},
+        {"version", "\"v1\""},
+        {"capacity", "2"},
+        {"state", "\"ready\""},
+        {"warmupLeftS", "0"},
+        {"sequence", "4"},
+        {"born", "1700000000123"},
+    };
+    const auto found = std::ranges::find(fields, field, &std::pair<std::string, std::string>::first);
+    CPPUNIT_ASSERT_MESSAGE(field, found != fields.end());
+    found->second = value;
+    std::string text;
+    for (const auto &[name, written] : fields) {
+        if (!written.empty()) {
+            text += (text.empty() ? "" : ",") + ("\"" + name + "\":") + written;
+        }
+    }
+    return "{" + text + "}";
+}
+
 std::string replaced(std::string text, const std::string &from, const std::string &to)
 {
     const auto position = text.find(from);
@@ -56,6 +82,8 @@
     CPPUNIT_TEST(unusableConfigurationsAreRefusedWithAReason);
     CPPUNIT_TEST(serverEntriesAreDecoded);
     CPPUNIT_TEST(unusableServerEntriesAreRefused);
+    CPPUNIT_TEST(serverEntriesWithoutAFieldAreRefused);
+    CPPUNIT_TEST(serverEntriesWithAFieldOfAnotherTypeAreRefused);
     CPPUNIT_TEST(addressesThatNameNoServerAreRefused);
     CPPUNIT_TEST(numbersBeyondAnyMeaningAreRefused);
     CPPUNIT_TEST(unusableAssignmentsAreRefused);
@@ -136,24 +164,52 @@
 
     void unusableServerEntriesAreRefused()
     {
-        for (const char *text : {"",
-                                 "\xff\xfe\x00",
-                                 "{}",
-                                 "7",
-                                 R"({"service":"one"})",
-                                 R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":2,"state":"sleeping"})",
-                                 R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":"many","state":"ready"})",
-                                 R"({"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":0,"state":"ready"})",
-                                 R"({"service":"one","address":"nowhere","zone":"north","capacity":2,"state":"ready"})",
-                                 R"({"service":5,"address":"10.1.0.9:8080","zone":"north","capacity":2,"state":"ready"})"}) {
+        for (const std::string &text : {std::string(),
+                                        std::string("\xff\xfe\x00"),
+                                        std::string("{}"),
+                                        std::string("7"),
+                                        std::string(R"({"service":"one"})"),
+                                        serverEntry("state", "\"sleeping\""),
+                                        serverEntry("capacity", "\"many\""),
+                                        serverEntry("capacity", "0"),
+                                        serverEntry("address", "\"nowhere\""),
+                                        serverEntry("service", "5")}) {
             CPPUNIT_ASSERT_MESSAGE(text, !decodeServer("i-1", text).value_);
         }
     }
 
+    // Guards against entries of other writers that are used though the server has not written them.
+    void serverEntriesWithoutAFieldAreRefused()
+    {
+        for (const char *field : {"service", "address", "zone", "version", "capacity", "state", "warmupLeftS", "sequence"}) {
+            const auto decoded = decodeServer("i-1", serverEntry(field, ""));
+            CPPUNIT_ASSERT_MESSAGE(field, !decoded.value_);
+            CPPUNIT_ASSERT_EQUAL(std::string("field '") + field + "' is missing", decoded.problem_.reason_);
+        }
+        // The platform's example of an entry has no `born`.
+        const auto decoded = decodeServer("i-1", serverEntry("born", ""));
+        CPPUNIT_ASSERT(decoded.value_);
+        CPPUNIT_ASSERT_EQUAL(UnixMilliseconds(0), decoded.value_->startTime_);
+    }
+
+    void serverEntriesWithAFieldOfAnotherTypeAreRefused()
+    {
+        for (const char *field : {"service", "address", "zone", "version", "state"}) {
+            for (const char *value : {"7", "null", "true", "[]", "{}", "[\"ready\"]", "\"\""}) {
+                CPPUNIT_ASSERT_MESSAGE(field, !decodeServer("i-1", serverEntry(field, value)).value_);
+            }
+        }
+        for (const char *field : {"capacity", "warmupLeftS", "sequence", "born"}) {
+            for (const char *value : {"\"7\"", "null", "true", "[]", "{}", "[7]"}) {
+                CPPUNIT_ASSERT_MESSAGE(field, !decodeServer("i-1", serverEntry(field, value)).value_);
+            }
+        }
+    }
+
     void addressesThatNameNoServerAreRefused()
     {
         const auto entry = [](const std::string &address) {
-            return R"({"service":"one","address":")" + address + R"(","zone":"north","capacity":2,"state":"ready"})";
+            return serverEntry("address", "\"" + address + "\"");
         };
         CPPUNIT_ASSERT(decodeServer("i-1", entry("10.1.0.9:8080")).value_);
         for (const char *address : {"10.1.0.9:99999",
@@ -181,17 +237,14 @@
     // Guards against numbers that overflow when they are converted.
     void numbersBeyondAnyMeaningAreRefused()
     {
-        const auto entry = [](const std::string &name, const std::string &value) {
-            return R"({"service":"one","address":"10.1.0.9:80","zone":"north","capacity":2,"state":"ready",")" + name + "\":" + value + "}";
-        };
-        CPPUNIT_ASSERT(decodeServer("i-1", entry("warmupLeftS", "3.5")).value_);
-        CPPUNIT_ASSERT(decodeServer("i-1", entry("born", "1790083048095")).value_);
+        CPPUNIT_ASSERT(decodeServer("i-1", serverEntry("warmupLeftS", "3.5")).value_);
+        CPPUNIT_ASSERT(decodeServer("i-1", serverEntry("born", "1790083048095")).value_);
         for (const char *value : {"1e15", "1e999", "-1", "18446744073709551616", "\"3\"", "null", "[]"}) {
-            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", entry("warmupLeftS", value)).value_);
+            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", serverEntry("warmupLeftS", value)).value_);
         }
         for (const char *value : {"1700000000123.5", "1e999", "-1", "18446744073709551616", "\"3\"", "null", "{}"}) {
-            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", entry("born", value)).value_);
-            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", entry("sequence", value)).value_);
+            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", serverEntry("born", value)).value_);
+            CPPUNIT_ASSERT_MESSAGE(value, !decodeServer("i-1", serverEntry("sequence", value)).value_);
         }
         const std::vector<std::pair<std::string, std::string>> changes{
             {"\"maxConns\":120", "\"maxConns\":1e15"},
