FrontSession: Judge a request by the limits in force when it begins to arrive

Cause: the limits were read and given to the parser before the wait for the first byte of the next request. They are now read when that byte has arrived, and the idle limit whenever its timer ends. For the same reason the program's own limits bound the first request of a connection that was older than the first configuration. While none is known, a request beyond them is now answered 503 with Retry-After, and from its head alone if that announces the length: it has run nowhere, and the operator may allow it.

Failed before: TestFrontServer::keptConnectionsFollowLaterLimits, idleConnectionsFollowALaterLimit and withoutAConfigurationNothingIsRefusedForItsSizeForGood.

--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -20,8 +20,8 @@
 constexpr std::size_t MaxUnparsedBodyBytes = 128U << 10U;
 // Requests of one connection that are read before the first of them has its response.
 constexpr std::size_t MaxPipelined = 32;
-// In seconds: by then other bodies have probably been forwarded and their memory freed.
-constexpr const char *MemoryRetryAfter = "0.3";
+// In seconds: by then other bodies have probably been forwarded and their memory freed, or a configuration has been read.
+constexpr const char *UnreadRetryAfter = "0.3";
 constexpr unsigned UnknownOutcomeStatus = 502;
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -76,7 +76,7 @@
 
 void FrontSession::start()
 {
-    startIdleTimer(limits_.idleTimeout_);
+    startIdleTimer(limitsInForce().idleTimeout_);
     spawn(server_.loop_, server_.log_, "caller", [self = shared_from_this()] {
         return self->serve();
     });
@@ -99,7 +99,7 @@
             return;
         }
         const Duration idle = bootNow() - self->idleSince_;
-        const Duration limit = self->limits_.idleTimeout_;
+        const Duration limit = self->limitsInForce().idleTimeout_;
         if (!self->exchanges_.empty() || !self->isBetweenRequests_) {
             self->startIdleTimer(limit);
         } else if (idle < limit) {
@@ -110,6 +110,12 @@
     });
 }
 
+RequestLimits FrontSession::limitsInForce() const
+{
+    const auto configuration = server_.view_.configuration();
+    return configuration ? configuration->limits_ : RequestLimits();
+}
+
 Task<void> FrontSession::awaitChange()
 {
     change_.expires_at(asio::steady_timer::time_point::max());
@@ -158,9 +164,6 @@
             co_await awaitChange();
             continue;
         }
-        if (const auto configuration = server_.view_.configuration()) {
-            limits_ = configuration->limits_;
-        }
         auto exchange = std::make_shared<Exchange>(server_.bodies_);
         if (!co_await readRequest(*exchange)) {
             co_await awaitDisconnect();
@@ -212,10 +215,6 @@
 
 Task<bool> FrontSession::readRequest(Exchange &exchange)
 {
-    Parser parser;
-    parser.header_limit(limits_.maxHeaderBytes_);
-    parser.body_limit(limits_.maxBodyBytes_);
-    buffer_.max_size(std::max<std::size_t>(buffer_.size(), limits_.maxHeaderBytes_ + MaxUnparsedBodyBytes));
     isBetweenRequests_ = true;
     ErrorCode error = co_await awaitRequest();
     if (error) {
@@ -223,6 +222,13 @@
         co_return false;
     }
     isBetweenRequests_ = false;
+    // The configuration may have changed while the connection was idle.
+    limits_ = limitsInForce();
+    hasOperatorLimits_ = server_.view_.configuration() != nullptr;
+    Parser parser;
+    parser.header_limit(limits_.maxHeaderBytes_);
+    parser.body_limit(limits_.maxBodyBytes_);
+    buffer_.max_size(std::max<std::size_t>(buffer_.size(), limits_.maxHeaderBytes_ + MaxUnparsedBodyBytes));
     exchange.arrivedAt_ = receivedAt_;
     stream_.expires_never();
     startReadTimer(limits_.headerTimeout_);
@@ -312,13 +318,15 @@
 
 void FrontSession::answerReadError(ErrorCode error)
 {
-    const unsigned status = statusOfError(error);
+    const bool isTooLarge = error == http::error::header_limit || error == http::error::body_limit;
+    // Callers never repeat a request after 413 or 431. Those are the operator's to decide, who may allow more than the program's own limits.
+    const unsigned status = isTooLarge && !hasOperatorLimits_ ? 503 : statusOfError(error);
     server_.log_.write(LogLine("request-unreadable").add("status", status).add("reason", error.message()), LogImportance::Kept, bootNow());
     server_.metrics_.increment("goldcrestwall_unreadable_total", {{"status", std::to_string(status)}});
     auto exchange = std::make_shared<Exchange>(server_.bodies_);
     HttpResponse response = makeErrorResponse(status);
     if (status == 503) {
-        response.set(http::field::retry_after, MemoryRetryAfter);
+        response.set(http::field::retry_after, UnreadRetryAfter);
     }
     exchange->response_ = std::move(response);
     exchange->isStarted_ = true;
--- a/Libraries/LibGateway/FrontSession.h
+++ b/Libraries/LibGateway/FrontSession.h
@@ -50,6 +50,8 @@
         std::optional<HttpResponse> response_;
     };
 
+    // The operator's limits at present; the program's own until a configuration is known.
+    RequestLimits limitsInForce() const;
     Task<void> serve();
     Task<void> handleConnection();
     Task<void> readRequests();
@@ -92,7 +94,10 @@
     asio::steady_timer idleTimer_;
     // Limits the time for reading a request. The stream's own time-out would close the connection under the requests in progress.
     asio::steady_timer readTimer_;
+    // Those in force when the request being read began to arrive.
     RequestLimits limits_;
+    // Whether a configuration was known then.
+    bool hasOperatorLimits_ = false;
     // In the order in which the requests were read.
     std::deque<std::shared_ptr<Exchange>> exchanges_;
     // When the bytes that are not parsed yet were received.
--- a/Tests/LibGateway/TestFrontServer.cpp
+++ b/Tests/LibGateway/TestFrontServer.cpp
@@ -32,7 +32,22 @@
     return {"edge-1", "1", "127.0.0.1:1", "north", 200};
 }
 
-// A front server that knows no configuration and so answers each request with 503 at once.
+std::string requestWith(const std::string &headers)
+{
+    return "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: q1\r\n" + headers + "\r\n";
+}
+
+const std::string Request = requestWith("");
+
+std::string receive(Tcp::socket &caller)
+{
+    std::array<char, 1024> received{};
+    ErrorCode error;
+    const auto size = caller.receive(asio::buffer(received), 0, error);
+    return {received.data(), size};
+}
+
+// A front server that knows no routes, and no configuration until one is put, and so answers each request with 503 at once.
 struct Front
 {
     asio::io_context loop_;
@@ -50,12 +65,32 @@
     BodyBudget bodies_{BodyMemory};
     FrontServer front_{loop_, view_, flow_, bodies_, log_, metrics_};
     Tcp::endpoint endpoint_ = freeEndpoint();
+    Platform::Revision revision_ = 0;
 
     Front()
     {
         CPPUNIT_ASSERT(!front_.listen(textOf(endpoint_)));
     }
 
+    // Puts the next version of the configuration, with these limits as JSON text.
+    void putLimits(const std::string &limits)
+    {
+        ++revision_;
+        const std::string text =
+            R"({"version":)" + std::to_string(revision_) + R"(,"resources":[{"resourceType":"limits","metadata":{},"spec":)" + limits + "}]}";
+        view_.apply({{{"op/config", text, revision_, 0}, false}}, revision_, bootNow());
+        CPPUNIT_ASSERT_EQUAL(revision_, view_.configuration()->version_);
+    }
+
+    // Sends a request on the caller's connection and returns what comes back.
+    std::string call(Tcp::socket &caller, const std::string &request)
+    {
+        caller.non_blocking(false);
+        asio::write(caller, asio::buffer(request));
+        runUntilAnswered(caller);
+        return receive(caller);
+    }
+
     // Runs the loop until the caller's connection has brought something or ended.
     void runUntilAnswered(Tcp::socket &caller)
     {
@@ -78,16 +113,6 @@
     return caller;
 }
 
-std::string receive(Tcp::socket &caller)
-{
-    std::array<char, 1024> received{};
-    ErrorCode error;
-    const auto size = caller.receive(asio::buffer(received), 0, error);
-    return {received.data(), size};
-}
-
-const std::string Request = "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: q1\r\n\r\n";
-
 } // namespace
 
 class TestFrontServer : public CppUnit::TestFixture
@@ -95,6 +120,9 @@
     CPPUNIT_TEST_SUITE(TestFrontServer);
     CPPUNIT_TEST(requestThatHasArrivedIsAnsweredInAPlannedStop);
     CPPUNIT_TEST(idleConnectionsAreClosedInAPlannedStop);
+    CPPUNIT_TEST(keptConnectionsFollowLaterLimits);
+    CPPUNIT_TEST(idleConnectionsFollowALaterLimit);
+    CPPUNIT_TEST(withoutAConfigurationNothingIsRefusedForItsSizeForGood);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,6 +148,59 @@
         }
     }
 
+    // Guards against requests on kept connections that are refused by the limits of an older configuration.
+    void keptConnectionsFollowLaterLimits()
+    {
+        const std::string smallLimits = R"({"maxHeaderBytes":400,"maxBodyBytes":100})";
+        const std::string largeLimits = R"({"maxHeaderBytes":4000,"maxBodyBytes":1000})";
+        const std::string longHead = requestWith("Padding: " + std::string(800, 'p') + "\r\n");
+        const std::string largeBody = requestWith("Content-Length: 500\r\n") + std::string(500, 'b');
+        for (const auto &[request, refusal] : {std::pair(longHead, "HTTP/1.1 431"), std::pair(largeBody, "HTTP/1.1 413")}) {
+            Front front;
+            front.putLimits(smallLimits);
+            asio::io_context callerLoop;
+            auto caller = connectTo(callerLoop, front.endpoint_);
+            CPPUNIT_ASSERT(front.call(caller, Request).starts_with("HTTP/1.1 503"));
+            front.putLimits(largeLimits);
+            const auto allowed = front.call(caller, request);
+            CPPUNIT_ASSERT_MESSAGE(allowed, allowed.starts_with("HTTP/1.1 503"));
+            CPPUNIT_ASSERT_MESSAGE(allowed, allowed.find("Connection: close") == std::string::npos);
+            front.putLimits(smallLimits);
+            const auto refused = front.call(caller, request);
+            CPPUNIT_ASSERT_MESSAGE(refused, refused.starts_with(refusal));
+        }
+    }
+
+    void idleConnectionsFollowALaterLimit()
+    {
+        Front front;
+        front.putLimits(R"({"idleTimeoutS":0.3})");
+        asio::io_context callerLoop;
+        auto caller = connectTo(callerLoop, front.endpoint_);
+        CPPUNIT_ASSERT(front.call(caller, Request).starts_with("HTTP/1.1 503"));
+        front.putLimits(R"({"idleTimeoutS":1.2})");
+        front.loop_.run_for(std::chrono::milliseconds(600));
+        front.loop_.restart();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), front.front_.connectionCount());
+        front.loop_.run_for(std::chrono::milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), front.front_.connectionCount());
+    }
+
+    // Callers never repeat a request after 413 or 431, and the operator may allow what the program's own limits do not.
+    void withoutAConfigurationNothingIsRefusedForItsSizeForGood()
+    {
+        const std::string longHead = requestWith("Padding: " + std::string(20000, 'p') + "\r\n");
+        const std::string largeBody = requestWith("Content-Length: 60000000\r\n");
+        for (const auto &request : {longHead, largeBody}) {
+            Front front;
+            asio::io_context callerLoop;
+            auto caller = connectTo(callerLoop, front.endpoint_);
+            const auto received = front.call(caller, request);
+            CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 503"));
+            CPPUNIT_ASSERT_MESSAGE(received, received.find("Retry-After: ") != std::string::npos);
+        }
+    }
+
     void idleConnectionsAreClosedInAPlannedStop()
     {
         for (int handlers = 0; handlers < MaxHandlers; ++handlers) {
