HttpClient: Keep no connection that brought another request's response

By reading: a server that writes a response nobody is waiting for may be closing the connection, or write the next one there too. A connection on which such a response came before the right one was kept nevertheless, and a booking sent on it can only be told 502 if it closes.

Such a connection is now closed after the response that was due. Interim responses (1xx) change nothing.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -186,6 +186,7 @@
 Task<bool> HttpClient::readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result)
 {
     beast::flat_buffer buffer(MaxUnparsedBytes);
+    bool hasOtherResponse = false;
     for (std::size_t skipped = 0; skipped <= MaxSkippedResponses; ++skipped) {
         ResponseParser parser;
         parser.body_limit(options.maxResponseBody_);
@@ -208,12 +209,14 @@
         const auto correlationId = options.correlationHeader_.empty() ? boost::string_view() : response[options.correlationHeader_];
         if (correlationId.empty() || correlationId == options.correlationId_) {
             result.outcome_ = ExchangeOutcome::Answered;
-            co_return response.keep_alive() && buffer.size() == 0 && !response.need_eof();
+            // A server that writes responses nobody is waiting for may be closing the connection, or write the next one there too.
+            co_return !hasOtherResponse && response.keep_alive() && buffer.size() == 0 && !response.need_eof();
         }
         if (!response.keep_alive()) {
             result.outcome_ = ExchangeOutcome::Lost;
             co_return false;
         }
+        hasOtherResponse = true;
     }
     result.outcome_ = ExchangeOutcome::Malformed;
     co_return false;
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -344,6 +344,8 @@
             {"announced close", makeResponse("Id: 1\r\nConnection: close\r\nContent-Length: 3\r\n", "abc"), false},
             {"bytes after the response", clean + "surplus", false},
             {"a second response", clean + clean, false},
+            {"another request's response first", makeResponse("Id: 7\r\nContent-Length: 5\r\n", "wrong") + clean, false},
+            {"an interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + clean, true},
         };
         for (const auto &each : cases) {
             const auto results = runExchanges({{{each.first_, clean}, false}, {{clean}, false}}, 2);
