StoreView: Use no entry that loses the start of its server's run

A server that states the start of its run does so in all that it says of itself, so that a later entry without it is by another writer.

Such an entry now names no server until the server writes its own again, or its entry has been removed. Servers that have never stated it are used as before.

TestStoreView::entryThatLosesItsStartTimeNamesNoServer failed before.

--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -276,6 +276,9 @@
 {
     auto decoded = Platform::decodeServer(id, item.value_);
     expired_.erase(id);
+    if (decoded.value_ && decoded.value_->startTime_ == 0 && idsWithStartTime_.contains(id)) {
+        decoded = {std::nullopt, {"the start of the server's run is missing, unlike before"}};
+    }
     if (!decoded.value_) {
         handler_(item.key_, decoded.problem_.reason_);
         servers_.erase(id);
@@ -285,6 +288,9 @@
         handler_(item.key_, "description is older than the one that says the server is leaving");
         return;
     }
+    if (decoded.value_->startTime_ != 0) {
+        idsWithStartTime_.insert(id);
+    }
     updateNotices(*decoded.value_, item.revision_, now);
     servers_[id] = {std::move(*decoded.value_), now};
 }
@@ -336,6 +342,7 @@
 void StoreView::removeDecoded(const std::string &key, Revision revision, TimePoint now)
 {
     if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
+        idsWithStartTime_.erase(*id);
         if (const auto known = servers_.find(*id); known != servers_.end()) {
             recordLeaving(known->second.description_, LeavingReason::Removed, revision, std::max(now, expiryGraceUntil_), now);
         }
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -184,6 +184,8 @@
     std::map<std::string, TimePoint> expired_;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     std::map<std::string, KnownServer> servers_;
+    // Ids whose entry has stated the start of the server's run since it was registered. Later entries without it are by other writers.
+    std::set<std::string> idsWithStartTime_;
     std::set<std::string> evacuatedDomains_;
     std::map<std::string, MemberEntry> members_;
     std::map<std::string, CoordinatorEntry> coordinators_;
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(invalidEntriesAreReportedAndSkipped);
     CPPUNIT_TEST(oddEntriesOfOtherWritersNameNothing);
     CPPUNIT_TEST(entryOfAnotherWriterTakesItsServerOutOfUse);
+    CPPUNIT_TEST(entryThatLosesItsStartTimeNamesNoServer);
     CPPUNIT_TEST(olderStatesChangeNothing);
     CPPUNIT_TEST(delayedWatchResponseDoesNotBringBackRemovedServers);
     CPPUNIT_TEST(delayedUpdateOfAPeerDoesNotBringBackRemovedServers);
@@ -164,6 +165,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), problems_.size());
     }
 
+    // A server that states the start of its run does so in each entry, so that one without it is by another writer.
+    void entryThatLosesItsStartTimeNamesNoServer()
+    {
+        const auto withoutStart = replaced(serverText("ready", 5), ",\"born\":5", "");
+        // Servers that have never stated it are used.
+        view_.apply({put("servers/i-1", serverText("ready", 5), 11), put("servers/i-2", withoutStart, 12)}, 12, at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), view_.serverCount());
+        view_.apply({put("servers/i-1", withoutStart, 13), put("servers/i-2", withoutStart, 14)}, 14, at(1));
+        CPPUNIT_ASSERT(view_.server("i-1") == nullptr);
+        CPPUNIT_ASSERT(view_.server("i-2") != nullptr);
+        // Nor does a second such entry.
+        view_.apply({put("servers/i-1", withoutStart, 15)}, 15, at(2));
+        CPPUNIT_ASSERT(view_.server("i-1") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), problems_.size());
+        view_.apply({put("servers/i-1", serverText("ready", 5), 16)}, 16, at(3));
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+        // Once the entry has been removed, the id may be that of a server of other software.
+        view_.apply({removal("servers/i-1", 17), put("servers/i-1", withoutStart, 18)}, 18, at(4));
+        CPPUNIT_ASSERT(view_.server("i-1") != nullptr);
+    }
+
     void olderStatesChangeNothing()
     {
         view_.apply({put("servers/i-1", serverText("draining"), 20)}, 20, at(0));
