ViewRelay: Owe each peer at most one answer, and ask one peer at a time

Seen: an instance whose peers read slowly and ask for its view grows without end. A peer that does not read and asks 50 times in a second for a view of 300 kB had 12,480,523 bytes queued (TestViewRelay::peerThatDoesNotReadIsOwedOneView). With 20 peers that read at about 1 Mbit/s and ask four times a second for a view of 300 kB, the resident memory went from 13,094,912 to 224,223,232 bytes in 12 s (TestViewExchange::slowPeersThatAskForTheViewCostLittleMemory, there with a receive buffer of 6 kB instead of 64 kB at the peers).

Cause: each request was answered anew, encoded for itself, whether or not the last answer had left; and an instance asked all peers every 250 ms while its view was not current, and at once after each update.

Now `ViewAnswerQueue` decides what is answered: one answer on its way on each link, until the peer's system has acknowledged it, the newest request of each peer in the order of asking, and large answers of together 1 MiB, or two. Links that need the same changes share one encoded frame. `ViewAsker` decides who is asked: one peer that has a newer view, the own failure domain first; if its answer does not progress for 600 ms, another one at random with a growing pause, and the silent one is passed over for 3 s. A request that has waited for longer than that is dropped, since its sender asks elsewhere by then. The protocol is unchanged.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -174,6 +174,7 @@
         handleIncoming(link, std::move(message));
     };
     handlers.incomingClosed_ = [this](const std::shared_ptr<PeerLink> &link) {
+        relay_.removePeer(link);
         placement_.removePeer(link);
     };
     handlers.outgoing_ = [this](const std::shared_ptr<PeerLink> &link, PeerMessage message) {
@@ -201,7 +202,7 @@
     } else if (const auto *ping = std::get_if<PingMessage>(&message)) {
         relay_.handlePing(link, *ping, now);
     } else if (const auto *request = std::get_if<ViewRequestMessage>(&message)) {
-        relay_.handleRequest(link, *request);
+        relay_.handleRequest(link, *request, now);
     }
 }
 
@@ -317,6 +318,7 @@
         }
         relay_.refresh(settings_.seeds_, now);
         relay_.follow(now);
+        relay_.serve(now);
         coordination_.run(isStopping_, now);
         checkSettingsFile(now);
         checkMemory(now);
@@ -332,10 +334,11 @@
     use.bodyBytes_ = bodies_.reserved();
     use.callerInputBytes_ = front_.inputBytes();
     for (const auto &link : network_.allLinks()) {
-        use.peerOutputBytes_ += link->outgoingBytes();
+        use.peerOutputBytes_ += link->ownOutgoingBytes();
         use.peerInputBytes_ += link->incomingBytes();
         ++use.peerConnections_;
     }
+    use.peerOutputBytes_ += relay_.answerBytes();
     use.viewBytes_ = view_.contentBytes();
     use.logBytes_ = log_.pendingBytes();
     use.callerConnections_ = front_.connectionCount();
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <cstring>
 
@@ -20,6 +22,7 @@
 // The connection is closed when this many bytes are unsent because the peer does not read.
 constexpr std::size_t MaxOutgoingBytes = 32U << 20U;
 constexpr std::size_t ReadSize = 4096;
+constexpr std::size_t WriteSize = 65536;
 
 } // namespace
 
@@ -46,8 +49,44 @@
     if (!isOpen_) {
         return;
     }
-    outgoing_ += encodeFrame(message);
-    if (outgoing_.size() > MaxOutgoingBytes) {
+    const auto frame = encodeFrame(message);
+    outgoingTail_ += frame;
+    ownBytes_ += frame.size();
+    queuedTotal_ += frame.size();
+    startTransmitting();
+}
+
+void PeerLink::send(PeerFrame frame)
+{
+    if (!isOpen_) {
+        return;
+    }
+    sealTail();
+    queuedTotal_ += frame->size();
+    outgoing_.push_back(std::move(frame));
+    startTransmitting();
+}
+
+void PeerLink::sealTail()
+{
+    if (!outgoingTail_.empty()) {
+        outgoing_.push_back(std::make_shared<const std::string>(std::exchange(outgoingTail_, {})));
+    }
+}
+
+std::uint64_t PeerLink::deliveredTotal()
+{
+    int unacknowledged = 0;
+    if (!isOpen_ || ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
+        return writtenTotal_;
+    }
+    // During a write, the system may have taken more bytes than this link knows of.
+    return writtenTotal_ - std::min(writtenTotal_, static_cast<std::uint64_t>(unacknowledged));
+}
+
+void PeerLink::startTransmitting()
+{
+    if (outgoingBytes() > MaxOutgoingBytes) {
         close();
         return;
     }
@@ -64,16 +103,26 @@
 
 Task<void> PeerLink::transmit()
 {
-    while (!outgoing_.empty() && isOpen_) {
-        const std::string bytes = std::exchange(outgoing_, {});
-        transmittingBytes_ = bytes.size();
+    for (sealTail(); !outgoing_.empty() && isOpen_; sealTail()) {
+        const auto frames = std::exchange(outgoing_, {});
+        const auto ownBytes = ownBytes_;
+        std::vector<asio::const_buffer> buffers;
+        for (const auto &frame : frames) {
+            buffers.push_back(asio::buffer(*frame));
+        }
+        const auto writtenBefore = writtenTotal_;
+        const auto recordProgress = [this, writtenBefore](const ErrorCode &error, std::size_t size) {
+            writtenTotal_ = writtenBefore + size;
+            return error ? 0 : WriteSize;
+        };
         ErrorCode error;
-        co_await asio::async_write(socket_, asio::buffer(bytes), redirectErrorTo(error));
+        // The condition is not asked again after the last part.
+        writtenTotal_ = writtenBefore + co_await asio::async_write(socket_, buffers, recordProgress, redirectErrorTo(error));
+        ownBytes_ -= ownBytes;
         if (error) {
             close();
         }
     }
-    transmittingBytes_ = 0;
     isTransmitting_ = false;
 }
 
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -8,9 +8,13 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace Goldcrestwall::Gateway {
 
+// An encoded message with its length prefix.
+using PeerFrame = std::shared_ptr<const std::string>;
+
 // Sends and receives messages over one TCP connection. Messages sent in the same iteration of the event loop are combined into one write.
 class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
@@ -27,6 +31,8 @@
     // Starts receiving.
     void start();
     void send(const PeerMessage &message);
+    // Sends an encoded message that other links may send as well, without a copy of its own.
+    void send(PeerFrame frame);
     void close();
     bool isOpen() const
     {
@@ -35,8 +41,19 @@
     // Bytes that wait to be sent, and bytes received that are not a complete message yet.
     std::size_t outgoingBytes() const
     {
-        return outgoing_.size() + transmittingBytes_;
+        return queuedTotal_ - writtenTotal_;
+    }
+    // The part of these that this link holds alone.
+    std::size_t ownOutgoingBytes() const
+    {
+        return ownBytes_;
+    }
+    // Bytes given to `send` since the beginning, and those of them that have reached the peer's system.
+    std::uint64_t queuedTotal() const
+    {
+        return queuedTotal_;
     }
+    std::uint64_t deliveredTotal();
     std::size_t incomingBytes() const
     {
         return incoming_.size();
@@ -93,7 +110,10 @@
 
 private:
     Task<void> receive();
+    void startTransmitting();
     Task<void> transmit();
+    // Ends the frame that messages are added to.
+    void sealTail();
     void recordPong(const PongMessage &pong);
     // Handles all complete frames; returns whether the connection may continue.
     bool processFrames();
@@ -104,9 +124,13 @@
     EventLog &log_;
     Tcp::socket socket_;
     Handlers handlers_;
-    std::string outgoing_;
-    // Size of the write in progress.
-    std::size_t transmittingBytes_ = 0;
+    // Complete frames to be sent, then messages that may still be joined by others.
+    std::vector<PeerFrame> outgoing_;
+    std::string outgoingTail_;
+    // Bytes of messages, in the queue and in the write in progress, that are not shared with other links.
+    std::size_t ownBytes_ = 0;
+    std::uint64_t queuedTotal_ = 0;
+    std::uint64_t writtenTotal_ = 0;
     std::string incoming_;
     std::string instance_;
     std::string domain_;
--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -136,15 +136,15 @@
     return report;
 }
 
-ViewUpdateMessage toMessage(const ViewUpdate &update)
+ViewUpdateMessage toMessage(ViewUpdate update)
 {
     ViewUpdateMessage message;
     message.at_ = update.at_;
     message.isSnapshot_ = update.isSnapshot_;
-    for (const auto &item : update.items_) {
-        message.items_.push_back({item.key_, item.value_, item.revision_});
+    for (auto &item : update.items_) {
+        message.items_.push_back({std::move(item.key_), std::move(item.value_), item.revision_});
     }
-    message.removedKeys_ = update.removedKeys_;
+    message.removedKeys_ = std::move(update.removedKeys_);
     return message;
 }
 
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -234,7 +234,7 @@
 PlacementRequest toPlacementRequest(const PlacementRequestMessage &message, const std::string &instance, TimePoint now);
 FinishMessage toMessage(const std::string &service, std::uint64_t number, const ServerIncarnation &server, const PlacementReport &report);
 PlacementReport toPlacementReport(const FinishMessage &message);
-ViewUpdateMessage toMessage(const ViewUpdate &update);
+ViewUpdateMessage toMessage(ViewUpdate update);
 ViewUpdate toViewUpdate(ViewUpdateMessage message);
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -176,11 +176,29 @@
     at_ = update.at_;
 }
 
+bool StoreView::needsSnapshot(Revision revision) const
+{
+    return revision < removalHistoryStart_ || revision == 0;
+}
+
+std::size_t StoreView::changeBytes(Revision revision) const
+{
+    const bool isSnapshot = needsSnapshot(revision);
+    std::size_t bytes = 0;
+    for (const auto &[key, known] : items_) {
+        bytes += isSnapshot || known.relayRevision_ > revision ? key.size() + known.item_.value_.size() : 0;
+    }
+    for (const auto &[removedAt, key] : removals_) {
+        bytes += !isSnapshot && removedAt > revision ? key.size() : 0;
+    }
+    return bytes;
+}
+
 ViewUpdate StoreView::changesSince(Revision revision) const
 {
     ViewUpdate update;
     update.at_ = at_;
-    update.isSnapshot_ = revision < removalHistoryStart_ || revision == 0;
+    update.isSnapshot_ = needsSnapshot(revision);
     for (const auto &[key, known] : items_) {
         if (update.isSnapshot_ || known.relayRevision_ > revision) {
             update.items_.push_back(known.item_);
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -109,6 +109,10 @@
     void replace(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
     void apply(const ViewUpdate &update, TimePoint now);
     ViewUpdate changesSince(Platform::Revision revision) const;
+    // Whether only the complete content brings a view at the revision up to date.
+    bool needsSnapshot(Platform::Revision revision) const;
+    // Size of the keys and values of these changes.
+    std::size_t changeBytes(Platform::Revision revision) const;
 
     // Until then, servers whose entries are removed stay in the view: the entries may have expired during a store outage.
     void setExpiryGrace(TimePoint until);
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -1,13 +1,14 @@
 // Peer selection and exchange of view changes.
 #include "ViewRelay.h"
 
+#include <numeric>
+
 namespace Goldcrestwall::Gateway {
 
 namespace {
 
-constexpr Duration RequestInterval = 250ms;
-// The own failure domain's watcher gets this time to announce a change before instances of other failure domains are asked.
-constexpr Duration OwnDomainDelay = 150ms;
+// Answers to requests for the view that are on their way to all peers together.
+constexpr std::size_t MaxAnswerBytes = 1U << 20U;
 // Minimum number of instances watching the store that each instance is connected to.
 constexpr std::size_t MinWatchers = 2;
 
@@ -27,6 +28,8 @@
     , network_(network)
     , notices_(std::move(notices))
     , log_(log)
+    , asker_(stableHash(instance_))
+    , answers_(MaxAnswerBytes)
 {
 }
 
@@ -97,30 +100,27 @@
 
 void ViewRelay::follow(TimePoint now)
 {
-    const auto links = network_.openLinks(now);
-    bool isBehind = false;
-    for (const auto &link : links) {
+    for (const auto &link : network_.openLinks(now)) {
         storeLink_.expectRevision(link->revision(), now);
-        if (link->revision() > view_.at()) {
-            isBehind = true;
-        } else if (link->isViewCurrent()) {
+        if (link->revision() <= view_.at() && link->isViewCurrent()) {
             storeLink_.recordRelayed(link->confirmedAt());
         }
     }
-    if (!isBehind) {
-        behindSince_ = TimePoint();
-    } else if (behindSince_ == TimePoint()) {
-        behindSince_ = now;
-    }
-    const bool mustAsk = !storeLink_.isCurrent(now) || (isBehind && now - behindSince_ >= OwnDomainDelay);
-    if (!mustAsk || now - requestedAt_ < RequestInterval) {
-        return;
-    }
+    ask(now);
+}
+
+void ViewRelay::ask(TimePoint now)
+{
+    const auto links = network_.openLinks(now);
+    std::vector<ViewSource> sources;
     for (const auto &link : links) {
-        if (link->revision() > view_.at() || !storeLink_.isCurrent(now)) {
-            requestedAt_ = now;
-            link->send(ViewRequestMessage{view_.at()});
-        }
+        sources.push_back({link->address(), link->revision(), link->domain() == domain_, link->incomingBytes()});
+    }
+    if (const auto chosen = asker_.choose(sources, {view_.at(), storeLink_.isCurrent(now), storeLink_.isWatching()}, now)) {
+        const auto link = std::ranges::find_if(links, [&chosen](const std::shared_ptr<PeerLink> &candidate) {
+            return candidate->address() == *chosen;
+        });
+        (*link)->send(ViewRequestMessage{view_.at()});
     }
 }
 
@@ -153,22 +153,77 @@
     for (const auto &server : message.leavingServers_) {
         notices_->recordLeaving({server.id_, server.startTime_}, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
     }
-    if (link->domain() == domain_ && link->revision() > view_.at() && !storeLink_.isWatching() && now - requestedAt_ >= RequestInterval) {
-        requestedAt_ = now;
-        link->send(ViewRequestMessage{view_.at()});
+    if (link->domain() == domain_ && link->revision() > view_.at() && !storeLink_.isWatching()) {
+        ask(now);
     }
 }
 
-void ViewRelay::handleRequest(const std::shared_ptr<PeerLink> &link, const ViewRequestMessage &message)
+void ViewRelay::handleRequest(const std::shared_ptr<PeerLink> &link, const ViewRequestMessage &message, TimePoint now)
 {
     if (view_.at() > message.revision_) {
-        link->send(toMessage(view_.changesSince(message.revision_)));
+        answers_.request(link, message.revision_, now);
+        serve(now);
+    }
+}
+
+void ViewRelay::serve(TimePoint now)
+{
+    std::vector<std::shared_ptr<PeerLink>> finished;
+    for (const auto &[link, sending] : sending_) {
+        if (!link->isOpen() || link->deliveredTotal() >= sending.end_) {
+            finished.push_back(link);
+        }
+    }
+    for (const auto &link : finished) {
+        sending_.erase(link);
+        answers_.recordSent(link);
     }
+    const auto sizeOf = [this](Platform::Revision revision) {
+        return view_.changeBytes(revision);
+    };
+    for (const auto &turn : answers_.takeDue(sizeOf, now)) {
+        const auto frame = encodeAnswer(turn.revision_);
+        turn.link_->send(frame);
+        sending_[turn.link_] = {frame, turn.link_->queuedTotal()};
+    }
+}
+
+PeerFrame ViewRelay::encodeAnswer(Platform::Revision revision)
+{
+    if (encodings_.changeCount_ != view_.changeCount() || encodings_.at_ != view_.at()) {
+        encodings_ = {view_.changeCount(), view_.at(), {}};
+    }
+    auto &known = encodings_.frames_[view_.needsSnapshot(revision) ? 0 : revision];
+    auto frame = known.lock();
+    if (!frame) {
+        frame = std::make_shared<const std::string>(encodeFrame(toMessage(view_.changesSince(revision))));
+        known = frame;
+    }
+    return frame;
+}
+
+std::size_t ViewRelay::answerBytes() const
+{
+    std::set<PeerFrame> frames;
+    for (const auto &[link, sending] : sending_) {
+        if (auto frame = sending.frame_.lock()) {
+            frames.insert(std::move(frame));
+        }
+    }
+    return std::transform_reduce(frames.begin(), frames.end(), std::size_t(0), std::plus<>(), [](const PeerFrame &frame) {
+        return frame->size();
+    });
+}
+
+void ViewRelay::removePeer(const std::shared_ptr<PeerLink> &link)
+{
+    answers_.remove(link);
+    sending_.erase(link);
 }
 
 bool ViewRelay::handleUpdate(const std::shared_ptr<PeerLink> &link, ViewUpdateMessage message, TimePoint now)
 {
-    requestedAt_ = TimePoint();
+    asker_.recordAnswer(link->address());
     if (message.at_ <= view_.at()) {
         return false;
     }
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -3,6 +3,7 @@
 
 #include <LibGateway/PeerNetwork.h>
 #include <LibGateway/StoreLink.h>
+#include <LibGateway/ViewAsker.h>
 
 namespace Goldcrestwall::Gateway {
 
@@ -31,7 +32,22 @@
 
     void handlePing(const std::shared_ptr<PeerLink> &link, const PingMessage &message, TimePoint now);
     void handlePong(const std::shared_ptr<PeerLink> &link, const PongMessage &message, TimePoint now);
-    void handleRequest(const std::shared_ptr<PeerLink> &link, const ViewRequestMessage &message);
+    void handleRequest(const std::shared_ptr<PeerLink> &link, const ViewRequestMessage &message, TimePoint now);
+    // Answers requests for the view whose turn it is. To be called a few times a second.
+    void serve(TimePoint now);
+    // A connection that a peer opened has ended.
+    void removePeer(const std::shared_ptr<PeerLink> &link);
+    // Requests for the view that wait for their turn, and answers that have not reached their peers yet.
+    std::size_t waitingRequests() const
+    {
+        return answers_.waitingCount();
+    }
+    std::size_t answersUnderWay() const
+    {
+        return answers_.underWayCount();
+    }
+    // Bytes of encoded answers that are held.
+    std::size_t answerBytes() const;
     // Applies the changes to the view. Returns whether there were any.
     bool handleUpdate(const std::shared_ptr<PeerLink> &link, ViewUpdateMessage message, TimePoint now);
 
@@ -47,7 +63,26 @@
         std::set<std::string> watchers_;
     };
 
+    // An answer on its way.
+    struct Sending
+    {
+        std::weak_ptr<const std::string> frame_;
+        // The position in the link's bytes at which the answer ends.
+        std::uint64_t end_ = 0;
+    };
+
+    // Encoded answers to requests by the revisions of the requests, 0 for the complete content. Links that are sent the same answer share it, and it is kept
+    // only while one of them needs it.
+    struct Encodings
+    {
+        std::uint64_t changeCount_ = 0;
+        Platform::Revision at_ = 0;
+        std::map<Platform::Revision, std::weak_ptr<const std::string>> frames_;
+    };
+
     const Role &role();
+    PeerFrame encodeAnswer(Platform::Revision revision);
+    void ask(TimePoint now);
     std::set<std::string> watcherAddresses(const std::map<std::string, std::string> &watchers) const;
     std::set<std::string> allAddresses(const std::vector<std::string> &seeds) const;
     PongMessage makePong(std::int64_t pingSentAt, TimePoint now) const;
@@ -60,9 +95,10 @@
     std::shared_ptr<ServerNotices> notices_;
     EventLog &log_;
     std::optional<Role> role_;
-    TimePoint requestedAt_;
-    // Since when a peer is known to have a newer view.
-    TimePoint behindSince_;
+    ViewAsker asker_;
+    ViewAnswerQueue<std::shared_ptr<PeerLink>> answers_;
+    std::map<std::shared_ptr<PeerLink>, Sending> sending_;
+    Encodings encodings_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -60,6 +60,10 @@
     {
         return pid_ > 0;
     }
+    int processId() const
+    {
+        return pid_;
+    }
     bool isReady() const;
     const std::string &name() const
     {
