PeerNetwork: Bound what connections to peers hold, each and together

Seen in tests that failed before (TestViewRelay), except for the last one, which failed for a fault of its own at first (it did not set the peer's failure domain, so that nothing was announced) and was not run in its present form on the earlier code: - a connection whose peer takes nothing, but sends, stays open (connectionWhosePeerDoesNotReadIsClosed); - a frame of 16 MB may be begun on any connection, by anybody (largeFrameIsNotAcceptedOnAConnectionOfAPeer); - any number of connections is accepted: 40 where 10 are allowed now (connectionsArePossibleForPeersOnly); - the unfinished messages of all peers have no bound: 150,020 bytes where 100,000 are allowed now; - nor have the messages to all peers: 1,153,996 bytes where 1,000,000 are allowed now (smallMessagesToAllPeersAreBounded); - an announcement that overflows a queue closes the connection while all of them are gone through (queueThatOverflowsInAnAnnouncementEndsOnlyItsConnection; by reading, the iterator was invalid then).

Cause: each connection could hold 16 MB received and 32 MB to be sent, and nothing counted them together.

Now, by `PeerLimits` and constants: before the peer has said who it is, a frame has 4 kB at most; on connections that peers open 64 kB, since only answers for the view are larger and they come on the others; 2,500 connections of peers, of which those that have not said who they are give way; 8 MiB of unfinished messages, 8 MiB of messages to be sent, 2 MiB of these on one connection. The connection that holds most is closed, and its peer opens it again. One on which the peer's system takes nothing for 2 s is closed. A queue that overflows closes its connection after the caller has returned. Each has a log line with figures, `peer-closed`, and a count by reason in the metrics, beside gauges of the answers for the view that are on their way or wait.

There is no bound for one address: instances behind one address would share it, and the bound for all must allow 1,200 anyway.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -361,6 +361,12 @@
 void Gateway::updateMetrics()
 {
     setMemoryGauges(metrics_, memoryUse());
+    metrics_.setGauge("goldcrestwall_view_answers", {{"state", "sending"}}, static_cast<double>(relay_.answersUnderWay()));
+    metrics_.setGauge("goldcrestwall_view_answers", {{"state", "waiting"}}, static_cast<double>(relay_.waitingRequests()));
+    metrics_.setGauge("goldcrestwall_view_answer_bytes", {}, static_cast<double>(relay_.answerBytes()));
+    for (const auto &[reason, count] : network_.closedLinks()) {
+        metrics_.setGauge("goldcrestwall_peer_links_closed", {{"reason", peerCloseReasonName(reason)}}, static_cast<double>(count));
+    }
     metrics_.setGauge("goldcrestwall_body_bytes", {}, static_cast<double>(bodies_.reserved()));
     metrics_.setGauge("goldcrestwall_store_calls", {}, static_cast<double>(store_.counters().calls_));
     metrics_.setGauge("goldcrestwall_store_failures", {}, static_cast<double>(store_.counters().failures_));
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -19,8 +19,12 @@
 
 // No instance sends larger messages; a longer length means that the peer does not speak this protocol.
 constexpr std::uint32_t MaxFrameBytes = 16U << 20U;
-// The connection is closed when this many bytes are unsent because the peer does not read.
-constexpr std::size_t MaxOutgoingBytes = 32U << 20U;
+// Larger than any message that says who the sender is.
+constexpr std::uint32_t MaxHelloBytes = 4096;
+// The connection is closed when this many bytes are unsent because the peer does not read, without answers for the view.
+constexpr std::size_t MaxOutgoingBytes = 2U << 20U;
+// A receive buffer that is empty and larger than this is given back.
+constexpr std::size_t MaxIdleBuffer = 65536;
 constexpr std::size_t ReadSize = 4096;
 constexpr std::size_t WriteSize = 65536;
 
@@ -32,11 +36,32 @@
     , socket_(std::move(socket))
     , handlers_(std::move(handlers))
     , lastReceivedAt_(bootNow())
+    , maxFrameBytes_(MaxFrameBytes)
+    , progressAt_(lastReceivedAt_)
 {
     configureSocket(socket_);
     resetOnClose(socket_);
 }
 
+const char *peerCloseReasonName(PeerCloseReason reason)
+{
+    switch (reason) {
+    case PeerCloseReason::None:
+        return "none";
+    case PeerCloseReason::QueueFull:
+        return "queue-full";
+    case PeerCloseReason::AllQueuesFull:
+        return "all-queues-full";
+    case PeerCloseReason::NotReading:
+        return "not-reading";
+    case PeerCloseReason::InputFull:
+        return "input-full";
+    case PeerCloseReason::TooManyConnections:
+        return "too-many-connections";
+    }
+    return "none";
+}
+
 void PeerLink::start()
 {
     spawn(loop_, log_, "peer-receive", [self = shared_from_this()] {
@@ -46,7 +71,7 @@
 
 void PeerLink::send(const PeerMessage &message)
 {
-    if (!isOpen_) {
+    if (!isOpen_ || isOverfull_) {
         return;
     }
     const auto frame = encodeFrame(message);
@@ -58,7 +83,7 @@
 
 void PeerLink::send(PeerFrame frame)
 {
-    if (!isOpen_) {
+    if (!isOpen_ || isOverfull_) {
         return;
     }
     sealTail();
@@ -84,10 +109,24 @@
     return writtenTotal_ - std::min(writtenTotal_, static_cast<std::uint64_t>(unacknowledged));
 }
 
+Duration PeerLink::stalledFor(TimePoint now)
+{
+    const auto delivered = deliveredTotal();
+    if (delivered != seenDelivered_ || delivered == queuedTotal_) {
+        seenDelivered_ = delivered;
+        progressAt_ = now;
+    }
+    return now - progressAt_;
+}
+
 void PeerLink::startTransmitting()
 {
-    if (outgoingBytes() > MaxOutgoingBytes) {
-        close();
+    if (ownBytes_ > MaxOutgoingBytes) {
+        // The caller may be going through all connections, so this one does not end before it has returned.
+        isOverfull_ = true;
+        asio::post(loop_, [self = shared_from_this()] {
+            self->close(PeerCloseReason::QueueFull);
+        });
         return;
     }
     if (isTransmitting_) {
@@ -176,7 +215,7 @@
         std::uint32_t length = 0;
         std::memcpy(&length, incoming_.data() + position, sizeof length);
         length = ntohl(length);
-        if (length > MaxFrameBytes) {
+        if (length > (hasHello_ ? maxFrameBytes_ : MaxHelloBytes)) {
             return false;
         }
         if (incoming_.size() - position - sizeof length < length) {
@@ -190,18 +229,35 @@
         if (const auto *pong = std::get_if<PongMessage>(&*message)) {
             recordPong(*pong);
         }
+        hasHello_ = hasHello_ || std::holds_alternative<HelloMessage>(*message);
         handlers_.message_(shared_from_this(), std::move(*message));
     }
     incoming_.erase(0, position);
+    if (incoming_.empty() && incoming_.capacity() > MaxIdleBuffer) {
+        incoming_.shrink_to_fit();
+    }
     return true;
 }
 
-void PeerLink::close()
+void PeerLink::close(PeerCloseReason reason)
 {
     if (!isOpen_) {
         return;
     }
     isOpen_ = false;
+    closeReason_ = reason;
+    if (reason != PeerCloseReason::None) {
+        log_.write(LogLine("peer-closed")
+                       .add("peer", instance_)
+                       .add("address", address_)
+                       .add("reason", peerCloseReasonName(reason))
+                       .add("outgoing", outgoingBytes())
+                       .add("incoming", incomingBytes()),
+                   LogImportance::Sampled,
+                   bootNow());
+    }
+    outgoing_.clear();
+    outgoingTail_.clear();
     ErrorCode error;
     socket_.close(error);
     handlers_.closed_(shared_from_this());
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -15,6 +15,24 @@
 // An encoded message with its length prefix.
 using PeerFrame = std::shared_ptr<const std::string>;
 
+// Why this instance ended a connection.
+enum class PeerCloseReason {
+    // The peer ended it, or it is not needed any more.
+    None,
+    // Too many bytes wait to be sent on it.
+    QueueFull,
+    // Too many bytes wait to be sent on all connections, and most of them on this one.
+    AllQueuesFull,
+    // The peer takes nothing of what waits to be sent.
+    NotReading,
+    // Too many bytes have been received on all connections without being complete messages, and most of them on this one.
+    InputFull,
+    // There are too many connections, and the peer has not said who it is.
+    TooManyConnections,
+};
+
+const char *peerCloseReasonName(PeerCloseReason reason);
+
 // Sends and receives messages over one TCP connection. Messages sent in the same iteration of the event loop are combined into one write.
 class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
@@ -33,7 +51,24 @@
     void send(const PeerMessage &message);
     // Sends an encoded message that other links may send as well, without a copy of its own.
     void send(PeerFrame frame);
-    void close();
+    // Logs the reason, if there is one, with the bytes that waited.
+    void close(PeerCloseReason reason = PeerCloseReason::None);
+    PeerCloseReason closeReason() const
+    {
+        return closeReason_;
+    }
+    // Limits the messages that are accepted once the peer has said who it is, in bytes. Before that only small ones are accepted.
+    void setMaxFrameBytes(std::uint32_t bytes)
+    {
+        maxFrameBytes_ = bytes;
+    }
+    // For how long the peer's system has taken nothing although there is something to be sent. To be called a few times a second.
+    Duration stalledFor(TimePoint now);
+    // Whether the peer has said who it is.
+    bool hasHello() const
+    {
+        return hasHello_;
+    }
     bool isOpen() const
     {
         return isOpen_;
@@ -137,6 +172,13 @@
     std::string address_;
     TimePoint lastReceivedAt_;
     bool isOpen_ = true;
+    // The queue was too long; the connection is about to be closed.
+    bool isOverfull_ = false;
+    bool hasHello_ = false;
+    std::uint32_t maxFrameBytes_;
+    PeerCloseReason closeReason_ = PeerCloseReason::None;
+    std::uint64_t seenDelivered_ = 0;
+    TimePoint progressAt_;
     bool isTransmitting_ = false;
     bool isViewCurrent_ = false;
     Platform::Revision revision_ = 0;
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -3,6 +3,9 @@
 
 #include "Tasks.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace Goldcrestwall::Gateway {
 
 namespace {
@@ -13,6 +16,10 @@
 constexpr Duration CloseTimeout = 1500ms;
 constexpr Duration ConnectTimeout = 500ms;
 constexpr Duration RetryInterval = 300ms;
+// A connection on which the peer's system takes nothing for this time, although there is something to be sent, is closed.
+constexpr Duration StallTimeout = 2s;
+// The largest message that a peer sends on a connection that it opened.
+constexpr std::uint32_t MaxRequestBytes = 65536;
 // An incoming connection without a message for this time is closed.
 constexpr Duration IncomingTimeout = 3s;
 
@@ -23,11 +30,12 @@
 
 } // namespace
 
-PeerNetwork::PeerNetwork(asio::io_context &loop, HelloMessage self, EventLog &log, Handlers handlers)
+PeerNetwork::PeerNetwork(asio::io_context &loop, HelloMessage self, EventLog &log, Handlers handlers, PeerLimits limits)
     : loop_(loop)
     , self_(std::move(self))
     , log_(log)
     , handlers_(std::move(handlers))
+    , limits_(limits)
     , listener_(loop, [this](Tcp::socket socket) {
         accept(std::move(socket));
     })
@@ -39,15 +47,91 @@
     return listener_.listen(address);
 }
 
+void PeerNetwork::recordClosed(const std::shared_ptr<PeerLink> &link)
+{
+    if (link->closeReason() != PeerCloseReason::None) {
+        ++closedLinks_[link->closeReason()];
+    }
+}
+
+bool PeerNetwork::makeRoom()
+{
+    if (incoming_.size() < limits_.incomingConnections_) {
+        return true;
+    }
+    std::shared_ptr<PeerLink> oldest;
+    for (const auto &link : incoming_) {
+        if (!link->hasHello() && (!oldest || link->lastReceivedAt() < oldest->lastReceivedAt())) {
+            oldest = link;
+        }
+    }
+    if (!oldest) {
+        return false;
+    }
+    oldest->close(PeerCloseReason::TooManyConnections);
+    return true;
+}
+
+void PeerNetwork::enforceLimits(TimePoint now)
+{
+    const auto links = allLinks();
+    for (const auto &link : links) {
+        if (link->stalledFor(now) > StallTimeout) {
+            link->close(PeerCloseReason::NotReading);
+        }
+    }
+    // The connections that hold most end first.
+    const auto closeLargest = [&links](auto bytesOf, std::size_t limit, PeerCloseReason reason) {
+        std::vector<std::shared_ptr<PeerLink>> open;
+        std::size_t bytes = 0;
+        for (const auto &link : links) {
+            if (link->isOpen()) {
+                open.push_back(link);
+                bytes += bytesOf(*link);
+            }
+        }
+        if (bytes <= limit) {
+            return;
+        }
+        std::ranges::sort(open, std::ranges::greater(), [&bytesOf](const std::shared_ptr<PeerLink> &link) {
+            return bytesOf(*link);
+        });
+        for (std::size_t i = 0; i < open.size() && bytes > limit; ++i) {
+            bytes -= bytesOf(*open[i]);
+            open[i]->close(reason);
+        }
+    };
+    closeLargest(
+        [](const PeerLink &link) {
+            return link.ownOutgoingBytes();
+        },
+        limits_.outgoingBytes_,
+        PeerCloseReason::AllQueuesFull);
+    // Connections that this instance opened bring answers for the view, of which there is one at a time.
+    closeLargest(
+        [](const PeerLink &link) {
+            return link.address().empty() ? link.incomingBytes() : 0;
+        },
+        limits_.incomingBytes_,
+        PeerCloseReason::InputFull);
+}
+
 void PeerNetwork::accept(Tcp::socket socket)
 {
+    if (!makeRoom()) {
+        ++closedLinks_[PeerCloseReason::TooManyConnections];
+        log_.write(LogLine("peer-refused").add("connections", incoming_.size()), LogImportance::Sampled, bootNow());
+        return;
+    }
     PeerLink::Handlers handlers;
     handlers.message_ = handlers_.incoming_;
     handlers.closed_ = [this](const std::shared_ptr<PeerLink> &link) {
+        recordClosed(link);
         incoming_.erase(link);
         handlers_.incomingClosed_(link);
     };
     auto link = std::make_shared<PeerLink>(loop_, std::move(socket), std::move(handlers), log_);
+    link->setMaxFrameBytes(MaxRequestBytes);
     incoming_.insert(link);
     link->start();
     link->send(self_);
@@ -108,6 +192,7 @@
     for (const auto &link : unresponsive) {
         link->close();
     }
+    enforceLimits(now);
 }
 
 Task<void> PeerNetwork::connect(std::string address)
@@ -136,6 +221,7 @@
         handlers_.outgoing_(link, std::move(message));
     };
     handlers.closed_ = [this, address](const std::shared_ptr<PeerLink> &link) {
+        recordClosed(link);
         if (const auto known = outgoing_.find(address); known != outgoing_.end() && known->second.link_ == link) {
             known->second.link_.reset();
             known->second.hasReceived_ = false;
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -9,6 +9,19 @@
 
 namespace Goldcrestwall::Gateway {
 
+// Bounds on what all connections to other instances hold together.
+struct PeerLimits
+{
+    // Connections that peers have opened; twice the largest number of instances, since each may have one that ends and one that begins.
+    std::size_t incomingConnections_ = 2500;
+    // Received bytes that are not a complete message yet.
+    std::size_t incomingBytes_ = 8U << 20U;
+    // Bytes that wait to be sent, without answers for the view, which `ViewRelay` bounds.
+    std::size_t outgoingBytes_ = 8U << 20U;
+
+    auto operator<=>(const PeerLimits &) const = default;
+};
+
 // Accepts connections from other instances and maintains the outgoing connections that this instance requires.
 class PeerNetwork
 {
@@ -23,7 +36,7 @@
         std::function<void(const std::string &address, const std::shared_ptr<PeerLink> &)> opened_;
     };
 
-    PeerNetwork(asio::io_context &loop, HelloMessage self, EventLog &log, Handlers handlers);
+    PeerNetwork(asio::io_context &loop, HelloMessage self, EventLog &log, Handlers handlers, PeerLimits limits = {});
 
     // Listens for other instances. Errors: the address cannot be bound.
     std::error_code listen(const std::string &address);
@@ -42,6 +55,11 @@
     std::vector<std::shared_ptr<PeerLink>> allLinks() const;
     // Sends a message to all instances of the own failure domain that have connected to this one.
     void announce(const PeerMessage &message);
+    // Connections that this instance ended because of its bounds, by reason.
+    const std::map<PeerCloseReason, std::uint64_t> &closedLinks() const
+    {
+        return closedLinks_;
+    }
 
 private:
     struct Outgoing
@@ -54,15 +72,22 @@
     };
 
     void accept(Tcp::socket socket);
+    void recordClosed(const std::shared_ptr<PeerLink> &link);
+    // Makes room for one more connection; returns whether there is any.
+    bool makeRoom();
+    // Closes connections until all of them together hold no more than they may.
+    void enforceLimits(TimePoint now);
     Task<void> connect(std::string address);
 
     asio::io_context &loop_;
     HelloMessage self_;
     EventLog &log_;
     Handlers handlers_;
+    PeerLimits limits_;
     Listener listener_;
     std::map<std::string, Outgoing> outgoing_;
     std::set<std::shared_ptr<PeerLink>> incoming_;
+    std::map<PeerCloseReason, std::uint64_t> closedLinks_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -32,7 +32,8 @@
 // An instance's side of the exchange.
 struct Side
 {
-    Side()
+    explicit Side(PeerLimits limits = {})
+        : limits_(limits)
     {
         CPPUNIT_ASSERT(!network_.listen(address_));
         view_.replace(largeContent(5), 5, bootNow());
@@ -58,11 +59,22 @@
         return bytes;
     }
 
+    std::size_t incomingBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &link : network_.allLinks()) {
+            bytes += link->incomingBytes();
+        }
+        return bytes;
+    }
+
     PeerNetwork::Handlers makeHandlers()
     {
         PeerNetwork::Handlers handlers;
         handlers.incoming_ = [this](const std::shared_ptr<PeerLink> &link, const PeerMessage &message) {
-            if (const auto *request = std::get_if<ViewRequestMessage>(&message)) {
+            if (const auto *hello = std::get_if<HelloMessage>(&message)) {
+                link->setInstance(hello->instance_, hello->domain_);
+            } else if (const auto *request = std::get_if<ViewRequestMessage>(&message)) {
                 relay_.handleRequest(link, *request, bootNow());
             }
         };
@@ -72,13 +84,14 @@
         return handlers;
     }
 
+    PeerLimits limits_;
     asio::io_context loop_{1};
     EventLog log_{"edge-1"};
     std::shared_ptr<ServerNotices> notices_ = std::make_shared<ServerNotices>();
     StoreView view_{[](const std::string &, const std::string &) {}, notices_};
     Platform::PlatformStore store_{loop_, "127.0.0.1:1"};
     StoreLink storeLink_{loop_, store_, view_, MemberEntry{"edge-1", "1", "127.0.0.1:1", "north", 100}, log_, {}};
-    PeerNetwork network_{loop_, HelloMessage{"edge-1", "1", "north"}, log_, makeHandlers()};
+    PeerNetwork network_{loop_, HelloMessage{"edge-1", "1", "north"}, log_, makeHandlers(), limits_};
     ViewRelay relay_{"edge-1", "north", view_, storeLink_, network_, notices_, log_};
     std::string address_ = freeAddress(loop_);
 };
@@ -96,21 +109,44 @@
     }
 
     void send(const PeerMessage &message)
+    {
+        sendBytes(encodeFrame(message));
+    }
+
+    void sendBytes(const std::string &bytes)
     {
         ErrorCode ignored;
-        asio::write(socket_, asio::buffer(encodeFrame(message)), ignored);
+        asio::write(socket_, asio::buffer(bytes), ignored);
     }
 
 private:
     Tcp::socket socket_;
 };
 
+// The beginning of a frame of 16,000,000 bytes.
+std::string unfinishedFrame(std::size_t size)
+{
+    return std::string("\x00\xf4\x24\x00", 4) + std::string(size, 'x');
+}
+
+// The beginning of a frame of 60,000 bytes.
+std::string unfinishedSmallFrame(std::size_t size)
+{
+    return std::string("\x00\x00\xea\x60", 4) + std::string(size, 'x');
+}
+
 } // namespace
 
 class TestViewRelay : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestViewRelay);
     CPPUNIT_TEST(peerThatDoesNotReadIsOwedOneView);
+    CPPUNIT_TEST(connectionWhosePeerDoesNotReadIsClosed);
+    CPPUNIT_TEST(largeFrameIsNotAcceptedOnAConnectionOfAPeer);
+    CPPUNIT_TEST(connectionsArePossibleForPeersOnly);
+    CPPUNIT_TEST(unfinishedMessagesOfAllPeersAreBounded);
+    CPPUNIT_TEST(smallMessagesToAllPeersAreBounded);
+    CPPUNIT_TEST(queueThatOverflowsInAnAnnouncementEndsOnlyItsConnection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,6 +163,115 @@
         }
         CPPUNIT_ASSERT_MESSAGE(std::to_string(largest) + " bytes are queued", largest < 2 * ViewItems * ItemBytes);
     }
+
+    // Its other answers would otherwise be held up for as long as it asks.
+    void connectionWhosePeerDoesNotReadIsClosed()
+    {
+        Side side;
+        SilentReader peer(side.loop_, side.address_);
+        peer.send(HelloMessage{"edge-2", "1", "south"});
+        side.run(50ms);
+        // More than the sockets hold.
+        for (int i = 0; i < 20; ++i) {
+            side.network_.allLinks().front()->send(PeerFrame(std::make_shared<const std::string>(ViewItems * ItemBytes, 'x')));
+        }
+        for (int i = 0; i < 30 && !side.network_.allLinks().empty(); ++i) {
+            peer.send(PingMessage{1});
+            side.run(100ms);
+        }
+        CPPUNIT_ASSERT(side.network_.allLinks().empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), side.network_.closedLinks().at(PeerCloseReason::NotReading));
+    }
+
+    // Only answers for the view are large, and they come on connections that this instance opens.
+    void largeFrameIsNotAcceptedOnAConnectionOfAPeer()
+    {
+        Side side;
+        SilentReader stranger(side.loop_, side.address_);
+        SilentReader peer(side.loop_, side.address_);
+        peer.send(HelloMessage{"edge-2", "1", "south"});
+        side.run(50ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), side.network_.allLinks().size());
+        stranger.sendBytes(unfinishedSmallFrame(10'000));
+        peer.sendBytes(unfinishedFrame(100'000));
+        side.run(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), side.network_.allLinks().size());
+    }
+
+    void connectionsArePossibleForPeersOnly()
+    {
+        Side side({.incomingConnections_ = 10});
+        std::vector<std::unique_ptr<SilentReader>> peers;
+        for (int i = 0; i < 40; ++i) {
+            peers.push_back(std::make_unique<SilentReader>(side.loop_, side.address_));
+            if (i < 5 || i >= 37) {
+                peers.back()->send(HelloMessage{"edge-" + std::to_string(i), "1", "south"});
+            }
+            side.run(20ms);
+        }
+        const auto links = side.network_.allLinks();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), links.size());
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(8), std::ranges::count_if(links, &PeerLink::hasHello));
+    }
+
+    void unfinishedMessagesOfAllPeersAreBounded()
+    {
+        constexpr std::size_t Limit = 100'000;
+        Side side({.incomingBytes_ = Limit});
+        std::vector<std::unique_ptr<SilentReader>> peers;
+        for (int i = 0; i < 5; ++i) {
+            peers.push_back(std::make_unique<SilentReader>(side.loop_, side.address_));
+            peers.back()->send(HelloMessage{"edge-" + std::to_string(i), "1", "south"});
+            side.run(20ms);
+            peers.back()->sendBytes(unfinishedSmallFrame(30'000));
+            side.run(50ms);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(side.incomingBytes()) + " bytes are held", side.incomingBytes() <= Limit);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), side.network_.allLinks().size());
+    }
+
+    void smallMessagesToAllPeersAreBounded()
+    {
+        constexpr std::size_t Limit = 1'000'000;
+        Side side({.outgoingBytes_ = Limit});
+        std::vector<std::unique_ptr<SilentReader>> peers;
+        for (int i = 0; i < 4; ++i) {
+            peers.push_back(std::make_unique<SilentReader>(side.loop_, side.address_));
+            peers.back()->send(HelloMessage{"edge-" + std::to_string(i), "1", "south"});
+        }
+        side.run(50ms);
+        for (int i = 0; i < 100; ++i) {
+            for (const auto &link : side.network_.allLinks()) {
+                link->send(CancelMessage{std::string(100'000, 'x'), 1});
+            }
+            side.run(10ms);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(side.outgoingBytes()) + " bytes are queued", side.outgoingBytes() <= Limit);
+        }
+    }
+
+    void queueThatOverflowsInAnAnnouncementEndsOnlyItsConnection()
+    {
+        Side side;
+        SilentReader silent(side.loop_, side.address_);
+        silent.send(HelloMessage{"edge-2", "1", "north"});
+        side.run(50ms);
+        for (int i = 0; i < 200; ++i) {
+            side.network_.announce(CancelMessage{std::string(100'000, 'x'), 1});
+            loopOnce(side);
+        }
+        SilentReader other(side.loop_, side.address_);
+        other.send(HelloMessage{"edge-3", "1", "north"});
+        side.run(50ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), side.network_.allLinks().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), side.network_.closedLinks().at(PeerCloseReason::QueueFull));
+    }
+
+private:
+    static void loopOnce(Side &side)
+    {
+        side.loop_.poll();
+        side.loop_.restart();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestViewRelay);
