--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -141,6 +141,7 @@
 {
     CPPUNIT_TEST_SUITE(TestViewRelay);
     CPPUNIT_TEST(peerThatDoesNotReadIsOwedOneView);
+    CPPUNIT_TEST(peersThatAskTogetherShareOneAnswerAndTakeTurns);
     CPPUNIT_TEST(connectionWhosePeerDoesNotReadIsClosed);
     CPPUNIT_TEST(largeFrameIsNotAcceptedOnAConnectionOfAPeer);
     CPPUNIT_TEST(connectionsArePossibleForPeersOnly);
@@ -164,6 +165,28 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(largest) + " bytes are queued", largest < 2 * ViewItems * ItemBytes);
     }
 
+    void peersThatAskTogetherShareOneAnswerAndTakeTurns()
+    {
+        Side side;
+        std::vector<std::unique_ptr<SilentReader>> peers;
+        for (int i = 0; i < 5; ++i) {
+            peers.push_back(std::make_unique<SilentReader>(side.loop_, side.address_));
+            peers.back()->send(HelloMessage{"edge-" + std::to_string(i), "1", "south"});
+            peers.back()->send(ViewRequestMessage{0});
+        }
+        side.run(100ms);
+        // Three answers of 300 kB are below the bound of 1 MiB.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), side.relay_.answersUnderWay());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), side.relay_.waitingRequests());
+        CPPUNIT_ASSERT(side.relay_.answerBytes() < 2 * ViewItems * ItemBytes);
+        CPPUNIT_ASSERT(side.relay_.answerBytes() <= side.outgoingBytes());
+        // Their requests are too old by the time the peers that read nothing have been disconnected.
+        side.run(3s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), side.relay_.answersUnderWay());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), side.relay_.waitingRequests());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), side.relay_.answerBytes());
+    }
+
     // Its other answers would otherwise be held up for as long as it asks.
     void connectionWhosePeerDoesNotReadIsClosed()
     {
