--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -174,6 +174,7 @@
         handleIncoming(link, std::move(message));
     };
     handlers.incomingClosed_ = [this](const std::shared_ptr<PeerLink> &link) {
+        relay_.removePeer(link);
         placement_.removePeer(link);
     };
     handlers.outgoing_ = [this](const std::shared_ptr<PeerLink> &link, PeerMessage message) {
@@ -201,7 +202,7 @@
     } else if (const auto *ping = std::get_if<PingMessage>(&message)) {
         relay_.handlePing(link, *ping, now);
     } else if (const auto *request = std::get_if<ViewRequestMessage>(&message)) {
-        relay_.handleRequest(link, *request);
+        relay_.handleRequest(link, *request, now);
     }
 }
 
@@ -319,6 +320,7 @@
         }
         relay_.refresh(settings_.seeds_, now);
         relay_.follow(now);
+        relay_.serve(now);
         coordination_.run(isStopping_, now);
         checkSettingsFile(now);
         checkMemory(now);
@@ -334,10 +336,11 @@
     use.bodyBytes_ = bodies_.reserved();
     use.callerInputBytes_ = front_.inputBytes();
     for (const auto &link : network_.allLinks()) {
-        use.peerOutputBytes_ += link->outgoingBytes();
+        use.peerOutputBytes_ += link->ownOutgoingBytes();
         use.peerInputBytes_ += link->incomingBytes();
         ++use.peerConnections_;
     }
+    use.peerOutputBytes_ += relay_.answerBytes();
     use.viewBytes_ = view_.contentBytes();
     use.logBytes_ = log_.pendingBytes();
     use.callerConnections_ = front_.connectionCount();
@@ -360,6 +363,12 @@
 void Gateway::updateMetrics()
 {
     setMemoryGauges(metrics_, memoryUse());
+    metrics_.setGauge("goldcrestwall_view_answers", {{"state", "sending"}}, static_cast<double>(relay_.answersUnderWay()));
+    metrics_.setGauge("goldcrestwall_view_answers", {{"state", "waiting"}}, static_cast<double>(relay_.waitingRequests()));
+    metrics_.setGauge("goldcrestwall_view_answer_bytes", {}, static_cast<double>(relay_.answerBytes()));
+    for (const auto &[reason, count] : network_.closedLinks()) {
+        metrics_.setGauge("goldcrestwall_peer_links_closed", {{"reason", peerCloseReasonName(reason)}}, static_cast<double>(count));
+    }
     metrics_.setGauge("goldcrestwall_body_bytes", {}, static_cast<double>(bodies_.reserved()));
     metrics_.setGauge("goldcrestwall_store_calls", {}, static_cast<double>(store_.counters().calls_));
     metrics_.setGauge("goldcrestwall_store_failures", {}, static_cast<double>(store_.counters().failures_));
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <cstring>
 
@@ -17,9 +19,14 @@
 
 // No instance sends larger messages; a longer length means that the peer does not speak this protocol.
 constexpr std::uint32_t MaxFrameBytes = 16U << 20U;
-// The connection is closed when this many bytes are unsent because the peer does not read.
-constexpr std::size_t MaxOutgoingBytes = 32U << 20U;
+// Larger than any message that says who the sender is.
+constexpr std::uint32_t MaxHelloBytes = 4096;
+// The connection is closed when this many bytes are unsent because the peer does not read, without answers for the view.
+constexpr std::size_t MaxOutgoingBytes = 2U << 20U;
+// A receive buffer that is empty and larger than this is given back.
+constexpr std::size_t MaxIdleBuffer = 65536;
 constexpr std::size_t ReadSize = 4096;
+constexpr std::size_t WriteSize = 65536;
 
 } // namespace
 
@@ -29,11 +36,32 @@
     , socket_(std::move(socket))
     , handlers_(std::move(handlers))
     , lastReceivedAt_(bootNow())
+    , maxFrameBytes_(MaxFrameBytes)
+    , progressAt_(lastReceivedAt_)
 {
     configureSocket(socket_);
     resetOnClose(socket_);
 }
 
+const char *peerCloseReasonName(PeerCloseReason reason)
+{
+    switch (reason) {
+    case PeerCloseReason::None:
+        return "none";
+    case PeerCloseReason::QueueFull:
+        return "queue-full";
+    case PeerCloseReason::AllQueuesFull:
+        return "all-queues-full";
+    case PeerCloseReason::NotReading:
+        return "not-reading";
+    case PeerCloseReason::InputFull:
+        return "input-full";
+    case PeerCloseReason::TooManyConnections:
+        return "too-many-connections";
+    }
+    return "none";
+}
+
 void PeerLink::start()
 {
     spawn(loop_, log_, "peer-receive", [self = shared_from_this()] {
@@ -43,12 +71,62 @@
 
 void PeerLink::send(const PeerMessage &message)
 {
-    if (!isOpen_) {
+    if (!isOpen_ || isOverfull_) {
         return;
     }
-    outgoing_ += encodeFrame(message);
-    if (outgoing_.size() > MaxOutgoingBytes) {
-        close();
+    const auto frame = encodeFrame(message);
+    outgoingTail_ += frame;
+    ownBytes_ += frame.size();
+    queuedTotal_ += frame.size();
+    startTransmitting();
+}
+
+void PeerLink::send(PeerFrame frame)
+{
+    if (!isOpen_ || isOverfull_) {
+        return;
+    }
+    sealTail();
+    queuedTotal_ += frame->size();
+    outgoing_.push_back(std::move(frame));
+    startTransmitting();
+}
+
+void PeerLink::sealTail()
+{
+    if (!outgoingTail_.empty()) {
+        outgoing_.push_back(std::make_shared<const std::string>(std::exchange(outgoingTail_, {})));
+    }
+}
+
+std::uint64_t PeerLink::deliveredTotal()
+{
+    int unacknowledged = 0;
+    if (!isOpen_ || ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
+        return writtenTotal_;
+    }
+    // During a write, the system may have taken more bytes than this link knows of.
+    return writtenTotal_ - std::min(writtenTotal_, static_cast<std::uint64_t>(unacknowledged));
+}
+
+Duration PeerLink::stalledFor(TimePoint now)
+{
+    const auto delivered = deliveredTotal();
+    if (delivered != seenDelivered_ || delivered == queuedTotal_) {
+        seenDelivered_ = delivered;
+        progressAt_ = now;
+    }
+    return now - progressAt_;
+}
+
+void PeerLink::startTransmitting()
+{
+    if (ownBytes_ > MaxOutgoingBytes) {
+        // The caller may be going through all connections, so this one does not end before it has returned.
+        isOverfull_ = true;
+        asio::post(loop_, [self = shared_from_this()] {
+            self->close(PeerCloseReason::QueueFull);
+        });
         return;
     }
     if (isTransmitting_) {
@@ -64,16 +142,26 @@
 
 Task<void> PeerLink::transmit()
 {
-    while (!outgoing_.empty() && isOpen_) {
-        const std::string bytes = std::exchange(outgoing_, {});
-        transmittingBytes_ = bytes.size();
+    for (sealTail(); !outgoing_.empty() && isOpen_; sealTail()) {
+        const auto frames = std::exchange(outgoing_, {});
+        const auto ownBytes = ownBytes_;
+        std::vector<asio::const_buffer> buffers;
+        for (const auto &frame : frames) {
+            buffers.push_back(asio::buffer(*frame));
+        }
+        const auto writtenBefore = writtenTotal_;
+        const auto recordProgress = [this, writtenBefore](const ErrorCode &error, std::size_t size) {
+            writtenTotal_ = writtenBefore + size;
+            return error ? 0 : WriteSize;
+        };
         ErrorCode error;
-        co_await asio::async_write(socket_, asio::buffer(bytes), redirectErrorTo(error));
+        // The condition is not asked again after the last part.
+        writtenTotal_ = writtenBefore + co_await asio::async_write(socket_, buffers, recordProgress, redirectErrorTo(error));
+        ownBytes_ -= ownBytes;
         if (error) {
             close();
         }
     }
-    transmittingBytes_ = 0;
     isTransmitting_ = false;
 }
 
@@ -127,7 +215,7 @@
         std::uint32_t length = 0;
         std::memcpy(&length, incoming_.data() + position, sizeof length);
         length = ntohl(length);
-        if (length > MaxFrameBytes) {
+        if (length > (hasHello_ ? maxFrameBytes_ : MaxHelloBytes)) {
             return false;
         }
         if (incoming_.size() - position - sizeof length < length) {
@@ -141,18 +229,35 @@
         if (const auto *pong = std::get_if<PongMessage>(&*message)) {
             recordPong(*pong);
         }
+        hasHello_ = hasHello_ || std::holds_alternative<HelloMessage>(*message);
         handlers_.message_(shared_from_this(), std::move(*message));
     }
     incoming_.erase(0, position);
+    if (incoming_.empty() && incoming_.capacity() > MaxIdleBuffer) {
+        incoming_.shrink_to_fit();
+    }
     return true;
 }
 
-void PeerLink::close()
+void PeerLink::close(PeerCloseReason reason)
 {
     if (!isOpen_) {
         return;
     }
     isOpen_ = false;
+    closeReason_ = reason;
+    if (reason != PeerCloseReason::None) {
+        log_.write(LogLine("peer-closed")
+                       .add("peer", instance_)
+                       .add("address", address_)
+                       .add("reason", peerCloseReasonName(reason))
+                       .add("outgoing", outgoingBytes())
+                       .add("incoming", incomingBytes()),
+                   LogImportance::Sampled,
+                   bootNow());
+    }
+    outgoing_.clear();
+    outgoingTail_.clear();
     ErrorCode error;
     socket_.close(error);
     handlers_.closed_(shared_from_this());
