LibPlacement, LibGateway: Let a complete read of the store confirm a granter's right, and stop one that was replaced

Cause: the time of a granter whose entry has ended is counted from the last renewal of that entry's lease, whatever the store has told it since. In one traced run the granter had a new lease 5.6 s after that renewal and stopped at 9.0 s nevertheless.

Change: a granter's right is also confirmed when it sent a complete read of the store that shows no entry of another instance and an assignment that it wrote itself. A successor that claims later counts from its claim, as before. One that claimed earlier has lost its entry; it can write nothing any more and so grants nothing. Successors wait as long as before.

Its entry may have been replaced by one that has ended too: then another instance has granted. It now goes on only while the stored assignment is its own.

Evidence: TestSuccession has granters whose entry has ended, and outages soon after one another. The former rule is still found faulty.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -93,12 +93,15 @@
     const auto *coordinator = view_.coordinator(service);
     const bool isOther = coordinator != nullptr && (coordinator->member_ != self_ || coordinator->isYielding_);
     const auto renewal = renewals_.find(service);
-    if (isOther || yielded_.contains(service) || (coordinator == nullptr && renewal == renewals_.end())) {
+    const auto *stored = view_.assignment(service);
+    const bool isSucceeded = coordinator == nullptr && !isLastGranter(self_.name_, stored == nullptr ? nullptr : &stored->assignment_);
+    if (isOther || isSucceeded || yielded_.contains(service) || (coordinator == nullptr && renewal == renewals_.end())) {
         return {};
     }
     // An entry that has ended, but was not replaced, gives the same time as before: a successor counts from a claim that comes later.
     const auto lease = coordinator == nullptr ? renewal->second.lease_ : coordinator->lease_;
-    return grantsAllowedUntil(entryRenewedAt(service, lease), claimsWithheldUntil(shards.standbys(), now));
+    const TimePoint confirmedAt = std::max(entryRenewedAt(service, lease), storeLink_.readAt());
+    return grantsAllowedUntil(confirmedAt, claimsWithheldUntil(shards.standbys(), now));
 }
 
 TimePoint CoordinationManager::entryRenewedAt(const std::string &service, Platform::LeaseId lease)
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -227,6 +227,7 @@
     const auto lateItems = view_.lateItemCount();
     view_.replace(items, at, now);
     log_.write(
+    const TimePoint sentAt = bootNow();
         LogLine("store-loaded").add("revision", at).add("items", items.size()).add("lateItems", view_.lateItemCount() - lateItems), LogImportance::Kept, now);
     handlers_.changed_();
     co_return true;
@@ -244,6 +245,7 @@
         if (isStopping_) {
             break;
         }
+    readAt_ = sentAt;
         const TimePoint sentAt = bootNow();
         const auto renewal = co_await store_.renewLease(lease_);
         const TimePoint now = bootNow();
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -58,6 +58,12 @@
     {
         return renewedAt_;
     }
+    // When the last complete read of the store that succeeded was sent. All claims that the store accepted before are in the view, or have
+    // ended.
+    TimePoint readAt() const
+    {
+        return readAt_;
+    }
     // Withholds claims of services for `ClaimWithholdTime` if this instance has no valid lease. Returns for how long they are withheld now.
     Duration withholdClaims(TimePoint now);
     TimePoint claimsWithheldUntil() const
@@ -108,3 +114,4 @@
 };
 
 } // namespace Goldcrestwall::Gateway
+    TimePoint readAt_;
--- a/Libraries/LibPlacement/Succession.cpp
+++ b/Libraries/LibPlacement/Succession.cpp
@@ -5,14 +5,19 @@
 
 namespace Goldcrestwall::Gateway {
 
-TimePoint grantsAllowedUntil(TimePoint renewedAt, const std::vector<TimePoint> &claimsWithheldUntil)
+bool isLastGranter(const std::string &instance, const ShardAssignment *stored)
 {
-    const TimePoint leasedUntil = renewedAt + GrantingTimePerRenewal;
-    TimePoint withheldUntil = leasedUntil + MaxGrantingWithoutLease;
+    return stored != nullptr && stored->granter_.instance_ == instance;
+}
+
+TimePoint grantsAllowedUntil(TimePoint confirmedAt, const std::vector<TimePoint> &claimsWithheldUntil)
+{
+    const TimePoint confirmedUntil = confirmedAt + GrantingTimePerConfirmation;
+    TimePoint withheldUntil = confirmedUntil + MaxGrantingWithoutLease;
     for (const auto until : claimsWithheldUntil) {
         withheldUntil = std::min(withheldUntil, until);
     }
-    return std::max(leasedUntil, withheldUntil);
+    return std::max(confirmedUntil, withheldUntil);
 }
 
 TimePoint earlierGrantersStopAt(const GranterRecord &predecessor, const Successor &successor, TimePoint now)
@@ -22,9 +27,9 @@
     const bool hasStopped = successor.hasPredecessorYielded_ || predecessor.instance_ == successor.instance_;
     TimePoint stopsAt = now;
     if (!hasStopped && isStandby) {
-        stopsAt = std::max(now + GrantingTimePerRenewal, successor.claimsWithheldUntil_);
+        stopsAt = std::max(now + GrantingTimePerConfirmation, successor.claimsWithheldUntil_);
     } else if (!hasStopped) {
-        stopsAt = now + GrantingTimePerRenewal + MaxGrantingWithoutLease;
+        stopsAt = now + GrantingTimePerConfirmation + MaxGrantingWithoutLease;
     }
     return std::max(stopsAt, successor.assignmentSeenAt_ + predecessor.earlierGrantersStopWithin_);
 }
--- a/Tests/LibPlacement/TestSuccession.cpp
+++ b/Tests/LibPlacement/TestSuccession.cpp
@@ -26,8 +26,8 @@
 constexpr TimePoint Start = TimePoint(std::chrono::hours(1));
 constexpr TimePoint FaultsBegin = Start + 6s;
 constexpr TimePoint FaultsEnd = Start + 26s;
-// Long enough for any successor's wait after the last fault.
-constexpr TimePoint End = Start + 56s;
+// Long enough for any successor's wait after the last fault, which may end 20 s after `FaultsEnd`.
+constexpr TimePoint End = Start + 67s;
 
 enum class Rule {
     Present,
@@ -87,10 +87,13 @@
     TimePoint entryRenewedAt_;
     TimePoint triedRenewalAt_;
     TimePoint viewedAt_;
+    TimePoint readAt_;
     TimePoint pingedAt_;
     TimePoint withheldUntil_;
     TimePoint vacantSince_;
     ModelView view_;
+    // Its entry is in the store, or has ended and was not replaced as far as it knows.
+    bool isCoordinating_ = false;
     std::map<std::string, TimePoint> promises_;
     std::optional<ShardGranter> granter_;
     int granterEntryRevision_ = 0;
@@ -108,6 +111,14 @@
     std::array<Hold, SampledKeys> holds_;
 };
 
+struct ModelOutage
+{
+    TimePoint from_;
+    TimePoint to_;
+    // Whether leases run out meanwhile.
+    bool isLapsing_ = false;
+};
+
 // One seeded order of events.
 class SuccessionModel
 {
@@ -133,9 +144,10 @@
     std::string run()
     {
         for (now_ = Start; now_ < End; now_ += Step) {
-            if (now_ >= FaultsBegin && now_ < FaultsEnd && chance(4)) {
+            if (hasRandomFaults_ && now_ >= FaultsBegin && now_ < FaultsEnd && chance(4)) {
                 injectFault();
             }
+            runOutages();
             expireLeases();
             for (int index = 0; index < InstanceCount; ++index) {
                 runInstance(index);
@@ -144,6 +156,9 @@
                 if (holderCount(key) > 1) {
                     return "two holders of a key at " + std::to_string((now_ - Start) / 1ms) + " ms";
                 }
+                if (!hasRandomFaults_ && now_ >= FaultsBegin && holderCount(key) == 0) {
+                    return "a key without a holder at " + std::to_string((now_ - Start) / 1ms) + " ms";
+                }
             }
         }
         for (std::size_t key = 0; key < SampledKeys; ++key) {
@@ -154,6 +169,14 @@
         return {};
     }
 
+    // Does the same with no other faults than these outages of the store. Keys have to have a holder all the time.
+    std::string run(std::vector<ModelOutage> outages)
+    {
+        hasRandomFaults_ = false;
+        outages_ = std::move(outages);
+        return run();
+    }
+
 private:
     bool chance(unsigned percent)
     {
@@ -180,8 +203,12 @@
             nothingEntersUntil_[domain] = now_ + randomTime(1000, 8000);
             break;
         case 3:
-            store_.downUntil_ = now_ + randomTime(1000, 9000);
-            store_.isLapsing_ = chance(50);
+            outages_.push_back({now_, now_ + randomTime(1000, 9000), chance(50)});
+            if (chance(50)) {
+                // Another one soon afterwards.
+                const TimePoint from = outages_.back().to_ + randomTime(50, 1500);
+                outages_.push_back({from, from + randomTime(1000, 9000), chance(70)});
+            }
             break;
         case 4:
             instance.refusedUntil_ = now_ + randomTime(1000, 9000);
@@ -199,6 +226,16 @@
         }
     }
 
+    void runOutages()
+    {
+        for (const auto &outage : outages_) {
+            if (outage.from_ <= now_ && now_ < outage.to_) {
+                store_.downUntil_ = std::max(store_.downUntil_, outage.to_);
+                store_.isLapsing_ = outage.isLapsing_;
+            }
+        }
+    }
+
     bool passes(int fromDomain, int toDomain) const
     {
         return fromDomain == toDomain || (now_ >= nothingLeavesUntil_[fromDomain] && now_ >= nothingEntersUntil_[toDomain]);
@@ -261,10 +298,16 @@
         }
         renewLease(instance);
         updateView(instance);
-        if (instance.view_.entry_.owner_ == index) {
+        const bool isVacant = instance.view_.entry_.owner_ < 0;
+        instance.isCoordinating_ = instance.view_.entry_.owner_ == index || (isVacant && instance.isCoordinating_);
+        if (instance.isCoordinating_) {
             ping(index);
-            grant(index);
-        } else if (instance.view_.entry_.owner_ < 0) {
+            // By the former rule a granter whose entry had ended stopped.
+            if (!isVacant || rule_ == Rule::Present) {
+                grant(index);
+            }
+        }
+        if (isVacant) {
             elect(index);
         } else {
             instance.vacantSince_ = TimePoint();
@@ -300,6 +343,7 @@
         instance.viewedAt_ = now_;
         ModelView newest = instance.view_;
         if (hearsStore(instance)) {
+            instance.readAt_ = now_;
             newest = {store_.revision_, store_.entry_, store_.assignment_, store_.assignmentRevision_, now_};
         }
         for (const auto &peer : instances_) {
@@ -360,7 +404,7 @@
             instance.vacantSince_ = now_;
         }
         const auto standbys = instance.view_.assignment_ ? instance.view_.assignment_->granter_.standbys_ : std::vector<std::string>();
-        const auto rank = 1 + claimRank("service", instanceName(index), standbys, profiles());
+        const auto rank = instance.isCoordinating_ ? 0 : 1 + claimRank("service", instanceName(index), standbys, profiles());
         const bool isDue = now_ - instance.vacantSince_ >= RankDelay * static_cast<int>(rank);
         const bool isApplied = isDue && isLeaseValid(instance) && reachesStore(instance) && store_.entry_.owner_ < 0;
         if (isApplied && store_.leases_.contains(instance.lease_)) {
@@ -378,7 +422,7 @@
             const bool isConfirmed = heard * 2 >= InstanceCount - 1;
             return isLeaseValid(instance) || isConfirmed ? now_ + Step : TimePoint();
         }
-        if (instance.entryLease_ != instance.view_.entry_.lease_) {
+        if (instance.view_.entry_.owner_ == index && instance.entryLease_ != instance.view_.entry_.lease_) {
             instance.entryLease_ = instance.view_.entry_.lease_;
             instance.entryRenewedAt_ = TimePoint();
         }
@@ -389,7 +433,7 @@
         for (const auto &standby : instance.granter_ ? instance.granter_->assignment().granter_.standbys_ : std::vector<std::string>()) {
             promises.push_back(instance.promises_[standby]);
         }
-        return grantsAllowedUntil(instance.entryRenewedAt_, promises);
+        return grantsAllowedUntil(std::max(instance.entryRenewedAt_, instance.readAt_), promises);
     }
 
     void startGranter(int index, const std::optional<ShardAssignment> &stored, TimePoint seenAt)
@@ -409,13 +453,19 @@
     bool adopt(int index)
     {
         auto &instance = instances_[index];
+        const bool isVacant = instance.view_.entry_.owner_ < 0;
+        const auto &known = instance.view_.assignment_;
+        const bool isLast = isLastGranter(instanceName(index), known ? &*known : nullptr);
         if (instance.isWriteInDoubt_) {
             if (hearsStore(instance)) {
                 instance.isWriteInDoubt_ = false;
                 instance.storedRevision_ = store_.assignmentRevision_;
                 startGranter(index, store_.assignment_, now_);
             }
-            return instance.granterEntryRevision_ == instance.view_.entry_.revision_;
+            return instance.granter_ && (isVacant ? isLast : instance.granterEntryRevision_ == instance.view_.entry_.revision_);
+        }
+        if (isVacant) {
+            return instance.granter_ && isLast;
         }
         if (instance.granter_ && instance.granterEntryRevision_ == instance.view_.entry_.revision_) {
             return true;
@@ -437,7 +487,7 @@
         if (now_ >= grantsUntil(index) || !adopt(index)) {
             return;
         }
-        if (isLeaseValid(instance) && !instance.isWriteInDoubt_) {
+        if (instance.view_.entry_.owner_ == index && isLeaseValid(instance) && !instance.isWriteInDoubt_) {
             writeAssignment(index);
         }
         for (const auto &call : instance.granter_->takeReleases(now_)) {
@@ -518,6 +568,8 @@
     std::array<TimePoint, DomainCount> nothingEntersUntil_{};
     std::map<std::pair<int, int>, TimePoint> heardAt_;
     std::vector<ServerLoadView> serverViews_;
+    std::vector<ModelOutage> outages_;
+    bool hasRandomFaults_ = true;
     KeyLoad load_;
 };
 
@@ -528,9 +580,11 @@
     CPPUNIT_TEST_SUITE(TestSuccession);
     CPPUNIT_TEST(granterStopsWhenCutOffFromItsStandbys);
     CPPUNIT_TEST(granterServesThroughAStoreOutage);
+    CPPUNIT_TEST(granterWithoutEntryGoesOnByItsOwnAssignmentOnly);
     CPPUNIT_TEST(successorsWaitForAllEarlierGranters);
     CPPUNIT_TEST(standbysAreInOtherDomainsAndStay);
     CPPUNIT_TEST(successiveGrantersNeverHaveTwoHolders);
+    CPPUNIT_TEST(keysHaveHoldersThroughTwoOutagesInARow);
     CPPUNIT_TEST(modelShowsTheFaultOfTheFormerRule);
     CPPUNIT_TEST_SUITE_END();
 
@@ -539,25 +593,36 @@
     void granterStopsWhenCutOffFromItsStandbys()
     {
         const TimePoint renewedAt = Start;
-        CPPUNIT_ASSERT(grantsAllowedUntil(renewedAt, {TimePoint(), Start + 30s}) == renewedAt + GrantingTimePerRenewal);
-        CPPUNIT_ASSERT(grantsAllowedUntil(renewedAt, {Start + 900ms, Start + 30s}) == renewedAt + GrantingTimePerRenewal);
+        CPPUNIT_ASSERT(grantsAllowedUntil(renewedAt, {TimePoint(), Start + 30s}) == renewedAt + GrantingTimePerConfirmation);
+        CPPUNIT_ASSERT(grantsAllowedUntil(renewedAt, {Start + 900ms, Start + 30s}) == renewedAt + GrantingTimePerConfirmation);
     }
 
     void granterServesThroughAStoreOutage()
     {
         CPPUNIT_ASSERT(grantsAllowedUntil(Start, {Start + 5s, Start + 6s}) == Start + 5s);
-        const auto longest = Start + GrantingTimePerRenewal + MaxGrantingWithoutLease;
+        const auto longest = Start + GrantingTimePerConfirmation + MaxGrantingWithoutLease;
         CPPUNIT_ASSERT(grantsAllowedUntil(Start, {Start + 30s, Start + 30s}) == longest);
         CPPUNIT_ASSERT(grantsAllowedUntil(Start, {}) == longest);
     }
 
+    // Guards against a granter that does not notice that its entry was replaced, because the replacement has ended too.
+    void granterWithoutEntryGoesOnByItsOwnAssignmentOnly()
+    {
+        ShardAssignment stored;
+        CPPUNIT_ASSERT(!isLastGranter("a", nullptr));
+        CPPUNIT_ASSERT(!isLastGranter("a", &stored));
+        stored.granter_ = {"b", {"a", "c"}, Duration::zero()};
+        CPPUNIT_ASSERT(!isLastGranter("a", &stored));
+        CPPUNIT_ASSERT(isLastGranter("b", &stored));
+    }
+
     // Guards against a successor that gives keys away while an earlier granter may still renew them.
     void successorsWaitForAllEarlierGranters()
     {
         const TimePoint now = Start + 20s;
         const GranterRecord predecessor{"a", {"b", "c"}, Duration::zero()};
-        const auto longest = GrantingTimePerRenewal + MaxGrantingWithoutLease;
-        CPPUNIT_ASSERT(earlierGrantersStopAt(predecessor, {"b", TimePoint(), false, Start}, now) == now + GrantingTimePerRenewal);
+        const auto longest = GrantingTimePerConfirmation + MaxGrantingWithoutLease;
+        CPPUNIT_ASSERT(earlierGrantersStopAt(predecessor, {"b", TimePoint(), false, Start}, now) == now + GrantingTimePerConfirmation);
         CPPUNIT_ASSERT(earlierGrantersStopAt(predecessor, {"b", now + 1100ms, false, Start}, now) == now + 1100ms);
         CPPUNIT_ASSERT(earlierGrantersStopAt(predecessor, {"d", TimePoint(), false, Start}, now) == now + longest);
         CPPUNIT_ASSERT(earlierGrantersStopAt(predecessor, {"d", TimePoint(), true, Start}, now) == now);
@@ -597,6 +662,20 @@
         }
     }
 
+    // Guards against keys that run out because the store comes back too briefly for the granter to claim its entry again, while the others
+    // get leases and so withhold no claims.
+    void keysHaveHoldersThroughTwoOutagesInARow()
+    {
+        for (Duration offset = Duration::zero(); offset < 600ms; offset += Step) {
+            for (Duration gap = 200ms; gap <= 1s; gap += Step) {
+                const TimePoint from = FaultsBegin + offset;
+                const std::vector<ModelOutage> outages = {{from, from + 6s, true}, {from + 6s + gap, from + 12s + gap, true}};
+                const auto label = std::to_string(offset / 1ms) + " ms, " + std::to_string(gap / 1ms) + " ms";
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(label, std::string(), SuccessionModel(1, Rule::Present).run(outages));
+            }
+        }
+    }
+
     // The model above can fail: it finds the fault of the rule that the present one replaced.
     void modelShowsTheFaultOfTheFormerRule()
     {
