LibGateway: Use a short return of the store: try everything at once, tell all peers, and keep the order of claims

The store was back for 0.2 s; two of three instances saw it, the granter did not, so its time ran out in the second outage.

Cause: the watch and the lease of each instance retry apart, up to 0.7 s after the last try, and learn nothing from one another.

Change: the first answer of the store after an outage ends the waits for a retry in the same instance. An instance whose view is current again says so once to all that are connected to it, and an instance whose first peer says so retries at once. While the store is away nothing is tried more often. The turn to claim a vacant service counts from when the instance can claim, not from before the outage: with the quick retries a standby claimed before the granter in one of seven runs (185 of 5,008 got 503).

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -151,6 +151,8 @@
     checkSuspects(now);
     const auto configuration = view_.configuration();
     if (!configuration || isStopping || !isValid || !storeLink_.isCurrent(now)) {
+        // Those that precede this instance may be kept from the store as well, and have to get their time once it is back.
+        vacantSince_.clear();
         return;
     }
     for (const auto &service : configuration->services_) {
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -78,7 +78,7 @@
     HttpClient shardCallClient_;
     HttpClient healthClient_;
     std::map<std::string, std::shared_ptr<ShardService>> shards_;
-    // Since when each service without a coordinator has had none.
+    // Since when each service without a coordinator has had none while this instance could have claimed it.
     std::map<std::string, TimePoint> vacantSince_;
     // Since when this instance has been much better suited to each service than its coordinator.
     std::map<std::string, TimePoint> betterSince_;
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -193,6 +193,13 @@
     }
 }
 
+void PeerNetwork::announceToAll(const PeerMessage &message)
+{
+    for (const auto &link : incoming_) {
+        link->send(message);
+    }
+}
+
 void PeerNetwork::resetLiveness()
 {
     for (auto &[address, outgoing] : outgoing_) {
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -42,6 +42,8 @@
     std::vector<std::shared_ptr<PeerLink>> allLinks() const;
     // Sends a message to all instances of the own failure domain that have connected to this one.
     void announce(const PeerMessage &message);
+    // Sends the message on all connections that other instances opened.
+    void announceToAll(const PeerMessage &message);
 
 private:
     struct Outgoing
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -97,10 +97,28 @@
     return longest / 2 + Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count() / 2)(random_));
 }
 
+Task<void> StoreLink::awaitRetry(Duration duration)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(loop_, std::chrono::microseconds(duration));
+    retryTimers_.insert(timer);
+    ErrorCode error;
+    co_await timer->async_wait(redirectErrorTo(error));
+    retryTimers_.erase(timer);
+}
+
+void StoreLink::retryNow()
+{
+    for (const auto &timer : retryTimers_) {
+        timer->cancel();
+    }
+}
+
 void StoreLink::recordContact(TimePoint now)
 {
     if (!isReachable_) {
         isReachable_ = true;
+        // The store may be back for a short time only, and it takes the lease and a complete read to claim a service again.
+        retryNow();
         LogLine line("store-connected");
         if (failingSince_ != TimePoint()) {
             line.addDuration("outageMs", now - failingSince_);
@@ -135,7 +153,7 @@
         }
         if (!isLoaded_ || isFollowing_) {
             if (!co_await load()) {
-                co_await sleepFor(loop_, backoff(failures++));
+                co_await awaitRetry(backoff(failures++));
                 continue;
             }
             isLoaded_ = true;
@@ -170,7 +188,7 @@
         }
         isWatchFailing_ = true;
         recordFailure("watch", changes.outcome_, now);
-        co_await sleepFor(loop_, backoff(failures++));
+        co_await awaitRetry(backoff(failures++));
     }
 }
 
@@ -209,6 +227,7 @@
     std::vector<Platform::StoreItem> items;
     Platform::Revision at = 0;
     std::string after;
+    const TimePoint sentAt = bootNow();
     for (bool hasMore = true; hasMore;) {
         auto page = co_await store_.readRange("", after);
         if (page.outcome_ != StoreOutcome::Done) {
@@ -226,8 +245,8 @@
     isWatchFailing_ = false;
     const auto lateItems = view_.lateItemCount();
     view_.replace(items, at, now);
+    readAt_ = sentAt;
     log_.write(
-    const TimePoint sentAt = bootNow();
         LogLine("store-loaded").add("revision", at).add("items", items.size()).add("lateItems", view_.lateItemCount() - lateItems), LogImportance::Kept, now);
     handlers_.changed_();
     co_return true;
@@ -238,14 +257,17 @@
     std::uint32_t failures = 0;
     while (!isStopping_) {
         if (!isRegistered_ && !co_await registerMember()) {
-            co_await sleepFor(loop_, backoff(failures++));
+            co_await awaitRetry(backoff(failures++));
             continue;
         }
-        co_await sleepFor(loop_, failures == 0 ? LeaseRenewInterval : std::min<Duration>(LeaseRenewInterval, backoff(failures)));
+        if (failures == 0) {
+            co_await sleepFor(loop_, LeaseRenewInterval);
+        } else {
+            co_await awaitRetry(std::min<Duration>(LeaseRenewInterval, backoff(failures)));
+        }
         if (isStopping_) {
             break;
         }
-    readAt_ = sentAt;
         const TimePoint sentAt = bootNow();
         const auto renewal = co_await store_.renewLease(lease_);
         const TimePoint now = bootNow();
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -72,6 +72,8 @@
     }
     // A peer knows this revision: if the watch does not report it soon, the watch is stale and is cancelled.
     void expectRevision(Platform::Revision revision, TimePoint now);
+    // The store can be reached again, by what a peer says: retries at once what has failed.
+    void retryNow();
     // The process was suspended: treats the lease and the view as unconfirmed until the store or a peer responds again.
     void invalidate();
 
@@ -85,6 +87,8 @@
     void recordContact(TimePoint now);
     void recordFailure(const char *call, Platform::StoreOutcome outcome, TimePoint now);
     Duration backoff(std::uint32_t failures);
+    // Waits for a retry; ends early when the store can be reached again.
+    Task<void> awaitRetry(Duration duration);
 
     asio::io_context &loop_;
     Platform::PlatformStore &store_;
@@ -103,6 +107,8 @@
     TimePoint expectedSince_;
     bool isWatchFailing_ = true;
     bool isReachable_ = false;
+    // The waits for retries in progress.
+    std::set<std::shared_ptr<asio::steady_timer>> retryTimers_;
     bool isStopping_ = false;
     bool isRegistered_ = false;
     TimePoint contactAt_;
@@ -110,8 +116,8 @@
     Platform::LeaseId lease_ = 0;
     TimePoint leaseValidUntil_;
     TimePoint renewedAt_;
+    TimePoint readAt_;
     TimePoint claimsWithheldUntil_;
 };
 
 } // namespace Goldcrestwall::Gateway
-    TimePoint readAt_;
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -95,8 +95,21 @@
     network_.setRequiredAddresses(std::move(addresses), now);
 }
 
+void ViewRelay::noteCurrentPeers(TimePoint now)
+{
+    const bool wasPeerCurrent = isPeerCurrent_;
+    isPeerCurrent_ = std::ranges::any_of(network_.openLinks(now), [](const std::shared_ptr<PeerLink> &link) {
+        return link->isViewCurrent();
+    });
+    if (isPeerCurrent_ && !wasPeerCurrent && !storeLink_.isCurrent(now)) {
+        storeLink_.retryNow();
+    }
+}
+
 void ViewRelay::follow(TimePoint now)
 {
+    noteCurrentPeers(now);
+    wasCurrent_ = storeLink_.isCurrent(now);
     const auto links = network_.openLinks(now);
     bool isBehind = false;
     for (const auto &link : links) {
@@ -138,7 +151,14 @@
 
 void ViewRelay::announce(TimePoint now)
 {
-    if (storeLink_.isWatching()) {
+    if (!storeLink_.isWatching()) {
+        return;
+    }
+    // After an outage all others may still be waiting to try the store again.
+    if (storeLink_.isCurrent(now) && !wasCurrent_) {
+        wasCurrent_ = true;
+        network_.announceToAll(makePong(0, now));
+    } else {
         network_.announce(makePong(0, now));
     }
 }
@@ -153,6 +173,7 @@
     for (const auto &server : message.leavingServers_) {
         notices_->recordLeaving({server.id_, server.startTime_}, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
     }
+    noteCurrentPeers(now);
     if (link->domain() == domain_ && link->revision() > view_.at() && !storeLink_.isWatching() && now - requestedAt_ >= RequestInterval) {
         requestedAt_ = now;
         link->send(ViewRequestMessage{view_.at()});
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -26,7 +26,7 @@
     void refresh(const std::vector<std::string> &seeds, TimePoint now);
     // Requests changes from instances with a newer view. To be called a few times a second.
     void follow(TimePoint now);
-    // Announces a change of the view to the other instances of the failure domain.
+    // Announces a change of the view to the other instances of the failure domain, and to all instances that the view is current again.
     void announce(TimePoint now);
 
     void handlePing(const std::shared_ptr<PeerLink> &link, const PingMessage &message, TimePoint now);
@@ -50,6 +50,8 @@
     const Role &role();
     std::set<std::string> watcherAddresses(const std::map<std::string, std::string> &watchers) const;
     std::set<std::string> allAddresses(const std::vector<std::string> &seeds) const;
+    // Lets the store be tried at once when the first peer says that its view is current again.
+    void noteCurrentPeers(TimePoint now);
     PongMessage makePong(std::int64_t pingSentAt, TimePoint now) const;
 
     std::string instance_;
@@ -61,6 +63,10 @@
     EventLog &log_;
     std::optional<Role> role_;
     TimePoint requestedAt_;
+    // Whether a peer's view was current when this was last looked at.
+    bool isPeerCurrent_ = false;
+    // Whether the own view was current when `follow` was called last.
+    bool wasCurrent_ = false;
     // Since when a peer is known to have a newer view.
     TimePoint behindSince_;
 };
