LibHttp, FrontServer: Keep one account of the memory that callers hold

Callers saw processes that were ended for their memory: each connection kept to a bound of its own (a chunk extension of 128 KB, a head, a body), and nobody held the sum.

MemoryAccount replaces BodyBudget. A holder may reserve only while the sum of all reservations is below its ceiling, so the sum stays below nine tenths of the setting less 16 MB for the program, and new connections give way first, then unparsed input, uploads, and answers on their way. Unparsed input also has a share of its own, so that callers that never end a head keep out nobody. InputBuffer reserves before it grows; HttpClient uses it too.

A connection beyond the account, or beyond three quarters of RLIMIT_NOFILE, gets a 503 with Retry-After by one write that doesn't wait, what it has sent is discarded, and it is closed at once: the 503 is true, since nothing was parsed, and costs one write of 100 bytes; nothing is held for it.

Deployment has a settable memory. The cases of 503 in unreadableRequestsAreAnsweredAndNotRun keep their bodies, statuses and limit: a setting of 17.986 MB leaves 149,920 bytes for requests, 150,000 before. The tests of answers without end use it too. bodiesStayWithinTheBudget tests the same limits of 1,000, 599 and 600 bytes with the account.

The log names the holder of each refusal, metrics count them.

--- a/Libraries/LibGateway/FrontServer.h
+++ b/Libraries/LibGateway/FrontServer.h
@@ -14,7 +14,14 @@
 class FrontServer
 {
 public:
-    FrontServer(asio::io_context &loop, const StoreView &view, RequestFlow &flow, BodyBudget &bodies, EventLog &log, MetricRegistry &metrics);
+    // At most `maxConnections` callers are connected at a time, and fewer if the memory account has no room for them.
+    FrontServer(asio::io_context &loop,
+                const StoreView &view,
+                RequestFlow &flow,
+                MemoryAccount &memory,
+                std::size_t maxConnections,
+                EventLog &log,
+                MetricRegistry &metrics);
     ~FrontServer();
 
     // Errors: the address cannot be bound.
@@ -42,10 +49,17 @@
 private:
     friend class FrontSession;
 
+    void accept(Tcp::socket socket);
+    // Answers a connection that cannot be served with 503 and closes it at once, so that it costs nothing.
+    void refuse(Tcp::socket socket, const char *reason);
+    // Logs that a connection or request was lost for memory, and counts it.
+    void reportRefusal(MemoryHolder holder);
+
     asio::io_context &loop_;
     const StoreView &view_;
     RequestFlow &flow_;
-    BodyBudget &bodies_;
+    MemoryAccount &memory_;
+    std::size_t maxConnections_;
     EventLog &log_;
     MetricRegistry &metrics_;
     Listener listener_;
--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t MaxPipelined = 32;
 // In seconds: by then other bodies have probably been forwarded and their memory freed.
 constexpr const char *MemoryRetryAfter = "0.3";
+// Memory for handling a request, without its head and body, in bytes.
+constexpr std::uint64_t HandlingBytes = 8192;
+// Memory of a header field beside its name and value, in bytes.
+constexpr std::uint64_t FieldBytes = 80;
 constexpr unsigned UnknownOutcomeStatus = 502;
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -53,6 +57,16 @@
     return response;
 }
 
+// The memory of a request without its body while it is handled, in bytes: its head as received and as forwarded, and its handling.
+std::uint64_t requestCost(const HttpRequest &request)
+{
+    std::uint64_t head = request.target().size();
+    for (const auto &field : request) {
+        head += FieldBytes + field.name_string().size() + field.value().size();
+    }
+    return HandlingBytes + 2 * head;
+}
+
 // Whether the request's length is unambiguous, so that no part of it can be read as another request (request smuggling).
 bool isWellFramed(const HttpRequest &request)
 {
@@ -63,9 +77,11 @@
 
 } // namespace
 
-FrontSession::FrontSession(FrontServer &server, Tcp::socket socket)
+FrontSession::FrontSession(FrontServer &server, Tcp::socket socket, MemoryReservation reservation)
     : server_(server)
     , stream_(std::move(socket))
+    , connectionReservation_(std::move(reservation))
+    , buffer_(server.memory_, MemoryHolder::CallerInput)
     , change_(server.loop_)
     , idleTimer_(server.loop_)
     , readTimer_(server.loop_)
@@ -147,6 +163,7 @@
         co_await awaitChange();
     }
     if (isEnded_ && !isCallerDisconnected_) {
+        buffer_.clear();
         co_await discardInput();
     }
 }
@@ -161,7 +178,7 @@
         if (const auto configuration = server_.view_.configuration()) {
             limits_ = configuration->limits_;
         }
-        auto exchange = std::make_shared<Exchange>(server_.bodies_);
+        auto exchange = std::make_shared<Exchange>(server_.memory_);
         if (!co_await readRequest(*exchange)) {
             co_await awaitDisconnect();
             co_return;
@@ -198,8 +215,7 @@
         }
         const TimePoint pausedAt = receivedAt_;
         stream_.expires_never();
-        const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(ReadSize), redirectErrorTo(error));
-        buffer_.commit(size);
+        error = co_await buffer_.readFirst(stream_);
         const bool isCancelledAsIdle = isEndingIdle_ && error == asio::error::operation_aborted;
         if (error && !isCancelledAsIdle) {
             co_return error;
@@ -215,7 +231,7 @@
     Parser parser;
     parser.header_limit(limits_.maxHeaderBytes_);
     parser.body_limit(limits_.maxBodyBytes_);
-    buffer_.max_size(std::max<std::size_t>(buffer_.size(), limits_.maxHeaderBytes_ + MaxUnparsedBodyBytes));
+    buffer_.trim();
     isBetweenRequests_ = true;
     ErrorCode error = co_await awaitRequest();
     if (error) {
@@ -225,15 +241,7 @@
     isBetweenRequests_ = false;
     exchange.arrivedAt_ = receivedAt_;
     stream_.expires_never();
-    startReadTimer(limits_.headerTimeout_);
-    co_await http::async_read_header(stream_, buffer_, parser, redirectErrorTo(error));
-    stopReadTimer();
-    if (!error && !isWellFramed(parser.get())) {
-        error = http::error::bad_transfer_encoding;
-    }
-    if (const auto length = announcedLength(parser); !error && length && !exchange.requestReservation_.tryReserve(*length)) {
-        error = asio::error::no_memory;
-    }
+    error = co_await readHeader(parser, exchange.requestReservation_);
     if (!error) {
         error = co_await sendContinue(parser.get());
     }
@@ -259,6 +267,32 @@
     co_return false;
 }
 
+std::size_t FrontSession::maxInputBytes() const
+{
+    return limits_.maxHeaderBytes_ + MaxUnparsedBodyBytes;
+}
+
+Task<ErrorCode> FrontSession::readHeader(Parser &parser, MemoryReservation &reservation)
+{
+    ErrorCode error;
+    parser.eager(false);
+    startReadTimer(limits_.headerTimeout_);
+    while (!error && !parser.is_header_done()) {
+        error = co_await buffer_.readSome(stream_, parser, maxInputBytes());
+    }
+    stopReadTimer();
+    if (error) {
+        co_return error;
+    }
+    if (!isWellFramed(parser.get())) {
+        co_return http::error::bad_transfer_encoding;
+    }
+    if (!reservation.tryReserveBody(announcedLength(parser).value_or(0), requestCost(parser.get()))) {
+        co_return asio::error::no_memory;
+    }
+    co_return error;
+}
+
 Task<ErrorCode> FrontSession::sendContinue(const HttpRequest &request)
 {
     ErrorCode error;
@@ -277,13 +311,14 @@
     co_return error;
 }
 
-Task<ErrorCode> FrontSession::readBody(Parser &parser, BodyReservation &reservation)
+Task<ErrorCode> FrontSession::readBody(Parser &parser, MemoryReservation &reservation)
 {
     ErrorCode error;
+    const std::uint64_t headCost = requestCost(parser.get());
     while (!error && !parser.is_done()) {
         startReadTimer(limits_.idleTimeout_);
-        co_await http::async_read_some(stream_, buffer_, parser, redirectErrorTo(error));
-        if (!error && !reservation.tryReserve(parser.get().body().size())) {
+        error = co_await buffer_.readSome(stream_, parser, maxInputBytes());
+        if (!error && !reservation.tryReserveBody(parser.get().body().size(), headCost)) {
             error = asio::error::no_memory;
         }
     }
@@ -313,9 +348,12 @@
 void FrontSession::answerReadError(ErrorCode error)
 {
     const unsigned status = statusOfError(error);
+    if (status == 503) {
+        server_.reportRefusal(buffer_.size() < InputBuffer::FreeBytes ? MemoryHolder::Requests : MemoryHolder::CallerInput);
+    }
     server_.log_.write(LogLine("request-unreadable").add("status", status).add("reason", error.message()), LogImportance::Kept, bootNow());
     server_.metrics_.increment("goldcrestwall_unreadable_total", {{"status", std::to_string(status)}});
-    auto exchange = std::make_shared<Exchange>(server_.bodies_);
+    auto exchange = std::make_shared<Exchange>(server_.memory_);
     HttpResponse response = makeErrorResponse(status);
     if (status == 503) {
         response.set(http::field::retry_after, MemoryRetryAfter);
--- a/Libraries/LibGateway/FrontSession.h
+++ b/Libraries/LibGateway/FrontSession.h
@@ -15,7 +15,8 @@
 class FrontSession : public std::enable_shared_from_this<FrontSession>
 {
 public:
-    FrontSession(FrontServer &server, Tcp::socket socket);
+    // `reservation` is for the fixed cost of the connection.
+    FrontSession(FrontServer &server, Tcp::socket socket, MemoryReservation reservation);
 
     void start();
     // Closes the connection unless a request is in progress or being read.
@@ -32,14 +33,14 @@
     // A request, from reading it to writing its response.
     struct Exchange
     {
-        explicit Exchange(BodyBudget &bodies)
-            : requestReservation_(bodies)
-            , control_(std::make_shared<RequestControl>(bodies))
+        explicit Exchange(MemoryAccount &memory)
+            : requestReservation_(memory, MemoryHolder::Requests)
+            , control_(std::make_shared<RequestControl>(memory))
         {
         }
 
         HttpRequest request_;
-        BodyReservation requestReservation_;
+        MemoryReservation requestReservation_;
         std::shared_ptr<RequestControl> control_;
         TimePoint arrivedAt_;
         // Whether the caller allows the connection to be reused.
@@ -59,8 +60,12 @@
     Task<bool> readRequest(Exchange &exchange);
     // Waits for the first bytes of a request. Errors: operation_aborted when the connection is to be closed as idle.
     Task<ErrorCode> awaitRequest();
-    // Reads the body after the header. Errors: no_memory when the body budget is exhausted.
-    Task<ErrorCode> readBody(Parser &parser, BodyReservation &reservation);
+    // Reads the header and reserves memory for it and for a body of known length. Errors: no_memory when there is none.
+    Task<ErrorCode> readHeader(Parser &parser, MemoryReservation &reservation);
+    // Reads the body after the header. Errors: no_memory when there is no memory for it.
+    Task<ErrorCode> readBody(Parser &parser, MemoryReservation &reservation);
+    // The size up to which unparsed input may grow, in bytes.
+    std::size_t maxInputBytes() const;
     // Sets the time limit for the next part of the request being read. When it has passed, the request is rejected with 408 after the
     // responses to those before it.
     void startReadTimer(Duration limit);
@@ -87,7 +92,8 @@
 
     FrontServer &server_;
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    MemoryReservation connectionReservation_;
+    InputBuffer buffer_;
     asio::steady_timer change_;
     asio::steady_timer idleTimer_;
     // Limits the time for reading a request. The stream's own time-out would close the connection under the requests in progress.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -3,10 +3,12 @@
 
 #include "Tasks.h"
 
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <random>
 
 namespace Goldcrestwall::Gateway {
@@ -20,8 +22,6 @@
 constexpr Duration MemoryInterval = 500ms;
 // The platform stops routing new callers to the instance within this time after it reports that it is not ready.
 constexpr Duration ReadinessPropagationTime = 3s;
-// Fraction of the instance's memory that bodies may use; the rest is for the program, connection buffers and the view.
-constexpr double BodyMemoryFraction = 0.5;
 // The process stops unconditionally this long before the grace period ends.
 constexpr Duration StopMargin = 300ms;
 
@@ -32,9 +32,14 @@
     return std::to_string((high << 32U) | device());
 }
 
-std::uint64_t bodyMemory(const Platform::PlatformSettings &settings)
+// Returns how many callers may be connected: three quarters of the descriptors, the rest is for servers, other instances and the store.
+std::size_t maxCallerConnections()
 {
-    return static_cast<std::uint64_t>(static_cast<double>(settings.memoryBytes_) * BodyMemoryFraction);
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    return static_cast<std::size_t>(limit.rlim_cur) / 4 * 3;
 }
 
 std::int64_t modificationTime(const std::string &path)
@@ -71,6 +76,7 @@
     : options_(std::move(options))
     , settings_(std::move(settings))
     , self_{settings_.name_, makeIncarnation(), settings_.peerAddress_, settings_.domain_, settings_.cpuMillicores_}
+    , memory_(MemoryAccount::capacityWithin(settings_.memoryBytes_))
     , loop_(1)
     , log_(settings_.name_)
     , notices_(std::make_shared<ServerNotices>(
@@ -105,8 +111,7 @@
     , client_(loop_)
     , coordination_(loop_, self_, GrantTimings::within(settings_.maxHoldTime_), view_, store_, storeLink_, network_, placement_, announcements_, log_)
     , flow_(loop_, view_, storeLink_, placement_, client_, announcements_, log_, metrics_)
-    , bodies_(bodyMemory(settings_))
-    , front_(loop_, view_, flow_, bodies_, log_, metrics_)
+    , front_(loop_, view_, flow_, memory_, maxCallerConnections(), log_, metrics_)
     , readyServer_(loop_,
                    [this](const HttpRequest &request) {
                        return handleStatusRequest(request);
@@ -329,8 +334,7 @@
 {
     MemoryUse use;
     use.residentBytes_ = readResidentBytes();
-    use.bodyBytes_ = bodies_.reserved();
-    use.callerInputBytes_ = front_.inputBytes();
+    use.setAccount(memory_);
     for (const auto &link : network_.allLinks()) {
         use.peerOutputBytes_ += link->outgoingBytes();
         use.peerInputBytes_ += link->incomingBytes();
@@ -358,7 +362,8 @@
 void Gateway::updateMetrics()
 {
     setMemoryGauges(metrics_, memoryUse());
-    metrics_.setGauge("goldcrestwall_body_bytes", {}, static_cast<double>(bodies_.reserved()));
+    metrics_.setGauge(
+        "goldcrestwall_body_bytes", {}, static_cast<double>(memory_.reservedBy(MemoryHolder::Requests) + memory_.reservedBy(MemoryHolder::ResponseBodies)));
     metrics_.setGauge("goldcrestwall_store_calls", {}, static_cast<double>(store_.counters().calls_));
     metrics_.setGauge("goldcrestwall_store_failures", {}, static_cast<double>(store_.counters().failures_));
     metrics_.setGauge("goldcrestwall_server_connections_opened", {}, static_cast<double>(client_.connectionCount()));
@@ -413,7 +418,7 @@
     const bool needsRestart = reading.settings_.callerAddress_ != settings_.callerAddress_ || reading.settings_.peerAddress_ != settings_.peerAddress_;
     log_.write(LogLine("settings-reloaded").add("cause", cause).add("changed", isChanged).add("needsRestart", needsRestart), LogImportance::Kept, now);
     settings_ = reading.settings_;
-    bodies_.setLimit(bodyMemory(settings_));
+    memory_.setCapacity(MemoryAccount::capacityWithin(settings_.memoryBytes_));
     store_.setAddress(settings_.storeAddress_);
     relay_.refresh(settings_.seeds_, now);
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -64,6 +64,8 @@
     GatewayOptions options_;
     Platform::PlatformSettings settings_;
     MemberEntry self_;
+    // Outlives all that hold memory; declared before the loop, whose handlers do.
+    MemoryAccount memory_;
     asio::io_context loop_;
     EventLog log_;
     MetricRegistry metrics_;
@@ -78,7 +80,6 @@
     HttpClient client_;
     CoordinationManager coordination_;
     RequestFlow flow_;
-    BodyBudget bodies_;
     FrontServer front_;
     StatusServer readyServer_;
     StatusServer metricsServer_;
--- a/Libraries/LibGateway/MemoryUse.h
+++ b/Libraries/LibGateway/MemoryUse.h
@@ -3,6 +3,7 @@
 
 #include <LibGateway/EventLog.h>
 
+#include <LibHttp/LibHttp.h>
 #include <LibMetrics/LibMetrics.h>
 
 #include <cstdint>
@@ -14,10 +15,13 @@
 {
     // Resident memory of the process; 0 if the system does not tell.
     std::uint64_t residentBytes_ = 0;
-    // Reserved for the bodies of requests and responses.
-    std::uint64_t bodyBytes_ = 0;
-    // Received from callers and not parsed.
-    std::uint64_t callerInputBytes_ = 0;
+    // Reserved in the account for each holder, by `MemoryHolder`.
+    std::array<std::uint64_t, MemoryHolderCount> reservedBytes_{};
+    // How often each holder was refused memory since the start, by `MemoryHolder`.
+    std::array<std::uint64_t, MemoryHolderCount> refusals_{};
+    // The highest sum of all reservations since the start, and the sum that is never exceeded.
+    std::uint64_t reservedPeakBytes_ = 0;
+    std::uint64_t capacityBytes_ = 0;
     // Waiting to be sent to other instances.
     std::uint64_t peerOutputBytes_ = 0;
     // Received from other instances and not parsed.
@@ -31,6 +35,9 @@
     // Requests of all instances that wait at this one for a server.
     std::uint64_t waitingRequests_ = 0;
 
+    // Copies the figures of the account.
+    void setAccount(const MemoryAccount &account);
+
     auto operator<=>(const MemoryUse &) const = default;
 };
 
@@ -51,5 +58,7 @@
 };
 
 LogLine makeMemoryLine(const MemoryUse &use, std::uint64_t limitBytes);
+// The line for a connection or request that is lost because `holder` was refused memory.
+LogLine makeRefusalLine(const MemoryAccount &account, MemoryHolder holder);
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -13,13 +13,13 @@
 class RequestControl
 {
 public:
-    explicit RequestControl(BodyBudget &bodies)
-        : responseReservation_(bodies)
+    explicit RequestControl(MemoryAccount &memory)
+        : responseReservation_(memory, MemoryHolder::ResponseBodies)
     {
     }
 
     // Memory reserved for the response body until the response has been written.
-    BodyReservation &responseReservation()
+    MemoryReservation &responseReservation()
     {
         return responseReservation_;
     }
@@ -41,7 +41,7 @@
     }
 
 private:
-    BodyReservation responseReservation_;
+    MemoryReservation responseReservation_;
     bool isAbandoned_ = false;
     std::function<void()> onAbandon_;
 };
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -291,7 +291,7 @@
     options.correlationHeader_ = Platform::RequestIdHeader;
     options.correlationId_ = progress.headers_.requestId_;
     options.bodyReservation_ = &progress.control_->responseReservation();
-    options.maxResponseBody_ = options.bodyReservation_->budget().maxBody();
+    options.maxResponseBody_ = options.bodyReservation_->account().maxResponseBody();
     auto handle = std::make_shared<ExchangeHandle>();
     progress.control_->setOnAbandon([handle, isIdempotent] {
         // A non-idempotent request continues without its caller once a server may have started it.
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace Goldcrestwall::Gateway {
 
@@ -166,17 +167,20 @@
     co_return stream;
 }
 
-Task<ErrorCode> HttpClient::readMessage(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser, BodyReservation *reservation)
+Task<ErrorCode> HttpClient::readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation)
 {
     ErrorCode error;
-    co_await http::async_read_header(stream, buffer, parser, redirectErrorTo(error));
+    parser.eager(false);
+    while (!error && !parser.is_header_done()) {
+        error = co_await buffer.readSome(stream, parser, MaxUnparsedBytes);
+    }
     const auto length = announcedLength(parser);
-    if (!error && !parser.is_done() && reservation != nullptr && length && !reservation->tryReserve(*length)) {
+    if (!error && !parser.is_done() && reservation != nullptr && length && !reservation->tryReserveBody(*length)) {
         co_return asio::error::no_memory;
     }
     while (!error && !parser.is_done()) {
-        co_await http::async_read_some(stream, buffer, parser, redirectErrorTo(error));
-        if (!error && reservation != nullptr && !reservation->tryReserve(parser.get().body().size())) {
+        error = co_await buffer.readSome(stream, parser, MaxUnparsedBytes);
+        if (!error && reservation != nullptr && !reservation->tryReserveBody(parser.get().body().size())) {
             co_return asio::error::no_memory;
         }
     }
@@ -185,7 +189,8 @@
 
 Task<bool> HttpClient::readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result)
 {
-    beast::flat_buffer buffer(MaxUnparsedBytes);
+    MemoryAccount uncounted(std::numeric_limits<std::uint64_t>::max());
+    InputBuffer buffer(options.bodyReservation_ != nullptr ? options.bodyReservation_->account() : uncounted, MemoryHolder::ServerInput);
     for (std::size_t skipped = 0; skipped <= MaxSkippedResponses; ++skipped) {
         ResponseParser parser;
         parser.body_limit(options.maxResponseBody_);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <LibHttp/Asio.h>
-#include <LibHttp/BodyBudget.h>
+#include <LibHttp/InputBuffer.h>
 
 #include <deque>
 #include <functional>
@@ -23,7 +23,7 @@
     Lost,
     // The response violates the protocol or exceeds the size limits.
     Malformed,
-    // The response body would exceed the memory budget for bodies.
+    // The response would exceed the memory of the process.
     NoRoom,
     // The exchange was cancelled by this side.
     Cancelled,
@@ -85,8 +85,9 @@
     std::string correlationId_;
     // A response with a longer body is Malformed.
     std::uint64_t maxResponseBody_ = 64U << 10U;
-    // Reservation for the memory of the response body; the memory is not counted if null. Must outlive the exchange.
-    BodyReservation *bodyReservation_ = nullptr;
+    // Reservation for the memory of the response body; its account also has the bytes that are not parsed. Nothing is counted if null. Must
+    // outlive the exchange.
+    MemoryReservation *bodyReservation_ = nullptr;
 };
 
 // Keeps idle connections by address. Connections that the server has closed or that received unexpected bytes are discarded.
@@ -125,7 +126,7 @@
     std::optional<IdleConnection> takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now);
     void storeIdle(const std::string &address, IdleConnection connection);
     Task<std::shared_ptr<beast::tcp_stream>> connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle);
-    static Task<ErrorCode> readMessage(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser, BodyReservation *reservation);
+    static Task<ErrorCode> readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation);
     // Reads responses up to the one to this request. Sets the outcome and the response; returns whether the connection is reusable.
     static Task<bool> readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result);
 
--- a/Libraries/LibHttp/LibHttp.h
+++ b/Libraries/LibHttp/LibHttp.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibHttp/Asio.h>
-#include <LibHttp/BodyBudget.h>
 #include <LibHttp/HttpClient.h>
+#include <LibHttp/InputBuffer.h>
 #include <LibHttp/Listener.h>
+#include <LibHttp/MemoryAccount.h>
--- a/Tests/LibGateway/TestFrontServer.cpp
+++ b/Tests/LibGateway/TestFrontServer.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::uint64_t BodyMemory = 1U << 20U;
+constexpr std::uint64_t Capacity = 1U << 20U;
+constexpr std::size_t MaxConnections = 3;
 constexpr Duration Patience = 3s;
 // More handlers than it takes to accept a connection and to answer a request.
 constexpr int MaxHandlers = 40;
@@ -35,6 +36,7 @@
 // A front server that knows no configuration and so answers each request with 503 at once.
 struct Front
 {
+    MemoryAccount memory_{Capacity};
     asio::io_context loop_;
     EventLog log_{"edge-1"};
     MetricRegistry metrics_;
@@ -47,8 +49,7 @@
     HttpClient client_{loop_};
     AnnouncementRecorder announcements_{"edge-1", notices_, log_, metrics_};
     RequestFlow flow_{loop_, view_, storeLink_, placement_, client_, announcements_, log_, metrics_};
-    BodyBudget bodies_{BodyMemory};
-    FrontServer front_{loop_, view_, flow_, bodies_, log_, metrics_};
+    FrontServer front_{loop_, view_, flow_, memory_, MaxConnections, log_, metrics_};
     Tcp::endpoint endpoint_ = freeEndpoint();
 
     Front()
@@ -95,6 +96,8 @@
     CPPUNIT_TEST_SUITE(TestFrontServer);
     CPPUNIT_TEST(requestThatHasArrivedIsAnsweredInAPlannedStop);
     CPPUNIT_TEST(idleConnectionsAreClosedInAPlannedStop);
+    CPPUNIT_TEST(connectionsBeyondTheDescriptorsAreRefused);
+    CPPUNIT_TEST(connectionsBeyondTheMemoryAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +142,56 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t(0), front.front_.connectionCount());
         }
     }
+
+    void connectionsBeyondTheDescriptorsAreRefused()
+    {
+        Front front;
+        checkRefusalAfter(MaxConnections, front);
+    }
+
+    void connectionsBeyondTheMemoryAreRefused()
+    {
+        Front front;
+        // Room for one connection of up to 20,000 bytes.
+        MemoryReservation others(front.memory_, MemoryHolder::StoreResponses);
+        CPPUNIT_ASSERT(others.tryReserve(front.memory_.ceiling(MemoryHolder::CallerConnections) - 20'000));
+        checkRefusalAfter(1, front);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), front.memory_.refusals(MemoryHolder::CallerConnections));
+    }
+
+private:
+    // Checks that so many callers are accepted, that the next one gets a 503, and that there is room again when one has left.
+    static void checkRefusalAfter(std::size_t count, Front &front)
+    {
+        asio::io_context callerLoop;
+        std::vector<Tcp::socket> callers;
+        for (std::size_t i = 0; i < count; ++i) {
+            callers.push_back(connectTo(callerLoop, front.endpoint_));
+            while (front.front_.connectionCount() <= i) {
+                front.loop_.run_one();
+            }
+        }
+        auto refused = connectTo(callerLoop, front.endpoint_);
+        asio::write(refused, asio::buffer(Request));
+        front.runUntilAnswered(refused);
+        const auto answer = receive(refused);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT(answer.find("Retry-After: ") != std::string::npos && answer.find("Connection: close") != std::string::npos);
+        ErrorCode error;
+        char byte = 0;
+        refused.receive(asio::buffer(&byte, 1), 0, error);
+        CPPUNIT_ASSERT_MESSAGE(error.message(), error == asio::error::eof);
+        CPPUNIT_ASSERT_EQUAL(count, front.front_.connectionCount());
+        callers.pop_back();
+        while (front.front_.connectionCount() == count) {
+            front.loop_.run_one();
+        }
+        auto next = connectTo(callerLoop, front.endpoint_);
+        asio::write(next, asio::buffer(Request));
+        front.runUntilAnswered(next);
+        CPPUNIT_ASSERT(receive(next).starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT_EQUAL(count, front.front_.connectionCount());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestFrontServer);
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -153,32 +153,37 @@
 
     void bodiesStayWithinTheBudget()
     {
-        BodyBudget budget(1000);
+        // Responses may bring the sum to nine tenths of the capacity.
+        const auto capacityFor = [](std::uint64_t responses) {
+            return (responses * 10 + 8) / 9;
+        };
+        MemoryAccount account(capacityFor(1000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), account.ceiling(MemoryHolder::ResponseBodies));
         {
-            BodyReservation first(budget);
-            CPPUNIT_ASSERT(first.tryReserve(300));
-            CPPUNIT_ASSERT(first.tryReserve(250));
-            BodyReservation second(budget);
-            CPPUNIT_ASSERT(!second.tryReserve(201));
-            CPPUNIT_ASSERT(second.tryReserve(200));
-            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.available());
+            MemoryReservation first(account, MemoryHolder::ResponseBodies);
+            CPPUNIT_ASSERT(first.tryReserveBody(300));
+            CPPUNIT_ASSERT(first.tryReserveBody(250));
+            MemoryReservation second(account, MemoryHolder::ResponseBodies);
+            CPPUNIT_ASSERT(!second.tryReserveBody(201));
+            CPPUNIT_ASSERT(second.tryReserveBody(200));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), account.available(MemoryHolder::ResponseBodies));
         }
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.reserved());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), account.reserved());
         // A body counts twice, as received and as forwarded, whether it has a length, is chunked or ends with the connection.
         const std::string body(300, 'x');
         const std::string chunked = "12c\r\n" + body + "\r\n0\r\n\r\n";
         for (const auto &[limit, outcome] : {std::pair(599, ExchangeOutcome::NoRoom), std::pair(600, ExchangeOutcome::Answered)}) {
             for (const auto &text :
                  {makeResponse("Content-Length: 300\r\n", body), makeResponse("Transfer-Encoding: chunked\r\n", chunked), makeResponse("", body)}) {
-                budget.setLimit(static_cast<std::uint64_t>(limit));
-                BodyReservation reservation(budget);
+                account.setCapacity(capacityFor(static_cast<std::uint64_t>(limit)));
+                MemoryReservation reservation(account, MemoryHolder::ResponseBodies);
                 auto options = makeOptions();
                 options.bodyReservation_ = &reservation;
                 const auto results = runExchanges({Script{{text}}}, 1, options);
                 CPPUNIT_ASSERT(results.at(0).outcome_ == outcome);
             }
         }
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.reserved());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), account.reserved());
     }
 
     // The timeout of 60 s is not reached: the size limits end each exchange.
@@ -207,19 +212,19 @@
             {"trailer without a line end", makeResponse("Id: 1\r\nTransfer-Encoding: chunked\r\n", "0\r\nX"), std::string(1000, 'x')},
             {"announced length", makeResponse("Id: 1\r\nContent-Length: 99999999\r\n", ""), filler},
         };
-        BodyBudget budget(1U << 20U);
+        MemoryAccount account(1U << 20U);
         for (const auto &[name, begin, unbounded] : cases) {
-            BodyReservation reservation(budget);
+            MemoryReservation reservation(account, MemoryHolder::ResponseBodies);
             auto options = makeOptions(60s);
             options.bodyReservation_ = &reservation;
-            options.maxResponseBody_ = budget.maxBody();
+            options.maxResponseBody_ = account.maxResponseBody();
             Script script{{begin}};
             script.unbounded_ = unbounded;
             const auto results = runExchanges({script}, 1, options);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("malformed"), std::string(exchangeOutcomeName(results.at(0).outcome_)));
-            CPPUNIT_ASSERT_MESSAGE(name, budget.available() >= budget.reserved());
+            CPPUNIT_ASSERT_MESSAGE(name, account.reserved() <= account.capacity() / 2);
         }
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.reserved());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), account.reserved());
     }
 
     void endlessTrickleIsTold()
--- a/Tests/OnPlatform/Callers.cpp
+++ b/Tests/OnPlatform/Callers.cpp
@@ -81,6 +81,20 @@
     }
 }
 
+RawConnection::Received RawConnection::receiveNow() const
+{
+    Received received;
+    char chunk[2000];
+    for (;;) {
+        const auto size = ::recv(descriptor_, chunk, sizeof chunk, MSG_DONTWAIT);
+        if (size <= 0) {
+            received.isClosed_ = size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+            return received;
+        }
+        received.bytes_.append(chunk, static_cast<std::size_t>(size));
+    }
+}
+
 void RawConnection::close()
 {
     if (descriptor_ >= 0) {
--- a/Tests/OnPlatform/Callers.h
+++ b/Tests/OnPlatform/Callers.h
@@ -31,6 +31,13 @@
     // Returns everything received until the peer closes the connection; ends with "(no end)" if it does not close within the receive
     // timeout.
     std::string receiveAll() const;
+    // What has been received by now, without waiting.
+    struct Received
+    {
+        std::string bytes_;
+        bool isClosed_ = false;
+    };
+    Received receiveNow() const;
     void close();
 
 private:
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -77,7 +77,8 @@
                              const std::string &storeAddress,
                              const std::filesystem::path &folder,
                              std::vector<std::string> seeds,
-                             Duration maxHoldTime)
+                             Duration maxHoldTime,
+                             double memoryMegabytes)
     : name_(std::move(name))
     , domain_(std::move(domain))
     , settingsPath_(folder / (name_ + ".toml"))
@@ -89,6 +90,7 @@
     , storeAddress_(storeAddress)
     , seeds_(std::move(seeds))
     , maxHoldTime_(maxHoldTime)
+    , memoryMegabytes_(memoryMegabytes)
 {
 }
 
@@ -113,7 +115,8 @@
         settings << '"' << seed << "\",";
     }
     settings << "]\n[listen]\nfront = \"" << loopback(callerPort_) << "\"\nready = \"" << loopback(readyPort_) << "\"\ncontrol = \"" << peerAddress()
-             << "\"\n[limits]\ncpuShare = 0.2\nmemoryMb = 0.3\n[parameters]\nholdMaxS = " << std::chrono::duration<double>(maxHoldTime_).count()
+             << "\"\n[limits]\ncpuShare = 0.2\nmemoryMb = " << memoryMegabytes_
+             << "\n[parameters]\nholdMaxS = " << std::chrono::duration<double>(maxHoldTime_).count()
              << "\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 60\n[platform]\naddress = \"" << storeAddress_ << "\"\n";
     settings.close();
     const std::string settingsFlag = "--settings=" + settingsPath_.string();
@@ -156,6 +159,17 @@
     return status == 200;
 }
 
+std::uint64_t RouterProcess::residentBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
+    std::uint64_t totalPages = 0;
+    std::uint64_t residentPages = 0;
+    if (!(file >> totalPages >> residentPages)) {
+        return 0;
+    }
+    return residentPages * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
 std::string RouterProcess::metrics() const
 {
     int status = 0;
@@ -172,7 +186,7 @@
     return lines;
 }
 
-Deployment::Deployment(std::size_t instances, Duration maxHoldTime)
+Deployment::Deployment(std::size_t instances, Duration maxHoldTime, double memoryMegabytes)
 {
     std::string name = (std::filesystem::temp_directory_path() / "goldcrestwall-XXXXXX").string();
     folder_ = ::mkdtemp(name.data());
@@ -201,7 +215,8 @@
     }
     std::vector<std::string> seeds;
     for (std::size_t i = 0; i < instances; ++i) {
-        instances_.push_back(std::make_unique<RouterProcess>("edge-" + std::to_string(i), domains[i % 2], store_.address(), folder_, seeds, maxHoldTime));
+        instances_.push_back(
+            std::make_unique<RouterProcess>("edge-" + std::to_string(i), domains[i % 2], store_.address(), folder_, seeds, maxHoldTime, memoryMegabytes));
         seeds.push_back(instances_.back()->peerAddress());
     }
     for (const auto &instance : instances_) {
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -38,6 +38,11 @@
     bool isConnectionClosed_ = false;
 };
 
+// The memory setting of an instance unless a test chooses its own.
+constexpr double DefaultMemoryMegabytes = 160;
+// A memory setting that leaves just under 150,000 bytes for the requests that are read or handled, so that few bytes reach the limits.
+constexpr double TightMemoryMegabytes = 17.986;
+
 // A router process.
 class RouterProcess
 {
@@ -47,7 +52,8 @@
                   const std::string &storeAddress,
                   const std::filesystem::path &folder,
                   std::vector<std::string> seeds,
-                  Duration maxHoldTime = 10s);
+                  Duration maxHoldTime = 10s,
+                  double memoryMegabytes = DefaultMemoryMegabytes);
     ~RouterProcess();
     RouterProcess(const RouterProcess &) = delete;
     RouterProcess &operator=(const RouterProcess &) = delete;
@@ -61,6 +67,8 @@
         return pid_ > 0;
     }
     bool isReady() const;
+    // Resident memory in bytes as the system tells it; 0 if the process does not run.
+    std::uint64_t residentBytes() const;
     const std::string &name() const
     {
         return name_;
@@ -94,6 +102,7 @@
     std::string storeAddress_;
     std::vector<std::string> seeds_;
     Duration maxHoldTime_;
+    double memoryMegabytes_;
     int pid_ = -1;
 };
 
@@ -101,8 +110,9 @@
 class Deployment
 {
 public:
-    // `maxHoldTime` is the longest hold that servers grant; the settings of the instances have it too.
-    explicit Deployment(std::size_t instances, Duration maxHoldTime = 10s);
+    // `maxHoldTime` is the longest hold that servers grant; the settings of the instances have it too. `memoryMegabytes` is the memory
+    // setting of each instance.
+    explicit Deployment(std::size_t instances, Duration maxHoldTime = 10s, double memoryMegabytes = DefaultMemoryMegabytes);
     ~Deployment();
 
     PlatformStoreStandIn &store()
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -227,7 +227,7 @@
 
     void answersWithoutEndAreCutOff()
     {
-        Deployment deployment(1);
+        Deployment deployment(1, 10s, TightMemoryMegabytes);
         CPPUNIT_ASSERT(deployment.awaitServing());
         for (const auto fault : {PlatformServerFault::EndlessHeaders, PlatformServerFault::EndlessBody}) {
             setFault(deployment, fault);
@@ -251,7 +251,7 @@
 
     void serversThatNeverEndAreAvoided()
     {
-        Deployment deployment(1);
+        Deployment deployment(1, 10s, TightMemoryMegabytes);
         CPPUNIT_ASSERT(deployment.awaitServing());
         deployment.plain(0).setFault(PlatformServerFault::EndlessBody);
         std::size_t served = 0;
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -87,7 +87,7 @@
 
     void unreadableRequestsAreAnsweredAndNotRun()
     {
-        Deployment deployment(1);
+        Deployment deployment(1, 10s, TightMemoryMegabytes);
         CPPUNIT_ASSERT(deployment.awaitServing());
         const auto before = deployment.recorder().runs().size();
         const std::string head = "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: bad\r\n";
@@ -102,7 +102,7 @@
             {"HTTP/1.1 400", "GET /plain/x HTTP/1.1\r\nHost: plain.example\r\nConnection: close\r\n\r\n"},
             {"HTTP/1.1 431", head + "X-Long: " + std::string(9000, 'x') + "\r\n\r\n"},
             {"HTTP/1.1 413", head + "Content-Length: 100001\r\n\r\n"},
-            // Half of the memory of 300,000 bytes may be used for bodies, and each body is counted twice.
+            // Requests may use 150,000 bytes, and each body is counted twice.
             {"HTTP/1.1 503", head + "Expect: 100-continue\r\nContent-Length: 90000\r\n\r\n"},
             {"HTTP/1.1 503", head + "Transfer-Encoding: chunked\r\n\r\n15f90\r\n" + std::string(90000, 'x') + "\r\n0\r\n\r\n"},
         };
