PlatformStore: Count the store's responses in the account of the memory

The store's responses (up to 16 MB a page, as text, as parsed document and as items, and all pages of a range at once) were outside of any account. Each call now reserves five times the body before it is read, keeps what the items need until they are dropped, and StoreLink::load keeps all its pages counted. A read that doesn't fit ends as no-room and is tried again with the usual delay; the response to a write that doesn't fit leaves its outcome unknown, as before.

responsesStayWithinTheMemory has no counterpart before: PlatformStore had no account.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -92,7 +92,7 @@
               log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason), LogImportance::Kept, bootNow());
           },
           notices_)
-    , store_(loop_, settings_.storeAddress_)
+    , store_(loop_, settings_.storeAddress_, memory_)
     , storeLink_(loop_,
                  store_,
                  view_,
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -207,6 +207,8 @@
 Task<bool> StoreLink::load()
 {
     std::vector<Platform::StoreItem> items;
+    // Memory of all pages until they are in the view.
+    std::vector<std::shared_ptr<MemoryReservation>> memory;
     Platform::Revision at = 0;
     std::string after;
     for (bool hasMore = true; hasMore;) {
@@ -220,6 +222,7 @@
         hasMore = page.hasMore_ && !page.items_.empty();
         after = page.items_.empty() ? std::string() : page.items_.back().key_;
         std::move(page.items_.begin(), page.items_.end(), std::back_inserter(items));
+        memory.push_back(std::move(page.memory_));
     }
     const TimePoint now = bootNow();
     recordContact(now);
--- a/Libraries/LibHttp/MemoryAccount.cpp
+++ b/Libraries/LibHttp/MemoryAccount.cpp
@@ -12,8 +12,8 @@
 constexpr std::uint64_t UsableTenths = 9;
 constexpr std::uint64_t Percent = 100;
 constexpr std::uint64_t CopiesOfBody = 2;
-// Base64 text, its parsed document, and the items decoded from it.
-constexpr std::uint64_t CopiesOfStoreBody = 4;
+// Base64 text, its parsed document, which takes three times as much for small items, and the items decoded from it.
+constexpr std::uint64_t CopiesOfStoreBody = 5;
 // So many unbounded responses leave room for another one.
 constexpr std::uint64_t MinResponses = 4;
 
--- a/Tests/LibGateway/TestFrontServer.cpp
+++ b/Tests/LibGateway/TestFrontServer.cpp
@@ -42,7 +42,7 @@
     MetricRegistry metrics_;
     std::shared_ptr<ServerNotices> notices_ = std::make_shared<ServerNotices>();
     StoreView view_{[](const std::string &, const std::string &) {}, notices_};
-    Platform::PlatformStore store_{loop_, "127.0.0.1:1"};
+    Platform::PlatformStore store_{loop_, "127.0.0.1:1", memory_};
     StoreLink storeLink_{loop_, store_, view_, member(), log_, {[] {}, [] {}}};
     PeerNetwork network_{loop_, HelloMessage{"edge-1", "1", "north"}, log_, {}};
     PlacementService placement_{loop_, "edge-1", "north", view_, network_, {}, notices_, log_};
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::uint64_t Capacity = 4'000'000;
+
 // Runs a task on the event loop until it completes and returns its result.
 template<typename T>
 T await(boost::asio::io_context &loop, Gateway::Task<T> task)
@@ -44,6 +46,7 @@
     CPPUNIT_TEST(leasesEndWithTheirKeys);
     CPPUNIT_TEST(faultsMapToOutcomes);
     CPPUNIT_TEST(unreadableItemDoesNotHideItsNeighbours);
+    CPPUNIT_TEST(responsesStayWithinTheMemory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,7 +128,7 @@
         // A write whose response was lost has still been applied.
         CPPUNIT_ASSERT_EQUAL(std::string("1"), standIn_.get("k" + std::to_string(static_cast<int>(PlatformStoreFault::LosesAnswers))));
         standIn_.setFault(PlatformStoreFault::None);
-        PlatformStore unreachableStore(loop_, "127.0.0.1:1");
+        PlatformStore unreachableStore(loop_, "127.0.0.1:1", memory_);
         CPPUNIT_ASSERT(await(loop_, unreachableStore.readRange("", "")).outcome_ == StoreOutcome::Unreachable);
     }
 
@@ -145,10 +148,38 @@
         CPPUNIT_ASSERT_EQUAL(standIn_.revision(), changes.at_);
     }
 
+    // Guards against the store's responses as the one holder of memory that nobody counts.
+    void responsesStayWithinTheMemory()
+    {
+        const auto before = standIn_.revision();
+        const std::string value(200'000, 'x');
+        standIn_.put("servers/a", value);
+        {
+            const auto page = await(loop_, store_.readRange("servers/", ""));
+            CPPUNIT_ASSERT(page.outcome_ == StoreOutcome::Done);
+            // The items remain counted; while they were read, the text and its document were, too.
+            CPPUNIT_ASSERT(memory_.reserved() >= value.size());
+            CPPUNIT_ASSERT(memory_.reserved() < value.size() * 4 / 3);
+            CPPUNIT_ASSERT(memory_.peak() >= value.size() * 4);
+            const auto changes = await(loop_, store_.watch("", before, 1s, nullptr));
+            CPPUNIT_ASSERT(changes.outcome_ == StoreOutcome::Done);
+            CPPUNIT_ASSERT(memory_.reserved() >= 2 * value.size());
+            Gateway::MemoryReservation others(memory_, Gateway::MemoryHolder::StoreResponses);
+            CPPUNIT_ASSERT(others.tryReserve(Capacity - memory_.reserved() - value.size()));
+            CPPUNIT_ASSERT(await(loop_, store_.readRange("servers/", "")).outcome_ == StoreOutcome::NoRoom);
+            CPPUNIT_ASSERT(await(loop_, store_.watch("", before, 1s, nullptr)).outcome_ == StoreOutcome::NoRoom);
+            // A write is answered in few bytes.
+            CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("b", "1", 0))).outcome_ == StoreOutcome::Done);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), memory_.reserved());
+        CPPUNIT_ASSERT(await(loop_, store_.readRange("servers/", "")).outcome_ == StoreOutcome::Done);
+    }
+
 private:
     boost::asio::io_context loop_;
     PlatformStoreStandIn standIn_{0};
-    PlatformStore store_{loop_, standIn_.address()};
+    Gateway::MemoryAccount memory_{Capacity};
+    PlatformStore store_{loop_, standIn_.address(), memory_};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestPlatformStore);
