--- a/Libraries/LibGateway/FrontServer.h
+++ b/Libraries/LibGateway/FrontServer.h
@@ -15,11 +15,13 @@
 class FrontServer
 {
 public:
+    // At most `maxConnections` callers are connected at a time, and fewer if the memory account has no room for them.
     FrontServer(asio::io_context &loop,
                 const LoopDelayMeter &loopDelay,
                 const StoreView &view,
                 RequestFlow &flow,
-                BodyBudget &bodies,
+                MemoryAccount &memory,
+                std::size_t maxConnections,
                 EventLog &log,
                 MetricRegistry &metrics);
     ~FrontServer();
@@ -49,11 +51,18 @@
 private:
     friend class FrontSession;
 
+    void accept(Tcp::socket socket);
+    // Answers a connection that cannot be served with 503 and closes it at once, so that it costs nothing.
+    void refuse(Tcp::socket socket, const char *reason);
+    // Logs that a connection or request was lost for memory, and counts it.
+    void reportRefusal(MemoryHolder holder);
+
     asio::io_context &loop_;
     const LoopDelayMeter &loopDelay_;
     const StoreView &view_;
     RequestFlow &flow_;
-    BodyBudget &bodies_;
+    MemoryAccount &memory_;
+    std::size_t maxConnections_;
     EventLog &log_;
     MetricRegistry &metrics_;
     Listener listener_;
