LibGateway: Renew keys under a new entry while an earlier write is in doubt and nobody else has granted

Cause: the outcome of an assignment's write of just before the first outage was unknown. In the gap the granter claimed its entry again at once, but it adopts a new entry only when the outcome is known, which takes the store. Its log shows the entry's revision of before (23) with a store revision of 36, and its keys ran out 3.2 s after the last grant.

Change: while a write is in doubt, a granter renews under the new entry too, if the stored assignment is its own: had another instance granted since, the assignment would be that one's. It still plans nothing before the outcome is known.

--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -157,8 +157,11 @@
     if (coordinator != nullptr) {
         adoptAssignment(*coordinator, now);
     }
-    // Another instance may have granted since. The outcome of a write has to be known first.
-    const bool isAdopted = coordinator == nullptr || coordinator->revision_ == coordinatorRevision_;
+    // Another instance may have granted since. While the outcome of a write is unknown, the stored assignment shows whether one has.
+    const auto *stored = view_.assignment(service_);
+    const bool isLast = isLastGranter(instance_, stored == nullptr ? nullptr : &stored->assignment_);
+    const bool isInDoubt = isWriting_ || isReloading_;
+    const bool isAdopted = coordinator == nullptr || coordinator->revision_ == coordinatorRevision_ || (isInDoubt && isLast);
     if (!granter_ || !isAdopted) {
         return;
     }
--- a/Tests/LibPlacement/TestSuccession.cpp
+++ b/Tests/LibPlacement/TestSuccession.cpp
@@ -462,7 +462,8 @@
                 instance.storedRevision_ = store_.assignmentRevision_;
                 startGranter(index, store_.assignment_, now_);
             }
-            return instance.granter_ && (isVacant ? isLast : instance.granterEntryRevision_ == instance.view_.entry_.revision_);
+            const bool isAdopted = !isVacant && instance.granterEntryRevision_ == instance.view_.entry_.revision_;
+            return instance.granter_ && (isAdopted || (isLast && (isVacant || instance.isWriteInDoubt_)));
         }
         if (isVacant) {
             return instance.granter_ && isLast;
