--- a/Tests/OnPlatform/TestViewExchange.cpp
+++ b/Tests/OnPlatform/TestViewExchange.cpp
@@ -28,8 +28,9 @@
     std::string routes;
     for (int i = 0; routes.size() < bytes; ++i) {
         const auto number = std::to_string(i);
-        routes += R"({"resourceType":"routes","metadata":{"name":"r-extra-)" + number + R"("},"spec":{"host":"plain.example","prefix":"/extra)" + number
-            + R"(/","kind":"idempotent","timeoutS":2,"aimS":0.3,"priority":1,"service":"plain","maxAttempts":2}},)";
+        routes.append(R"({"resourceType":"routes","metadata":{"name":"r-extra-)").append(number);
+        routes.append(R"("},"spec":{"host":"plain.example","prefix":"/extra)").append(number);
+        routes.append(R"(/","kind":"idempotent","timeoutS":2,"aimS":0.3,"priority":1,"service":"plain","maxAttempts":2}},)");
     }
     return routes;
 }
