FrontServer: Remove what the account of the memory has replaced

The sum of the sessions' unparsed bytes has no reader since the account holds it; TestViewRelay gives the store client an account.

--- a/Libraries/LibGateway/FrontServer.cpp
+++ b/Libraries/LibGateway/FrontServer.cpp
@@ -83,15 +83,6 @@
     log_.write(makeRefusalLine(memory_, holder), LogImportance::Sampled, bootNow());
 }
 
-std::size_t FrontServer::inputBytes() const
-{
-    std::size_t bytes = 0;
-    for (const auto &session : sessions_) {
-        bytes += session->inputBytes();
-    }
-    return bytes;
-}
-
 void FrontServer::beginStop()
 {
     isStopping_ = true;
--- a/Libraries/LibGateway/FrontServer.h
+++ b/Libraries/LibGateway/FrontServer.h
@@ -45,8 +45,6 @@
     {
         return sessions_.size();
     }
-    // Bytes received from callers and not parsed yet.
-    std::size_t inputBytes() const;
 
 private:
     friend class FrontSession;
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::uint64_t MemoryCapacity = 64U << 20U;
+
 constexpr std::size_t ViewItems = 300;
 constexpr std::size_t ItemBytes = 1000;
 
@@ -89,7 +91,8 @@
     EventLog log_{"edge-1"};
     std::shared_ptr<ServerNotices> notices_ = std::make_shared<ServerNotices>();
     StoreView view_{[](const std::string &, const std::string &) {}, notices_};
-    Platform::PlatformStore store_{loop_, "127.0.0.1:1"};
+    MemoryAccount memory_{MemoryCapacity};
+    Platform::PlatformStore store_{loop_, "127.0.0.1:1", memory_};
     StoreLink storeLink_{loop_, store_, view_, MemberEntry{"edge-1", "1", "127.0.0.1:1", "north", 100}, log_, {}};
     PeerNetwork network_{loop_, HelloMessage{"edge-1", "1", "north"}, log_, makeHandlers(), limits_};
     ViewRelay relay_{"edge-1", "north", view_, storeLink_, network_, notices_, log_};
