RequestFlow: Look at the deadline and at the caller immediately before a request is sent

The exchange now asks, immediately before it writes, whether the request may be sent; if not, nothing has been sent and the caller gets a true 503. No test of its own: the order of handlers could not be forced through real processes (a trial with 200 callers that leave while the process stands still sent none before either).

--- a/Libraries/LibGateway/PlacementService.h
+++ b/Libraries/LibGateway/PlacementService.h
@@ -34,6 +34,19 @@
     {
         return isAbandoned_;
     }
+    // Sets how to ask the connection whether the caller has closed it.
+    void setConnectionCheck(std::function<bool()> hasCallerLeft)
+    {
+        connectionCheck_ = std::move(hasCallerLeft);
+    }
+    // Whether the caller has disconnected, also if the event loop has yet to handle that. Then the request is abandoned.
+    bool hasCallerLeft()
+    {
+        if (!isAbandoned_ && connectionCheck_ && connectionCheck_()) {
+            abandon();
+        }
+        return isAbandoned_;
+    }
     // Sets what is called if the caller disconnects; an empty function clears it.
     void setOnAbandon(std::function<void()> handler)
     {
@@ -44,6 +57,7 @@
     MemoryReservation responseReservation_;
     bool isAbandoned_ = false;
     std::function<void()> onAbandon_;
+    std::function<bool()> connectionCheck_;
 };
 
 // Owns the server pools of all services and exchanges messages with their coordinators. A request is queued here until it is placed or
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -294,6 +294,9 @@
     options.correlationId_ = progress.headers_.requestId_;
     options.bodyReservation_ = &progress.control_->responseReservation();
     options.maxResponseBody_ = options.bodyReservation_->account().maxResponseBody();
+    options.maySend_ = [&progress] {
+        return bootNow() < progress.deadline_ && !progress.control_->hasCallerLeft();
+    };
     auto handle = std::make_shared<ExchangeHandle>();
     progress.control_->setOnAbandon([handle, isIdempotent] {
         // A non-idempotent request continues without its caller once a server may have started it.
--- a/Libraries/LibHttp/Asio.cpp
+++ b/Libraries/LibHttp/Asio.cpp
@@ -59,6 +59,14 @@
     socket.set_option(asio::socket_base::linger(true, 0), error);
 }
 
+bool isClosedByPeer(Tcp::socket &socket)
+{
+    char byte = 0;
+    const auto read = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool isSilent = read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return read <= 0 && !isSilent;
+}
+
 Task<void> sleepFor(asio::io_context &loop, Duration duration)
 {
     asio::steady_timer timer(loop, std::chrono::microseconds(duration));
--- a/Libraries/LibHttp/Asio.h
+++ b/Libraries/LibHttp/Asio.h
@@ -56,6 +56,9 @@
 // not arrive after the sender has given up.
 void resetOnClose(Tcp::socket &socket);
 
+// Whether the peer has closed the connection, or it has failed, and no bytes are left to read.
+bool isClosedByPeer(Tcp::socket &socket);
+
 // Suspends the coroutine for the given duration.
 Task<void> sleepFor(asio::io_context &loop, Duration duration);
 
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -242,9 +242,15 @@
         result.outcome_ = handle->isCancelled() ? ExchangeOutcome::Cancelled : ExchangeOutcome::NotSent;
         co_return result;
     }
+    const Duration timeLeft = options.timeout_ - (bootNow() - startedAt);
+    if (timeLeft <= Duration::zero() || (options.maySend_ && !options.maySend_())) {
+        closeStream(*stream);
+        result.outcome_ = ExchangeOutcome::NotSent;
+        co_return result;
+    }
     handle->stream_ = stream;
     handle->isSent_ = true;
-    stream->expires_after(std::chrono::microseconds(std::max<Duration>(1ms, options.timeout_ - (bootNow() - startedAt))));
+    stream->expires_after(std::chrono::microseconds(timeLeft));
     ErrorCode error;
     co_await http::async_write(*stream, request, redirectErrorTo(error));
     // A server may respond and close before it has read the whole request, so the response is read even after a failed write.
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -85,6 +85,8 @@
     std::string correlationId_;
     // A response with a longer body is Malformed.
     std::uint64_t maxResponseBody_ = 64U << 10U;
+    // Asked immediately before the request is written; if it returns false, the request is not sent. Null if it may always be sent.
+    std::function<bool()> maySend_;
     // Reservation for the memory of the response body; its account also has the bytes that are not parsed. Nothing is counted if null. Must
     // outlive the exchange.
     MemoryReservation *bodyReservation_ = nullptr;
