--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -121,6 +121,8 @@
         } else if (idle < limit) {
             self->startIdleTimer(limit - idle);
         } else {
+            // A request may have arrived, so that the connection stays.
+            self->startIdleTimer(limit);
             self->closeIfIdle();
         }
     });
@@ -225,8 +227,13 @@
             co_return error;
         }
         const TimePoint now = bootNow();
-        const TimePoint earliest = now - server_.loopDelay_.delay(now);
-        receivedAt_ = isWaiting && !exchanges_.empty() ? pausedAt : isWaiting ? earliest : std::max(startedAt, earliest);
+        if (isWaiting && !exchanges_.empty()) {
+            receivedAt_ = pausedAt;
+        } else {
+            // A caller that waits for its responses has not sent this request before the last one.
+            const TimePoint silentUntil = isWaiting ? TimePoint() : exchanges_.empty() ? std::max(startedAt, idleSince_) : startedAt;
+            receivedAt_ = std::max(silentUntil, now - server_.loopDelay_.delay(now));
+        }
     }
     isEndingIdle_ = false;
     co_return ErrorCode();
@@ -286,7 +293,8 @@
     ErrorCode error;
     parser.eager(false);
     startReadTimer(limits_.headerTimeout_);
-    while (!error && !parser.is_header_done()) {
+    while (!error && !parser.is_header_done() && !hasReadTimedOut_) {
+        stream_.expires_never();
         error = co_await buffer_.readSome(stream_, parser, maxInputBytes());
     }
     stopReadTimer();
@@ -324,8 +332,10 @@
 {
     ErrorCode error;
     const std::uint64_t headCost = requestCost(parser.get());
-    while (!error && !parser.is_done()) {
+    while (!error && !parser.is_done() && !hasReadTimedOut_) {
         startReadTimer(limits_.idleTimeout_);
+        // A response that is being written sets the stream's time limit for reads too.
+        stream_.expires_never();
         error = co_await buffer_.readSome(stream_, parser, maxInputBytes());
         if (!error && !reservation.tryReserveBody(parser.get().body().size(), headCost)) {
             error = asio::error::no_memory;
@@ -341,7 +351,7 @@
     readTimer_.async_wait([self = shared_from_this()](ErrorCode error) {
         // The timer may have been set anew or stopped after its handler was queued.
         const bool isOver = !error && asio::steady_timer::clock_type::now() >= self->readTimer_.expiry();
-        if (!isOver || self->isEnded_ || self->isCallerDisconnected_) {
+        if (!isOver || self->isEnded_ || self->isCallerDisconnected_ || self->hasReadTimedOut_) {
             return;
         }
         self->hasReadTimedOut_ = true;
@@ -398,6 +408,10 @@
             return;
         }
         exchange->isStarted_ = true;
+        exchange->control_->setConnectionCheck([weak = weak_from_this()] {
+            const auto self = weak.lock();
+            return !self || isClosedByPeer(self->stream_.socket());
+        });
         spawn(server_.loop_, server_.log_, "request", [self = shared_from_this(), exchange] {
             return self->run(exchange);
         });
--- a/Libraries/LibGateway/FrontSession.h
+++ b/Libraries/LibGateway/FrontSession.h
@@ -21,11 +21,6 @@
     void start();
     // Closes the connection unless a request is in progress or being read.
     void closeIfIdle();
-    // Memory that holds bytes received and not parsed yet.
-    std::size_t inputBytes() const
-    {
-        return buffer_.capacity();
-    }
 
 private:
     using Parser = http::request_parser<http::string_body>;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -315,10 +315,11 @@
 Task<void> Gateway::tick()
 {
     for (;;) {
-        loopDelay_.expect(bootNow() + TickInterval);
         co_await sleepFor(loop_, TickInterval);
         const TimePoint now = bootNow();
         loopDelay_.record(now);
+        // The work of this function delays the next firing, and other handlers alike.
+        loopDelay_.expect(now + TickInterval);
         checkForSuspension(now);
         if (view_.removeExpired(now)) {
             viewChanged();
@@ -459,9 +460,8 @@
     co_await sleepFor(loop_, ReadinessPropagationTime);
     const TimePoint endsAt = startedAt + settings_.gracePeriod_ - StopMargin;
     flow_.rejectAfter(endsAt);
-    front_.closeIdle();
     // Also waits for requests that are being read, and until callers have received their last response.
-    while (front_.connectionCount() > 0 && bootNow() < endsAt) {
+    for (front_.closeIdle(); front_.connectionCount() > 0 && bootNow() < endsAt; front_.closeIdle()) {
         co_await sleepFor(loop_, TickInterval);
     }
     network_.stop();
