--- a/Tests/OnPlatform/TestMemory.cpp
+++ b/Tests/OnPlatform/TestMemory.cpp
@@ -19,7 +19,6 @@
 // Descriptors of the test program for everything but these callers.
 constexpr std::size_t OtherDescriptors = 300;
 constexpr Duration Patience = 4s;
-constexpr auto PollInterval = std::chrono::milliseconds(50);
 constexpr std::size_t ExtensionBytes = 100'000;
 // Just below the configured 100,000 of a body and 4,096 of a head.
 constexpr std::size_t BodyBytes = 99'000;
--- a/Tests/Platform/TestDocuments.cpp
+++ b/Tests/Platform/TestDocuments.cpp
@@ -59,7 +59,7 @@
     std::string text;
     for (const auto &[name, written] : fields) {
         if (!written.empty()) {
-            text += (text.empty() ? "" : ",") + ("\"" + name + "\":") + written;
+            text.append(text.empty() ? "" : ",").append("\"").append(name).append("\":").append(written);
         }
     }
     return "{" + text + "}";
@@ -165,7 +165,7 @@
     void unusableServerEntriesAreRefused()
     {
         for (const std::string &text : {std::string(),
-                                        std::string("\xff\xfe\x00"),
+                                        std::string("\xff\xfe\x00", 3),
                                         std::string("{}"),
                                         std::string("7"),
                                         std::string(R"({"service":"one"})"),
