LoopDelay: Take the first firing to have no delay

TestLoopDelay::firstFiringWithoutAnExpectationHasNoDelay checks it; its condition was false for the code before.

--- a/Libraries/LibGateway/LoopDelay.h
+++ b/Libraries/LibGateway/LoopDelay.h
@@ -20,7 +20,7 @@
     // The timer's handler runs.
     void record(TimePoint now)
     {
-        lastDelay_ = std::max<Duration>(Duration::zero(), now - dueAt_);
+        lastDelay_ = dueAt_ == TimePoint() ? Duration::zero() : std::max<Duration>(Duration::zero(), now - dueAt_);
     }
     // The delay of the last firing, or that of the next one if it is already greater.
     Duration delay(TimePoint now) const
--- a/Tests/LibGateway/TestLoopDelay.cpp
+++ b/Tests/LibGateway/TestLoopDelay.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(TestLoopDelay);
     CPPUNIT_TEST(delayIsThatOfTheLastTimer);
     CPPUNIT_TEST(overdueTimerCountsBeforeItFires);
+    CPPUNIT_TEST(firstFiringWithoutAnExpectationHasNoDelay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -28,6 +29,17 @@
         CPPUNIT_ASSERT(meter.delay(start + 185ms) == Duration::zero());
     }
 
+    // Guards against an instance that takes its first requests to be as old as the system.
+    void firstFiringWithoutAnExpectationHasNoDelay()
+    {
+        const TimePoint start(std::chrono::hours(1));
+        LoopDelayMeter meter;
+        meter.record(start);
+        CPPUNIT_ASSERT(meter.delay(start) == Duration::zero());
+        meter.expect(start + 50ms);
+        CPPUNIT_ASSERT(meter.delay(start + 1ms) == Duration::zero());
+    }
+
     void overdueTimerCountsBeforeItFires()
     {
         const TimePoint start(std::chrono::hours(1));
