LibGateway: Tell when a change took effect and how old the view was

So the hypotheses about late changes could not be told apart.

Lines about changes of state now have a rate limit of their own. Those about configurations and leaving servers have the age of the view that the change was applied to and the loop's delay; view-from-peer tells how long the instance had been behind and had asked; loop-late is new. The same figures are histograms.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -67,14 +67,14 @@
     }
     for (const auto &service : coordinated) {
         if (!placement_.isCoordinating(service)) {
-            log_.write(LogLine("coordinating").add("service", service).add("storeRevision", view_.at()), LogImportance::Kept, now);
+            log_.write(LogLine("coordinating").add("service", service).add("storeRevision", view_.at()), LogImportance::State, now);
         }
     }
     std::erase_if(shards_, [&](const auto &entry) {
         if (coordinated.contains(entry.first)) {
             return false;
         }
-        log_.write(LogLine("coordination-ended").add("service", entry.first).add("storeRevision", view_.at()), LogImportance::Kept, now);
+        log_.write(LogLine("coordination-ended").add("service", entry.first).add("storeRevision", view_.at()), LogImportance::State, now);
         entry.second->stop();
         return true;
     });
@@ -250,7 +250,8 @@
     coordinator.isYielding_ = true;
     for (;;) {
         const auto outcome = co_await commitCoordinator(service, expectedRevision, coordinator);
-        log_.write(LogLine("coordination-yielded").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::Kept, bootNow());
+        log_.write(
+            LogLine("coordination-yielded").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, bootNow());
         if (outcome != Platform::StoreOutcome::Unknown) {
             if (outcome == Platform::StoreOutcome::Refused || outcome == Platform::StoreOutcome::Unreachable) {
                 yielded_.erase(service);
@@ -303,7 +304,7 @@
     const bool hasPredecessorYielded = expectedRevision != 0;
     const CoordinatorEntry coordinator{self_, storeLink_.lease(), false, hasPredecessorYielded, 0};
     const auto outcome = co_await commitCoordinator(service, expectedRevision, coordinator);
-    log_.write(LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::Kept, bootNow());
+    log_.write(LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, bootNow());
     // The watch reports which instance won.
     co_await sleepFor(loop_, RankDelay);
     claiming_.erase(service);
--- a/Libraries/LibGateway/EventLog.cpp
+++ b/Libraries/LibGateway/EventLog.cpp
@@ -10,10 +10,25 @@
 
 constexpr std::uint32_t MaxSampledPerSecond = 10;
 constexpr std::uint32_t MaxKeptPerSecond = 120;
+// More than the servers of a failure domain that is taken out, each of which is one line.
+constexpr std::uint32_t MaxStatePerSecond = 250;
 constexpr std::size_t MaxPendingBytes = 256U << 10U;
 // A pipe that poll() reports as writable accepts this many bytes without blocking (PIPE_BUF).
 constexpr std::size_t MaxWrite = 4096;
 
+std::uint32_t maxPerSecond(LogImportance importance)
+{
+    switch (importance) {
+    case LogImportance::Sampled:
+        return MaxSampledPerSecond;
+    case LogImportance::Kept:
+        return MaxKeptPerSecond;
+    case LogImportance::State:
+        return MaxStatePerSecond;
+    }
+    return 0;
+}
+
 bool isWritable()
 {
     pollfd descriptor{STDOUT_FILENO, POLLOUT, 0};
@@ -26,13 +41,9 @@
 {
     if (now - secondStartedAt_ >= 1s) {
         secondStartedAt_ = now;
-        sampledInSecond_ = 0;
-        keptInSecond_ = 0;
-    }
-    if (importance == LogImportance::Sampled) {
-        return ++sampledInSecond_ <= MaxSampledPerSecond;
+        linesInSecond_.clear();
     }
-    return ++keptInSecond_ <= MaxKeptPerSecond;
+    return ++linesInSecond_[importance] <= maxPerSecond(importance);
 }
 
 void EventLog::write(const LogLine &line, LogImportance importance, TimePoint now)
--- a/Libraries/LibGateway/EventLog.h
+++ b/Libraries/LibGateway/EventLog.h
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 
 #include <deque>
+#include <map>
+#include <optional>
 #include <string>
 
 namespace Goldcrestwall::Gateway {
@@ -14,7 +16,10 @@
 enum class LogImportance {
     // One of many similar lines, limited to a low rate.
     Sampled,
+    // A line about one request or call.
     Kept,
+    // A change of what the instance believes or does. Many lines about requests do not displace it.
+    State,
 };
 
 // A log line: an event and its fields.
@@ -36,6 +41,11 @@
     {
         return add(name, std::chrono::duration<double, std::milli>(age).count());
     }
+    // Leaves the field out if there is no duration.
+    LogLine &addDuration(const char *name, std::optional<Duration> age)
+    {
+        return age ? addDuration(name, *age) : *this;
+    }
     const nlohmann::ordered_json &fields() const
     {
         return fields_;
@@ -83,8 +93,8 @@
     std::uint64_t droppedTotal_ = 0;
     std::uint64_t writtenBytes_ = 0;
     TimePoint secondStartedAt_;
-    std::uint32_t sampledInSecond_ = 0;
-    std::uint32_t keptInSecond_ = 0;
+    // Lines in this second, by importance.
+    std::map<LogImportance, std::uint32_t> linesInSecond_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -19,6 +19,8 @@
 // A longer gap between two ticks means that the process was suspended.
 constexpr Duration SuspensionGap = 600ms;
 constexpr Duration SettingsInterval = 1s;
+// Longer delays of the event loop are logged.
+constexpr Duration ReportedLoopDelay = 200ms;
 constexpr Duration MemoryInterval = 500ms;
 // The platform stops routing new callers to the instance within this time after it reports that it is not ready.
 constexpr Duration ReadinessPropagationTime = 3s;
@@ -145,7 +147,7 @@
 void Gateway::run()
 {
     const TimePoint now = bootNow();
-    log_.write(LogLine("started").add("incarnation", self_.incarnation_).add("domain", settings_.domain_), LogImportance::Kept, now);
+    log_.write(LogLine("started").add("incarnation", self_.incarnation_).add("domain", settings_.domain_), LogImportance::State, now);
     settingsChangedAt_ = modificationTime(options_.settingsPath_);
     tickedAt_ = now;
     storeLink_.start();
@@ -156,7 +158,7 @@
         return awaitSignals();
     });
     runLoop();
-    log_.write(LogLine("stopped"), LogImportance::Kept, bootNow());
+    log_.write(LogLine("stopped"), LogImportance::State, bootNow());
     log_.flush();
 }
 
@@ -248,7 +250,7 @@
     }
     const bool isReadyNow = isReady(bootNow());
     if (isReadyNow && !hasBeenReady_) {
-        log_.write(LogLine("ready").add("configuration", configurationVersion_).add("storeRevision", view_.at()), LogImportance::Kept, bootNow());
+        log_.write(LogLine("ready").add("configuration", configurationVersion_).add("storeRevision", view_.at()), LogImportance::State, bootNow());
     }
     hasBeenReady_ = hasBeenReady_ || isReadyNow;
     return makeStatusResponse(isReadyNow ? 200 : 503, {});
@@ -263,8 +265,10 @@
         log_.write(LogLine("configuration-in-force")
                        .add("version", configuration->version_)
                        .add("routes", configuration->routes_.size())
-                       .add("storeRevision", view_.at()),
-                   LogImportance::Kept,
+                       .add("storeRevision", view_.at())
+                       .addDuration("viewAgeMs", observeChangeAge("configuration", now))
+                       .addDuration("loopDelayMs", loopDelay_.delay(now)),
+                   LogImportance::State,
                    now);
     }
     relay_.announce(now);
@@ -274,6 +278,15 @@
     coordination_.run(isStopping_, now);
 }
 
+std::optional<Duration> Gateway::observeChangeAge(const char *change, TimePoint now)
+{
+    const auto age = storeLink_.viewAge(now);
+    if (age) {
+        metrics_.observe("goldcrestwall_change_age_seconds", {{"change", change}}, *age);
+    }
+    return age;
+}
+
 void Gateway::reportServerChange(const ServerChange &change, TimePoint now)
 {
     LogLine line(change.notice_ ? "server-leaving" : "server-ready-again");
@@ -283,9 +296,11 @@
             .add("from", noticeSourceName(change.notice_->source_))
             .add("revision", change.notice_->revision_)
             .addDuration("bindsInMs", change.notice_->bindsFrom_ - now)
+            .addDuration("viewAgeMs", observeChangeAge("leaving", now))
+            .addDuration("loopDelayMs", loopDelay_.delay(now))
             .add("requestsThere", placement_.heldPlacementCount(change.server_.id_));
     }
-    log_.write(line.add("storeRevision", view_.at()), LogImportance::Kept, now);
+    log_.write(line.add("storeRevision", view_.at()), LogImportance::State, now);
 }
 
 void Gateway::reportLimitChange(const LimitChange &change, TimePoint now)
@@ -298,7 +313,7 @@
     if (change.before_) {
         line.add("rateBefore", change.before_->rate_).addDuration("knownForMs", now - change.before_->learntAt_);
     }
-    log_.write(line.add("requestsThere", placement_.heldPlacementCount(change.server_.id_)), LogImportance::Kept, now);
+    log_.write(line.add("requestsThere", placement_.heldPlacementCount(change.server_.id_)), LogImportance::State, now);
 }
 
 void Gateway::checkForSuspension(TimePoint now)
@@ -306,18 +321,39 @@
     const Duration gap = now - tickedAt_;
     tickedAt_ = now;
     if (gap > SuspensionGap) {
-        log_.write(LogLine("process-stood-still").addDuration("gapMs", gap), LogImportance::Kept, now);
+        log_.write(LogLine("process-stood-still").addDuration("gapMs", gap), LogImportance::State, now);
         storeLink_.invalidate();
         network_.resetLiveness();
     }
 }
 
+void Gateway::reportLoopDelay(TimePoint now)
+{
+    const Duration delay = loopDelay_.delay(now);
+    metrics_.observe("goldcrestwall_loop_delay_seconds", {}, delay);
+    const auto viewAge = storeLink_.viewAge(now);
+    if (viewAge) {
+        metrics_.observe("goldcrestwall_view_age_seconds", {}, *viewAge);
+    }
+    if (delay >= ReportedLoopDelay) {
+        log_.write(LogLine("loop-late")
+                       .addDuration("delayMs", delay)
+                       .addDuration("viewAgeMs", viewAge)
+                       .add("requests", front_.inFlightRequests())
+                       .add("callerConnections", front_.connectionCount())
+                       .add("waiting", placement_.queuedCount()),
+                   LogImportance::State,
+                   now);
+    }
+}
+
 Task<void> Gateway::tick()
 {
     for (;;) {
         co_await sleepFor(loop_, TickInterval);
         const TimePoint now = bootNow();
         loopDelay_.record(now);
+        reportLoopDelay(now);
         // The work of this function delays the next firing, and other handlers alike.
         loopDelay_.expect(now + TickInterval);
         checkForSuspension(now);
@@ -361,7 +397,7 @@
     }
     memoryCheckedAt_ = now;
     if (memoryLog_.isDue(readResidentBytes(), settings_.memoryBytes_)) {
-        log_.write(makeMemoryLine(memoryUse(), settings_.memoryBytes_), LogImportance::Kept, now);
+        log_.write(makeMemoryLine(memoryUse(), settings_.memoryBytes_), LogImportance::State, now);
     }
 }
 
@@ -421,14 +457,14 @@
     settingsChangedAt_ = modificationTime(options_.settingsPath_);
     const auto reading = Platform::readSettingsFile(options_.settingsPath_);
     for (const auto &problem : reading.problems_) {
-        log_.write(LogLine("settings-refused").add("setting", problem.name_).add("reason", problem.reason_), LogImportance::Kept, now);
+        log_.write(LogLine("settings-refused").add("setting", problem.name_).add("reason", problem.reason_), LogImportance::State, now);
     }
     if (!reading.problems_.empty()) {
         return;
     }
     const bool isChanged = reading.settings_ != settings_;
     const bool needsRestart = reading.settings_.callerAddress_ != settings_.callerAddress_ || reading.settings_.peerAddress_ != settings_.peerAddress_;
-    log_.write(LogLine("settings-reloaded").add("cause", cause).add("changed", isChanged).add("needsRestart", needsRestart), LogImportance::Kept, now);
+    log_.write(LogLine("settings-reloaded").add("cause", cause).add("changed", isChanged).add("needsRestart", needsRestart), LogImportance::State, now);
     settings_ = reading.settings_;
     memory_.setCapacity(MemoryAccount::capacityWithin(settings_.memoryBytes_));
     store_.setAddress(settings_.storeAddress_);
@@ -452,7 +488,7 @@
     // 3. Complete the requests in progress, and reject those that might not complete in time.
     // 4. Stop before the platform kills the process.
     const TimePoint startedAt = bootNow();
-    log_.write(LogLine("stopping").add("requests", front_.inFlightRequests()), LogImportance::Kept, startedAt);
+    log_.write(LogLine("stopping").add("requests", front_.inFlightRequests()), LogImportance::State, startedAt);
     front_.beginStop();
     spawn(loop_, log_, "leave", [this] {
         return unregister();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -43,11 +43,14 @@
     bool isReady(TimePoint now) const;
 
     void viewChanged();
+    // Observes how old the view is that a change is being applied to, and returns it.
+    std::optional<Duration> observeChangeAge(const char *change, TimePoint now);
     void reportServerChange(const ServerChange &change, TimePoint now);
     void reportLimitChange(const LimitChange &change, TimePoint now);
     // Runs all handlers until the loop is stopped.
     void runLoop();
     Task<void> tick();
+    void reportLoopDelay(TimePoint now);
     void checkForSuspension(TimePoint now);
     MemoryUse memoryUse() const;
     // Logs the memory by holder when it has grown.
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -225,7 +225,7 @@
         if (const auto known = outgoing_.find(address); known != outgoing_.end() && known->second.link_ == link) {
             known->second.link_.reset();
             known->second.hasReceived_ = false;
-            log_.write(LogLine("peer-lost").add("address", address), LogImportance::Kept, bootNow());
+            log_.write(LogLine("peer-lost").add("address", address), LogImportance::State, bootNow());
         }
     };
     auto link = std::make_shared<PeerLink>(loop_, stream.release_socket(), std::move(handlers), log_);
@@ -235,7 +235,7 @@
     link->send(self_);
     link->send(makePing(bootNow()));
     found->second.pingedAt_ = bootNow();
-    log_.write(LogLine("peer-connected").add("address", address), LogImportance::Kept, bootNow());
+    log_.write(LogLine("peer-connected").add("address", address), LogImportance::State, bootNow());
     handlers_.opened_(address, link);
 }
 
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -137,6 +137,7 @@
 {
     progress.headers_ = Platform::readCallerHeaders(request);
     progress.configuration_ = view_.configuration();
+    progress.viewAge_ = store_.viewAge(now);
     if (!progress.configuration_) {
         report_.ended(progress, 503, "no-configuration", now);
         return makeResponse(progress, 503, StartupRetryAfter);
--- a/Libraries/LibGateway/RequestProgress.h
+++ b/Libraries/LibGateway/RequestProgress.h
@@ -14,6 +14,8 @@
     TimePoint latencyObjectiveAt_;
     bool isCallerRetry_ = false;
     std::shared_ptr<const RoutingConfiguration> configuration_;
+    // How old the view was when the route was chosen, if known.
+    std::optional<Duration> viewAge_;
     const Route *route_ = nullptr;
     std::string service_;
     std::shared_ptr<RequestControl> control_;
--- a/Libraries/LibGateway/RequestReport.cpp
+++ b/Libraries/LibGateway/RequestReport.cpp
@@ -21,7 +21,7 @@
         metrics_.observe("goldcrestwall_request_seconds", {{"route", progress.route_->name_}}, now - progress.arrivedAt_);
     }
     if (progress.configuration_) {
-        line.add("configuration", progress.configuration_->version_);
+        line.add("configuration", progress.configuration_->version_).addDuration("viewAgeMs", progress.viewAge_);
     }
     line.add("storeRevision", view_.at()).addDuration("tookMs", now - progress.arrivedAt_);
     if (progress.headers_.key_) {
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -118,7 +118,7 @@
                    .add("predecessor", predecessor.instance_)
                    .add("predecessorYielded", hasYielded)
                    .addDuration("earlierStopInMs", stopAt - now),
-               LogImportance::Kept,
+               LogImportance::State,
                now);
 }
 
@@ -191,7 +191,7 @@
         isGranting_ = isGranting;
         const char *event = isGranting ? "granting" : "granting-ended";
         log_.write(LogLine(event).add("service", service_).add("coordinatorRevision", coordinatorRevision_).add("storeRevision", view_.at()),
-                   LogImportance::Kept,
+                   LogImportance::State,
                    now);
     }
 }
@@ -234,7 +234,7 @@
                    .add("outcome", Platform::storeOutcomeName(commit.outcome_))
                    .add("revision", commit.revision_)
                    .add("ranges", assignment.ranges_.size()),
-               LogImportance::Kept,
+               LogImportance::State,
                now);
     isWriting_ = false;
     if (isStopped_) {
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -60,6 +60,12 @@
     return isLoaded_ && (isFollowing_ || !isWatchFailing_) && now - confirmedAt() < ContactTimeout;
 }
 
+std::optional<Duration> StoreLink::viewAge(TimePoint now) const
+{
+    const TimePoint completeAt = isFollowing_ ? relayedAt_ : watchedAt_;
+    return completeAt == TimePoint() ? std::nullopt : std::make_optional(now - completeAt);
+}
+
 bool StoreLink::mayFollow(TimePoint now) const
 {
     return isLoaded_ && isRelayed_ && now - relayedAt_ < RelayTimeout;
@@ -88,6 +94,7 @@
 {
     leaseValidUntil_ = TimePoint();
     contactAt_ = TimePoint();
+    watchedAt_ = TimePoint();
     relayedAt_ = TimePoint();
 }
 
@@ -126,7 +133,7 @@
                 view_.setExpiryGrace(now + ExpiryGrace);
             }
         }
-        log_.write(line, LogImportance::Kept, now);
+        log_.write(line, LogImportance::State, now);
     }
     failingSince_ = TimePoint();
     contactAt_ = now;
@@ -139,7 +146,7 @@
     }
     if (isReachable_) {
         isReachable_ = false;
-        log_.write(LogLine("store-lost").add("call", call).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::Kept, now);
+        log_.write(LogLine("store-lost").add("call", call).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, now);
     }
 }
 
@@ -170,6 +177,9 @@
             view_.apply(changes.events_, changes.at_, now);
             if (!changes.events_.empty()) {
                 handlers_.changed_();
+            }
+            watchedAt_ = now;
+            if (!changes.events_.empty()) {
                 co_await sleepFor(loop_, WatchCoalescingDelay);
             }
             continue;
@@ -179,11 +189,11 @@
         isLoaded_ = false;
         if (isWatchStale_) {
             isWatchStale_ = false;
-            log_.write(LogLine("store-watch-outdated").add("revision", view_.at()).add("expected", expectedRevision_), LogImportance::Kept, now);
+            log_.write(LogLine("store-watch-outdated").add("revision", view_.at()).add("expected", expectedRevision_), LogImportance::State, now);
             continue;
         }
         if (changes.outcome_ == StoreOutcome::HistoryCompacted) {
-            log_.write(LogLine("store-history-gone").add("revision", view_.at()), LogImportance::Kept, now);
+            log_.write(LogLine("store-history-gone").add("revision", view_.at()), LogImportance::State, now);
             continue;
         }
         isWatchFailing_ = true;
@@ -196,12 +206,13 @@
 {
     if (!isFollowing_) {
         isFollowing_ = true;
-        log_.write(LogLine("store-watch-left-to-others").add("revision", view_.at()), LogImportance::Kept, bootNow());
+        log_.write(LogLine("store-watch-left-to-others").add("revision", view_.at()), LogImportance::State, bootNow());
     }
     const TimePoint now = bootNow();
     co_await sleepFor(loop_, relayedAt_ + RelayTimeout - now);
     if (!mayFollow(bootNow())) {
-        log_.write(LogLine("store-watch-resumed").add("revision", view_.at()).addDuration("viewAgeMs", bootNow() - relayedAt_), LogImportance::Kept, bootNow());
+        log_.write(
+            LogLine("store-watch-resumed").add("revision", view_.at()).addDuration("viewAgeMs", bootNow() - relayedAt_), LogImportance::State, bootNow());
     }
 }
 
@@ -250,8 +261,9 @@
     view_.replace(items, at, now);
     readAt_ = sentAt;
     log_.write(
-        LogLine("store-loaded").add("revision", at).add("items", items.size()).add("lateItems", view_.lateItemCount() - lateItems), LogImportance::Kept, now);
+        LogLine("store-loaded").add("revision", at).add("items", items.size()).add("lateItems", view_.lateItemCount() - lateItems), LogImportance::State, now);
     handlers_.changed_();
+    watchedAt_ = sentAt;
     co_return true;
 }
 
@@ -285,7 +297,7 @@
         if (renewal.outcome_ == StoreOutcome::LeaseEnded) {
             isRegistered_ = false;
             leaseValidUntil_ = TimePoint();
-            log_.write(LogLine("lease-lost").add("lease", lease_), LogImportance::Kept, now);
+            log_.write(LogLine("lease-lost").add("lease", lease_), LogImportance::State, now);
             handlers_.leaseLost_();
             continue;
         }
@@ -314,7 +326,7 @@
     leaseValidUntil_ = sentAt + lease.lifetime_;
     renewedAt_ = sentAt;
     isRegistered_ = true;
-    log_.write(LogLine("lease-granted").add("lease", lease_).add("revision", commit.revision_), LogImportance::Kept, now);
+    log_.write(LogLine("lease-granted").add("lease", lease_).add("revision", commit.revision_), LogImportance::State, now);
     co_return true;
 }
 
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -34,6 +34,9 @@
     {
         return isFollowing_ ? relayedAt_ : contactAt_;
     }
+    // How long ago the watch, a complete read or a peer last showed the view to be complete; nothing if none has since the start or a
+    // suspension. Unlike in `confirmedAt`, a renewal of the lease does not count. A change that is being applied is not older.
+    std::optional<Duration> viewAge(TimePoint now) const;
     // Whether this instance watches the store itself.
     bool isWatching() const
     {
@@ -112,6 +115,7 @@
     bool isStopping_ = false;
     bool isRegistered_ = false;
     TimePoint contactAt_;
+    TimePoint watchedAt_;
     TimePoint failingSince_;
     Platform::LeaseId lease_ = 0;
     TimePoint leaseValidUntil_;
--- a/Libraries/LibGateway/Tasks.cpp
+++ b/Libraries/LibGateway/Tasks.cpp
@@ -40,7 +40,7 @@
 
 void logUnexpected(EventLog &log, const char *task, const std::exception_ptr &failure)
 {
-    log.write(LogLine("unexpected-error").add("task", task).add("reason", reasonOf(failure)), LogImportance::Kept, bootNow());
+    log.write(LogLine("unexpected-error").add("task", task).add("reason", reasonOf(failure)), LogImportance::State, bootNow());
 }
 
 void spawn(asio::io_context &loop, EventLog &log, const char *name, TaskFunction task)
--- a/Libraries/LibGateway/ViewAsker.cpp
+++ b/Libraries/LibGateway/ViewAsker.cpp
@@ -40,6 +40,14 @@
     return address;
 }
 
+AskerTiming ViewAsker::timing(TimePoint now) const
+{
+    AskerTiming timing;
+    timing.behindFor_ = behindSince_ == TimePoint() ? Duration::zero() : now - behindSince_;
+    timing.askedFor_ = pending_ ? now - pending_->progressAt_ : Duration::zero();
+    return timing;
+}
+
 void ViewAsker::recordAnswer(const std::string &address)
 {
     if (pending_ && pending_->address_ == address) {
--- a/Libraries/LibGateway/ViewAsker.h
+++ b/Libraries/LibGateway/ViewAsker.h
@@ -37,6 +37,17 @@
     auto operator<=>(const OwnView &) const = default;
 };
 
+// How long this instance has been waiting for changes.
+struct AskerTiming
+{
+    // Since a peer was found to have a newer view; zero if none has.
+    Duration behindFor_ = Duration::zero();
+    // Since the present request, or since its answer last progressed; zero without one.
+    Duration askedFor_ = Duration::zero();
+
+    auto operator<=>(const AskerTiming &) const = default;
+};
+
 // Asks one peer at a time, one that has a newer view. A peer that does not answer is passed over for a while, and the next one is chosen
 // at random, so that many instances that start together do not all wait for the same peer.
 class ViewAsker
@@ -49,6 +60,7 @@
 
     // Returns the address of the peer to ask now, if any. To be called often, with the peers that respond.
     std::optional<std::string> choose(const std::vector<ViewSource> &sources, const OwnView &own, TimePoint now);
+    AskerTiming timing(TimePoint now) const;
     // An answer has been received.
     void recordAnswer(const std::string &address);
 
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -244,11 +244,19 @@
 
 bool ViewRelay::handleUpdate(const std::shared_ptr<PeerLink> &link, ViewUpdateMessage message, TimePoint now)
 {
+    const auto timing = asker_.timing(now);
     asker_.recordAnswer(link->address());
     if (message.at_ <= view_.at()) {
         return false;
     }
-    log_.write(LogLine("view-from-peer").add("peer", link->address()).add("revision", message.at_).add("known", view_.at()), LogImportance::Sampled, now);
+    log_.write(LogLine("view-from-peer")
+                   .add("peer", link->address())
+                   .add("revision", message.at_)
+                   .add("known", view_.at())
+                   .addDuration("behindForMs", timing.behindFor_)
+                   .addDuration("askedForMs", timing.askedFor_),
+               LogImportance::Sampled,
+               now);
     view_.apply(toViewUpdate(std::move(message)), now);
     return true;
 }
