--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -319,6 +319,7 @@
     }
     report.duration_ = now - startedAt;
     if (result.outcome_ == ExchangeOutcome::Answered) {
+        countResponse(result, kind);
         report.load_ = Platform::readLoad(result.response_);
         const auto announcement = announcements_.record(place.server(), result.response_, startedAt, now);
         if (report.outcome_ == PlacementOutcome::Answered && !announcement.hasLimitHeader_) {
@@ -346,6 +347,15 @@
     co_return step;
 }
 
+void RequestFlow::countResponse(const ExchangeResult &result, ResponseKind kind)
+{
+    metrics_.increment("goldcrestwall_server_responses_total",
+                       {{"kind", answerKindName(kind)},
+                        {"status", std::to_string(result.response_.result_int())},
+                        {"named", result.isCorrelated_ ? "yes" : "no"},
+                        {"connection", result.isNewConnection_ ? "new" : "kept"}});
+}
+
 RequestFlow::NextStep RequestFlow::replaceServer(RequestProgress &progress)
 {
     ++progress.replacements_;
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -51,6 +51,8 @@
     // Gives up a placement at a server that gets no requests, and tells the coordinator why.
     void withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now);
     PlacementRequest makePlacementRequest(const RequestProgress &progress) const;
+    // Counts what a server's response states, and by what it is known to be the response to its request.
+    void countResponse(const ExchangeResult &result, Platform::ResponseKind kind);
     // The request was not sent to the server that was chosen for it.
     static NextStep replaceServer(RequestProgress &progress);
     NextStep decideNextStep(RequestProgress &progress, const ExchangeResult &result, Platform::ResponseKind kind) const;
--- a/Libraries/LibGateway/RequestReport.cpp
+++ b/Libraries/LibGateway/RequestReport.cpp
@@ -58,7 +58,10 @@
                    .add("server", place.server_)
                    .add("outcome", progress.lastFailure_)
                    .add("status", result.outcome_ == ExchangeOutcome::Answered ? result.response_.result_int() : 0)
+                   .add("named", result.isCorrelated_)
                    .add("newConnection", result.isNewConnection_)
+                   .add("connection", result.connection_)
+                   .add("exchangesOnConnection", result.exchangesOnConnection_)
                    .add("placedBy", placementSourceName(place.source_))
                    .addDuration("tookMs", took),
                LogImportance::Kept,
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -97,7 +97,7 @@
     }
 }
 
-std::optional<HttpClient::IdleConnection> HttpClient::takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now)
+std::optional<HttpClient::Connection> HttpClient::takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now)
 {
     const auto found = idle_.find(address);
     if (found == idle_.end() || options.needsNewConnection_) {
@@ -106,12 +106,12 @@
     auto &connections = found->second;
     // The most recently used connection is the most likely to be open.
     for (auto index = connections.size(); index > 0; --index) {
-        IdleConnection idle = connections[index - 1];
+        Connection idle = connections[index - 1];
         if (options.needsCorrelatedConnection_ && !idle.isCorrelated_) {
             continue;
         }
         connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index) - 1);
-        if (now - idle.since_ < std::min(options.maxIdle_, idle.keepAlive_) && isOpenAndSilent(*idle.stream_)) {
+        if (now - idle.idleSince_ < std::min(options.maxIdle_, idle.keepAlive_) && isOpenAndSilent(*idle.stream_)) {
             return idle;
         }
         closeStream(*idle.stream_);
@@ -119,7 +119,7 @@
     return std::nullopt;
 }
 
-void HttpClient::storeIdle(const std::string &address, IdleConnection connection)
+void HttpClient::storeIdle(const std::string &address, Connection connection)
 {
     auto &connections = idle_[address];
     connection.stream_->expires_never();
@@ -133,8 +133,8 @@
 void HttpClient::closeIdle(TimePoint now)
 {
     for (auto &[address, connections] : idle_) {
-        std::erase_if(connections, [now](IdleConnection &idle) {
-            const bool isOver = now - idle.since_ >= idle.keepAlive_ || !isOpenAndSilent(*idle.stream_);
+        std::erase_if(connections, [now](Connection &idle) {
+            const bool isOver = now - idle.idleSince_ >= idle.keepAlive_ || !isOpenAndSilent(*idle.stream_);
             if (isOver) {
                 closeStream(*idle.stream_);
             }
@@ -146,11 +146,11 @@
     });
 }
 
-Task<std::shared_ptr<beast::tcp_stream>> HttpClient::connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle)
+Task<HttpClient::Connection> HttpClient::connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle)
 {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint) {
-        co_return nullptr;
+        co_return Connection();
     }
     auto stream = std::make_shared<beast::tcp_stream>(loop_);
     handle->stream_ = stream;
@@ -159,12 +159,14 @@
     co_await stream->async_connect(*endpoint, redirectErrorTo(error));
     if (error || handle->isCancelled()) {
         closeStream(*stream);
-        co_return nullptr;
+        co_return Connection();
     }
-    ++connectionCount_;
     configureSocket(stream->socket());
     resetOnClose(stream->socket());
-    co_return stream;
+    Connection connection;
+    connection.stream_ = std::move(stream);
+    connection.number_ = ++connectionCount_;
+    co_return connection;
 }
 
 Task<ErrorCode> HttpClient::readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation)
@@ -214,6 +216,7 @@
         const auto correlationId = options.correlationHeader_.empty() ? boost::string_view() : response[options.correlationHeader_];
         if (correlationId.empty() || correlationId == options.correlationId_) {
             result.outcome_ = ExchangeOutcome::Answered;
+            result.isCorrelated_ = !correlationId.empty();
             // A server that writes responses nobody is waiting for may be closing the connection, or write the next one there too.
             co_return !hasOtherResponse && response.keep_alive() && buffer.size() == 0 && !response.need_eof();
         }
@@ -233,11 +236,12 @@
     ExchangeResult result;
     const TimePoint startedAt = bootNow();
     const auto idle = takeIdle(address, options, startedAt);
-    auto stream = idle ? idle->stream_ : nullptr;
-    if (!stream) {
+    Connection connection = idle.value_or(Connection());
+    if (!idle) {
         result.isNewConnection_ = true;
-        stream = co_await connect(address, std::min(options.connectTimeout_, options.timeout_), handle);
+        connection = co_await connect(address, std::min(options.connectTimeout_, options.timeout_), handle);
     }
+    const auto stream = connection.stream_;
     if (!stream || handle->isCancelled()) {
         result.outcome_ = handle->isCancelled() ? ExchangeOutcome::Cancelled : ExchangeOutcome::NotSent;
         co_return result;
@@ -250,6 +254,8 @@
     }
     handle->stream_ = stream;
     handle->isSent_ = true;
+    result.connection_ = connection.number_;
+    result.exchangesOnConnection_ = ++connection.exchanges_;
     stream->expires_after(std::chrono::microseconds(timeLeft));
     ErrorCode error;
     co_await http::async_write(*stream, request, redirectErrorTo(error));
@@ -261,9 +267,10 @@
         co_return result;
     }
     if (result.outcome_ == ExchangeOutcome::Answered && isReusable && !error) {
-        const bool hasCorrelation = options.correlationHeader_.empty() || !result.response_[options.correlationHeader_].empty();
-        const bool isCorrelated = (!idle || idle->isCorrelated_) && hasCorrelation;
-        storeIdle(address, {std::move(stream), bootNow(), announcedKeepAlive(result.response_), isCorrelated});
+        connection.isCorrelated_ = connection.isCorrelated_ && (options.correlationHeader_.empty() || result.isCorrelated_);
+        connection.keepAlive_ = announcedKeepAlive(result.response_);
+        connection.idleSince_ = bootNow();
+        storeIdle(address, std::move(connection));
         co_return result;
     }
     if (result.outcome_ == ExchangeOutcome::Answered) {
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -37,6 +37,12 @@
     // Valid only if the outcome is Answered.
     HttpResponse response_;
     bool isNewConnection_ = false;
+    // Number of the connection, counted by the client from 1; 0 if there was none.
+    std::uint64_t connection_ = 0;
+    // How many exchanges the connection has had, with this one.
+    std::uint32_t exchangesOnConnection_ = 0;
+    // Whether the response had the correlation header.
+    bool isCorrelated_ = false;
     // The exchange timed out during a response of unknown length: an incomplete header, or a body without Content-Length.
     bool isUnbounded_ = false;
 };
@@ -115,25 +121,29 @@
 private:
     using ResponseParser = http::response_parser<http::string_body>;
 
-    struct IdleConnection
+    struct Connection
     {
+        // Null if there is no connection.
         std::shared_ptr<beast::tcp_stream> stream_;
-        TimePoint since_;
+        std::uint64_t number_ = 0;
+        std::uint32_t exchanges_ = 0;
+        // Since when it has been idle, and for how long it may be.
+        TimePoint idleSince_;
         Duration keepAlive_ = Duration::zero();
         // Whether all its responses have had the correlation header, if their exchanges asked for one.
         bool isCorrelated_ = true;
     };
 
     // Returns the idle connection to be used next, or nothing if there is none that is suitable and open.
-    std::optional<IdleConnection> takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now);
-    void storeIdle(const std::string &address, IdleConnection connection);
-    Task<std::shared_ptr<beast::tcp_stream>> connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle);
+    std::optional<Connection> takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now);
+    void storeIdle(const std::string &address, Connection connection);
+    Task<Connection> connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle);
     static Task<ErrorCode> readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation);
     // Reads responses up to the one to this request. Sets the outcome and the response; returns whether the connection is reusable.
     static Task<bool> readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result);
 
     asio::io_context &loop_;
-    std::map<std::string, std::deque<IdleConnection>> idle_;
+    std::map<std::string, std::deque<Connection>> idle_;
     std::uint64_t connectionCount_ = 0;
 };
 
