HttpClient: Send no request on a connection that has brought an unsuccessful response to its id

Callers were told 503 for bookings that had run. A response is matched by connection and request id, and the id names the request, not the send. What an instance knew of earlier sends lasted for one run of a request: when a caller repeated a rejected booking with its id at the same instance, the repeat took the connection used last, that of the rejection, and a copy of that rejection was the answer to the repeat, which ran.

Red before: TestConnections::copyOfARejectionIsNoAnswerToItsCallersRepeat, order-0 reported not to have run, 1 run; TestHttpClient:: copyOfARejectionIsNoAnswerToALaterSendOfItsRequest, expected 200, actual 503. Green now, with repeatedRejectionIsNoAnswerToTheNextSend and lateSecondAnswersReachNobody.

The connection itself now knows the ids that have had an unsuccessful response on it, and carries them no more, whichever run, server name or caller they come from; after 32 it is closed. This replaces ExchangeOptions::needsNewConnection_, which knew only the servers of one run, by their ids though connections are kept by address. Ruled out as a remedy: closing each connection after a rejection, since rejections are most frequent when new connections are dearest.

ScriptedServer in TestHttpClient served its connections one after the other, so that a second connection was answered only after the first had ended; it serves them at the same time now. copyOfAnUncorrelatedRejectionIsNoAnswerToWorkThatRunsOnce used one id for two requests where it asks that another request may use the connection; it has an id of its own now.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -287,8 +287,6 @@
     options.connectTimeout_ = ServerConnectTimeout;
     options.timeout_ = std::max<Duration>(1ms, progress.deadline_ + DeadlineGrace - startedAt);
     options.maxIdle_ = isIdempotent ? MaxIdleIdempotent : MaxIdleNonIdempotent;
-    // A retry at the same server has the request's id, as has a late copy of the rejection that it follows.
-    options.needsNewConnection_ = std::ranges::find(progress.servers_, place.server_) != progress.servers_.end();
     // Rejections may come without an id. A server that writes one once more must not make a request that has run look rejected.
     options.needsCorrelatedConnection_ = !isIdempotent;
     options.correlationHeader_ = Platform::RequestIdHeader;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -19,6 +19,9 @@
 constexpr Duration KeepAliveMargin = 1s;
 constexpr std::size_t MaxIdlePerAddress = 8;
 constexpr unsigned LowestFinalStatus = 200;
+constexpr unsigned LowestUnsuccessfulStatus = 300;
+// A connection that has brought so many unsuccessful responses is closed, so that its list of their ids stays short.
+constexpr std::size_t MaxUnsuccessfulIds = 32;
 
 // Closes a connection that has no exchange in progress.
 void closeStream(beast::tcp_stream &stream)
@@ -97,19 +100,36 @@
     }
 }
 
+bool HttpClient::Connection::mayCarry(const ExchangeOptions &options) const
+{
+    const bool hasHadId = !options.correlationId_.empty() && std::ranges::find(unsuccessfulIds_, options.correlationId_) != unsuccessfulIds_.end();
+    return !hasHadId && (isCorrelated_ || !options.needsCorrelatedConnection_);
+}
+
+bool HttpClient::Connection::record(const ExchangeOptions &options, const ExchangeResult &result, TimePoint now)
+{
+    isCorrelated_ = isCorrelated_ && (options.correlationHeader_.empty() || result.isCorrelated_);
+    keepAlive_ = announcedKeepAlive(result.response_);
+    idleSince_ = now;
+    if (!options.correlationId_.empty() && result.response_.result_int() >= LowestUnsuccessfulStatus) {
+        unsuccessfulIds_.push_back(options.correlationId_);
+    }
+    return unsuccessfulIds_.size() < MaxUnsuccessfulIds;
+}
+
 std::optional<HttpClient::Connection> HttpClient::takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now)
 {
     const auto found = idle_.find(address);
-    if (found == idle_.end() || options.needsNewConnection_) {
+    if (found == idle_.end()) {
         return std::nullopt;
     }
     auto &connections = found->second;
     // The most recently used connection is the most likely to be open.
     for (auto index = connections.size(); index > 0; --index) {
-        Connection idle = connections[index - 1];
-        if (options.needsCorrelatedConnection_ && !idle.isCorrelated_) {
+        if (!connections[index - 1].mayCarry(options)) {
             continue;
         }
+        Connection idle = std::move(connections[index - 1]);
         connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index) - 1);
         if (now - idle.idleSince_ < std::min(options.maxIdle_, idle.keepAlive_) && isOpenAndSilent(*idle.stream_)) {
             return idle;
@@ -266,10 +286,7 @@
         result.outcome_ = ExchangeOutcome::Cancelled;
         co_return result;
     }
-    if (result.outcome_ == ExchangeOutcome::Answered && isReusable && !error) {
-        connection.isCorrelated_ = connection.isCorrelated_ && (options.correlationHeader_.empty() || result.isCorrelated_);
-        connection.keepAlive_ = announcedKeepAlive(result.response_);
-        connection.idleSince_ = bootNow();
+    if (result.outcome_ == ExchangeOutcome::Answered && isReusable && !error && connection.record(options, result, bootNow())) {
         storeIdle(address, std::move(connection));
         co_return result;
     }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace Goldcrestwall::Gateway {
 
@@ -79,14 +80,12 @@
     Duration timeout_ = 1s;
     // An idle connection is reused only if it has been idle for less than this.
     Duration maxIdle_ = 4s;
-    // No idle connection is reused, because it may still bring a copy of a response that the correlation header cannot tell from the one to
-    // this request.
-    bool needsNewConnection_ = false;
     // No idle connection is reused that has brought a response without the correlation header: a copy of it would be taken for the response
     // to this request.
     bool needsCorrelatedConnection_ = false;
     // Name of the header that correlates responses with requests, and the value of this request. Responses with another value are
-    // skipped.
+    // skipped. An idle connection on which a request with this value has had another response than a success is not reused: the value names
+    // the request and not the send, so that it could not tell a copy of that response from the one to this send.
     std::string correlationHeader_;
     std::string correlationId_;
     // A response with a longer body is Malformed.
@@ -132,6 +131,12 @@
         Duration keepAlive_ = Duration::zero();
         // Whether all its responses have had the correlation header, if their exchanges asked for one.
         bool isCorrelated_ = true;
+        // Correlation ids of the requests that had another response than a success.
+        std::vector<std::string> unsuccessfulIds_;
+
+        bool mayCarry(const ExchangeOptions &options) const;
+        // Records the response to a request that was sent with these options. Returns whether the connection may be kept.
+        bool record(const ExchangeOptions &options, const ExchangeResult &result, TimePoint now);
     };
 
     // Returns the idle connection to be used next, or nothing if there is none that is suitable and open.
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -28,14 +28,15 @@
 public:
     ScriptedServer(asio::io_context &loop, std::vector<Script> scripts)
         : acceptor_(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()))
         , scripts_(std::move(scripts))
     {
-        asio::co_spawn(loop, serve(), asio::detached);
+        asio::co_spawn(loop, serve(loop), asio::detached);
     }
 
     std::string address() const
     {
-        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+        return address_;
     }
     std::size_t requestCount() const
     {
@@ -47,7 +48,7 @@
     }
 
 private:
-    Task<void> serve()
+    Task<void> serve(asio::io_context &loop)
     {
         for (const auto &script : scripts_) {
             ErrorCode error;
@@ -56,32 +57,39 @@
                 co_return;
             }
             ++connections_;
-            beast::flat_buffer buffer;
-            for (const auto &answer : script.responses_) {
-                HttpRequest request;
-                co_await http::async_read(socket, buffer, request, redirectErrorTo(error));
-                if (error) {
-                    break;
-                }
-                ++requests_;
-                co_await asio::async_write(socket, asio::buffer(answer), redirectErrorTo(error));
-            }
-            while (script.unbounded_ && !error) {
-                co_await asio::async_write(socket, asio::buffer(*script.unbounded_), redirectErrorTo(error));
-            }
-            if (script.isReset_) {
-                socket.set_option(asio::socket_base::linger(true, 0), error);
-            }
-            if (script.isClosed_ || script.isReset_) {
-                socket.close(error);
-            } else {
-                open_.push_back(std::move(socket));
-            }
+            asio::co_spawn(loop, run(std::move(socket), script), asio::detached);
         }
         acceptor_.close();
     }
 
+    Task<void> run(Tcp::socket socket, const Script &script)
+    {
+        ErrorCode error;
+        beast::flat_buffer buffer;
+        for (const auto &answer : script.responses_) {
+            HttpRequest request;
+            co_await http::async_read(socket, buffer, request, redirectErrorTo(error));
+            if (error) {
+                break;
+            }
+            ++requests_;
+            co_await asio::async_write(socket, asio::buffer(answer), redirectErrorTo(error));
+        }
+        while (script.unbounded_ && !error) {
+            co_await asio::async_write(socket, asio::buffer(*script.unbounded_), redirectErrorTo(error));
+        }
+        if (script.isReset_) {
+            socket.set_option(asio::socket_base::linger(true, 0), error);
+        }
+        if (script.isClosed_ || script.isReset_) {
+            socket.close(error);
+        } else {
+            open_.push_back(std::move(socket));
+        }
+    }
+
     Tcp::acceptor acceptor_;
+    std::string address_;
     std::vector<Script> scripts_;
     std::vector<Tcp::socket> open_;
     std::size_t requests_ = 0;
@@ -119,6 +127,7 @@
     CPPUNIT_TEST(responseCutOffAtAnyByteIsNoAnswer);
     CPPUNIT_TEST(connectionsAreKeptOnlyWhenClean);
     CPPUNIT_TEST(copyOfAnUncorrelatedRejectionIsNoAnswerToWorkThatRunsOnce);
+    CPPUNIT_TEST(copyOfARejectionIsNoAnswerToALaterSendOfItsRequest);
     CPPUNIT_TEST(closedConnectionIsNotReused);
     CPPUNIT_TEST(idleConnectionIsNotReusedAfterItsTimeout);
     CPPUNIT_TEST(unreachableServerIsReportedAsNotSent);
@@ -277,7 +286,13 @@
     }
 
     // Makes `count` exchanges in sequence with a server that runs the scripts.
-    std::vector<ExchangeResult> runExchanges(std::vector<Script> scripts, int count, ExchangeOptions options = makeOptions())
+    std::vector<ExchangeResult> runExchanges(std::vector<Script> scripts, int count, const ExchangeOptions &options = makeOptions())
+    {
+        return runExchanges(std::move(scripts), std::vector<ExchangeOptions>(static_cast<std::size_t>(count), options));
+    }
+
+    // Makes one exchange with each of the options.
+    std::vector<ExchangeResult> runExchanges(std::vector<Script> scripts, const std::vector<ExchangeOptions> &exchanges)
     {
         asio::io_context loop;
         ScriptedServer server(loop, std::move(scripts));
@@ -286,7 +301,7 @@
         asio::co_spawn(
             loop,
             [&]() -> Task<void> {
-                for (int i = 0; i < count; ++i) {
+                for (const auto &options : exchanges) {
                     results.push_back(co_await client.exchange(server.address(), makeRequest(), options, std::make_shared<ExchangeHandle>()));
                     co_await sleepFor(loop, 20ms);
                 }
@@ -374,8 +389,34 @@
         // A connection with correlated responses only is reused.
         CPPUNIT_ASSERT(results[2].outcome_ == ExchangeOutcome::Answered);
         CPPUNIT_ASSERT(!results[2].isNewConnection_);
-        // Work that may run again may use either connection.
-        CPPUNIT_ASSERT(!runExchanges({{{rejection, clean}, false}}, 2)[1].isNewConnection_);
+        // Another request that may run again may use either connection.
+        auto other = makeOptions();
+        other.correlationId_ = "2";
+        const auto otherClean = makeResponse("Id: 2\r\nContent-Length: 3\r\n", "abc");
+        CPPUNIT_ASSERT(!runExchanges({{{rejection, otherClean}, false}}, {makeOptions(), other})[1].isNewConnection_);
+    }
+
+    // Guards against a request that has run and is told rejected: its caller repeats it after a rejection, and a copy of that rejection, which
+    // has the same id, comes on the connection where the repeat is sent.
+    void copyOfARejectionIsNoAnswerToALaterSendOfItsRequest()
+    {
+        const std::string rejection = "HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n";
+        const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        const auto results = runExchanges({{{rejection, rejection + clean}, false}, {{clean, clean}, false}}, 3);
+        CPPUNIT_ASSERT_EQUAL(503U, results[0].response_.result_int());
+        CPPUNIT_ASSERT(results[1].outcome_ == ExchangeOutcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(200U, results[1].response_.result_int());
+        CPPUNIT_ASSERT(results[1].isNewConnection_);
+        // A success is no promise that a copy could break.
+        CPPUNIT_ASSERT(!results[2].isNewConnection_);
+        // Other requests may use the connection of a rejection: the id tells them from its copy.
+        auto other = makeOptions();
+        other.correlationId_ = "2";
+        const auto otherClean = makeResponse("Id: 2\r\nContent-Length: 3\r\n", "abc");
+        const auto others = runExchanges({{{rejection, rejection + otherClean}, false}}, {makeOptions(), other});
+        CPPUNIT_ASSERT(others[1].outcome_ == ExchangeOutcome::Answered);
+        CPPUNIT_ASSERT(!others[1].isNewConnection_);
+        CPPUNIT_ASSERT_EQUAL(200U, others[1].response_.result_int());
     }
 
     void closedConnectionIsNotReused()
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -285,7 +285,7 @@
 CallerAnswer Deployment::call(std::size_t instance, const CallerRequest &request)
 {
     CallerAnswer answer;
-    answer.requestId_ = "q" + std::to_string(nextRequest_++);
+    answer.requestId_ = request.requestId_.empty() ? "q" + std::to_string(nextRequest_++) : request.requestId_;
     try {
         Poco::Net::HTTPClientSession session("127.0.0.1", instances_.at(instance)->callerPort());
         session.setTimeout(Poco::Timespan(5, 0));
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -23,6 +23,8 @@
     std::string body_;
     std::optional<std::uint32_t> key_;
     Duration callerTimeout_ = 2s;
+    // Empty: each call gets an id of its own.
+    std::string requestId_ = {};
 };
 
 // The response that a caller receives.
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(serversThatNeverEndAreAvoided);
     CPPUNIT_TEST(lateSecondAnswersReachNobody);
     CPPUNIT_TEST(repeatedRejectionIsNoAnswerToTheNextSend);
+    CPPUNIT_TEST(copyOfARejectionIsNoAnswerToItsCallersRepeat);
     CPPUNIT_TEST(chunkExtensionWithoutEndIsRefused);
     CPPUNIT_TEST(bytesThatAreNoMessagesEndNoProcess);
     CPPUNIT_TEST_SUITE_END();
@@ -356,6 +357,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(20), served);
     }
 
+    // Guards against a booking that is told rejected and has run: its caller repeats it after a true rejection, and the server writes that
+    // rejection once more where the answer to the repeat is due.
+    void copyOfARejectionIsNoAnswerToItsCallersRepeat()
+    {
+        Deployment deployment(1);
+        deployment.putConfiguration(R"({"resourceType":"routes","metadata":{"name":"r-once"},"spec":{"host":"keyed.example","prefix":"/once/",
+            "kind":"non_idempotent","timeoutS":2,"aimS":0.3,"priority":1,"service":"sharded","maxAttempts":1}},)");
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.sharded(i).setFault(PlatformServerFault::RepeatsRejections);
+        }
+        CallerRequest order = makeBooking();
+        order.host_ = "keyed.example";
+        order.path_ = "/once/1";
+        std::size_t served = 0;
+        for (std::uint32_t i = 0; i < 20; ++i) {
+            order.key_ = i * 3000;
+            order.requestId_ = "order-" + std::to_string(i);
+            CPPUNIT_ASSERT_EQUAL(503, deployment.call(0, order).status_);
+            const auto repeated = deployment.call(0, order);
+            checkBookings(deployment, {repeated});
+            served += repeated.status_ == 200 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), served);
+    }
+
     // Guards against an instance that collects and scans one caller's line without end, and serves nobody meanwhile.
     void chunkExtensionWithoutEndIsRefused()
     {
