HttpClient: Take no bytes for a response that were there before the request

A connection that a server answers as it opens it (full, or with a copy of what it owed another) had its bytes taken for the response to the request written afterwards: a rejection without an id was a promise about a request that the server had yet to read. Red before: TestHttpClient::bytesBeforeTheRequestAreNoAnswer, expected not-sent, actual answered. The socket is looked at immediately before the write, on new connections too; if it has bytes or has ended, nothing is sent and the request is placed elsewhere.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -267,7 +267,9 @@
         co_return result;
     }
     const Duration timeLeft = options.timeout_ - (bootNow() - startedAt);
-    if (timeLeft <= Duration::zero() || (options.maySend_ && !options.maySend_())) {
+    const bool maySend = timeLeft > Duration::zero() && (!options.maySend_ || options.maySend_());
+    // What a server writes before the request is no response to it.
+    if (!maySend || !isOpenAndSilent(*stream)) {
         closeStream(*stream);
         result.outcome_ = ExchangeOutcome::NotSent;
         co_return result;
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -6,6 +6,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <thread>
+
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::Gateway;
 
@@ -128,6 +130,7 @@
     CPPUNIT_TEST(connectionsAreKeptOnlyWhenClean);
     CPPUNIT_TEST(copyOfAnUncorrelatedRejectionIsNoAnswerToWorkThatRunsOnce);
     CPPUNIT_TEST(copyOfARejectionIsNoAnswerToALaterSendOfItsRequest);
+    CPPUNIT_TEST(bytesBeforeTheRequestAreNoAnswer);
     CPPUNIT_TEST(closedConnectionIsNotReused);
     CPPUNIT_TEST(idleConnectionIsNotReusedAfterItsTimeout);
     CPPUNIT_TEST(unreachableServerIsReportedAsNotSent);
@@ -419,6 +422,36 @@
         CPPUNIT_ASSERT_EQUAL(200U, others[1].response_.result_int());
     }
 
+    // Guards against a response that was there before the request and is taken for the response to it.
+    void bytesBeforeTheRequestAreNoAnswer()
+    {
+        const std::string greeting = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n";
+        asio::io_context serverLoop;
+        Tcp::acceptor acceptor(serverLoop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        Tcp::socket socket(serverLoop);
+        std::jthread greeter([&] {
+            acceptor.accept(socket);
+            asio::write(socket, asio::buffer(greeting));
+        });
+        auto options = makeOptions();
+        options.maySend_ = [&greeter] {
+            greeter.join();
+            return true;
+        };
+        asio::io_context loop;
+        HttpClient client(loop);
+        ExchangeResult result;
+        asio::co_spawn(
+            loop,
+            [&]() -> Task<void> {
+                const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+                result = co_await client.exchange(address, makeRequest(), options, std::make_shared<ExchangeHandle>());
+            },
+            asio::detached);
+        loop.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("not-sent"), std::string(exchangeOutcomeName(result.outcome_)));
+    }
+
     void closedConnectionIsNotReused()
     {
         const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
