--- a/Libraries/LibGateway/FrontSession.cpp
+++ b/Libraries/LibGateway/FrontSession.cpp
@@ -410,7 +410,7 @@
         exchange->isStarted_ = true;
         exchange->control_->setConnectionCheck([weak = weak_from_this()] {
             const auto self = weak.lock();
-            return !self || isClosedByPeer(self->stream_.socket());
+            return !self || peekReadable(self->stream_.socket()) == ReadableState::Ended;
         });
         spawn(server_.loop_, server_.log_, "request", [self = shared_from_this(), exchange] {
             return self->run(exchange);
--- a/Libraries/LibHttp/Asio.cpp
+++ b/Libraries/LibHttp/Asio.cpp
@@ -59,12 +59,15 @@
     socket.set_option(asio::socket_base::linger(true, 0), error);
 }
 
-bool isClosedByPeer(Tcp::socket &socket)
+ReadableState peekReadable(Tcp::socket &socket)
 {
     char byte = 0;
     const auto read = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (read > 0) {
+        return ReadableState::HasBytes;
+    }
     const bool isSilent = read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    return read <= 0 && !isSilent;
+    return isSilent ? ReadableState::Silent : ReadableState::Ended;
 }
 
 Task<void> sleepFor(asio::io_context &loop, Duration duration)
--- a/Libraries/LibHttp/Asio.h
+++ b/Libraries/LibHttp/Asio.h
@@ -56,8 +56,18 @@
 // not arrive after the sender has given up.
 void resetOnClose(Tcp::socket &socket);
 
-// Whether the peer has closed the connection, or it has failed, and no bytes are left to read.
-bool isClosedByPeer(Tcp::socket &socket);
+// What can be read from a connection at present.
+enum class ReadableState {
+    // Nothing; the connection is open.
+    Silent,
+    // At least one byte.
+    HasBytes,
+    // Nothing any more: the peer has closed the connection, or it has failed.
+    Ended,
+};
+
+// Does not read anything.
+ReadableState peekReadable(Tcp::socket &socket);
 
 // Suspends the coroutine for the given duration.
 Task<void> sleepFor(asio::io_context &loop, Duration duration);
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -38,12 +38,10 @@
     stream.socket().close(error);
 }
 
-// Whether an idle connection is still open and has received no bytes.
+// Whether a connection without an exchange in progress is still open and has received no bytes.
 bool isOpenAndSilent(beast::tcp_stream &stream)
 {
-    char byte = 0;
-    const auto read = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return peekReadable(stream.socket()) == ReadableState::Silent;
 }
 
 // Returns the timeout of the Keep-Alive header, less the margin, or the default.
