HttpClient: Keep hashes of the ids on a connection, and test which ones it keeps

Ids may be as long as a head, eight connections an address keep up to 31 each and no account counts them: hashes instead, whose collision costs one connection.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -100,7 +100,8 @@
 
 bool HttpClient::Connection::mayCarry(const ExchangeOptions &options) const
 {
-    const bool hasHadId = !options.correlationId_.empty() && std::ranges::find(unsuccessfulIds_, options.correlationId_) != unsuccessfulIds_.end();
+    const auto id = std::hash<std::string>()(options.correlationId_);
+    const bool hasHadId = !options.correlationId_.empty() && std::ranges::find(unsuccessfulIds_, id) != unsuccessfulIds_.end();
     return !hasHadId && (isCorrelated_ || !options.needsCorrelatedConnection_);
 }
 
@@ -110,7 +111,7 @@
     keepAlive_ = announcedKeepAlive(result.response_);
     idleSince_ = now;
     if (!options.correlationId_.empty() && result.response_.result_int() >= LowestUnsuccessfulStatus) {
-        unsuccessfulIds_.push_back(options.correlationId_);
+        unsuccessfulIds_.push_back(std::hash<std::string>()(options.correlationId_));
     }
     return unsuccessfulIds_.size() < MaxUnsuccessfulIds;
 }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -131,8 +131,9 @@
         Duration keepAlive_ = Duration::zero();
         // Whether all its responses have had the correlation header, if their exchanges asked for one.
         bool isCorrelated_ = true;
-        // Correlation ids of the requests that had another response than a success.
-        std::vector<std::string> unsuccessfulIds_;
+        // Hashes of the correlation ids of the requests that had another response than a success. Ids may be long; two with the same hash cost
+        // a connection.
+        std::vector<std::size_t> unsuccessfulIds_;
 
         bool mayCarry(const ExchangeOptions &options) const;
         // Records the response to a request that was sent with these options. Returns whether the connection may be kept.
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -130,6 +130,7 @@
     CPPUNIT_TEST(connectionsAreKeptOnlyWhenClean);
     CPPUNIT_TEST(copyOfAnUncorrelatedRejectionIsNoAnswerToWorkThatRunsOnce);
     CPPUNIT_TEST(copyOfARejectionIsNoAnswerToALaterSendOfItsRequest);
+    CPPUNIT_TEST(connectionCarriesNoIdAgainThatItHasRejected);
     CPPUNIT_TEST(bytesBeforeTheRequestAreNoAnswer);
     CPPUNIT_TEST(closedConnectionIsNotReused);
     CPPUNIT_TEST(idleConnectionIsNotReusedAfterItsTimeout);
@@ -422,6 +423,37 @@
         CPPUNIT_ASSERT_EQUAL(200U, others[1].response_.result_int());
     }
 
+    // Guards against a connection that remembers too little of what it has brought: only the last id, only some statuses, or too few.
+    void connectionCarriesNoIdAgainThatItHasRejected()
+    {
+        constexpr int MostRejections = 32;
+        const auto respond = [](const std::string &id, unsigned status) {
+            return "HTTP/1.1 " + std::to_string(status) + " X\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n";
+        };
+        const auto with = [](const std::string &id) {
+            auto options = makeOptions();
+            options.correlationId_ = id;
+            return options;
+        };
+        for (const unsigned status : {400U, 408U, 421U, 429U, 500U, 503U}) {
+            const auto rejection = respond("a", status);
+            const Script first{{rejection, respond("b", 200), respond("c", status), rejection + respond("a", 200)}, false};
+            const auto results = runExchanges({first, {{respond("a", 200)}, false}}, {with("a"), with("b"), with("c"), with("a")});
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t(3), results[2].exchangesOnConnection_);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status), results[3].outcome_ == ExchangeOutcome::Answered && results[3].isNewConnection_);
+            CPPUNIT_ASSERT_EQUAL(200U, results[3].response_.result_int());
+        }
+        std::vector<ExchangeOptions> exchanges;
+        Script first{{}, false};
+        for (int i = 0; i <= MostRejections; ++i) {
+            exchanges.push_back(with(std::to_string(i)));
+            first.responses_.push_back(respond(std::to_string(i), 503));
+        }
+        const auto results = runExchanges({first, {{respond(std::to_string(MostRejections), 503)}, false}}, exchanges);
+        CPPUNIT_ASSERT(!results[MostRejections - 1].isNewConnection_);
+        CPPUNIT_ASSERT(results[MostRejections].isNewConnection_);
+    }
+
     // Guards against a response that was there before the request and is taken for the response to it.
     void bytesBeforeTheRequestAreNoAnswer()
     {
