CoordinationManager: Stay yielding while an earlier attempt to say so is in doubt

A granter that yields repeats its write while the outcome is unknown. If a later attempt was refused or could not be sent, it took back that it yields, though the first attempt may have been applied: its successor then counts no more grants from it, and it goes on granting. Class: a promise rests on an answer to another send.

RepeatedWrite follows the attempts: one without effect settles no earlier one in doubt. Red with the former rule in it: TestRepeatedWrite:: attemptWithoutEffectSettlesNoEarlierOne, write.record(outcome) == WriteState::InDoubt. TestLibGateway 55 of 55.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -248,14 +248,16 @@
 {
     const auto expectedRevision = coordinator.revision_;
     coordinator.isYielding_ = true;
+    RepeatedWrite write;
     for (;;) {
         const auto outcome = co_await commitCoordinator(service, expectedRevision, coordinator);
         log_.write(
             LogLine("coordination-yielded").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, bootNow());
-        if (outcome != Platform::StoreOutcome::Unknown) {
-            if (outcome == Platform::StoreOutcome::Refused || outcome == Platform::StoreOutcome::Unreachable) {
-                yielded_.erase(service);
-            }
+        const auto state = write.record(outcome);
+        if (state == WriteState::NotApplied) {
+            yielded_.erase(service);
+        }
+        if (state != WriteState::InDoubt) {
             co_return;
         }
         // Until the outcome is known, another instance may be about to take over.
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -1,6 +1,7 @@
 // Manages which services this instance coordinates.
 #pragma once
 
+#include <LibGateway/RepeatedWrite.h>
 #include <LibGateway/ShardService.h>
 
 namespace Goldcrestwall::Gateway {
