LibGateway: Look at the server again right before a request is written

Callers' requests could reach a server after it had said that it leaves, up to the time that a connection takes (at most 300 ms) and a turn of the loop later. RequestFlow::attempt asked decideSend once, before the exchange; maySend_, asked right before the write, looked at the deadline and the caller only. No line could show it: sentBeforeKnownMs counted from the decision and not from the write, so such a request looked as if it had been sent in time.

maySend_ asks decideSend, too, so what is known at the write decides, and no handler runs between that look and the write. A request that is kept back is given up and placed anew like one that is kept back before the attempt: nothing was written, so it has not run. request-withheld has attemptMs (0 if known when the attempt began), and sentBeforeKnownMs counts from the last look.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -259,7 +259,7 @@
     return decision;
 }
 
-void RequestFlow::withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now)
+void RequestFlow::withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint startedAt, TimePoint now)
 {
     PlacementReport report;
     // A removed entry may only have expired during a store outage, so the coordinator has to learn of that from the store.
@@ -272,14 +272,16 @@
     placement_.release(progress.service_, place, report, now);
     progress.withheldFrom_.push_back(place.server_);
     progress.lastFailure_ = sendVerdictName(decision.verdict_);
-    report_.withheld(progress, place, decision, now);
+    report_.withheld(progress, place, decision, now - startedAt, now);
 }
 
 Task<RequestFlow::NextStep> RequestFlow::attempt(const HttpRequest &request, RequestProgress &progress, const PlacementResult &place)
 {
     const TimePoint startedAt = bootNow();
-    if (const auto decision = decideSend(place, startedAt); !decision.isAllowed()) {
-        withhold(progress, place, decision, startedAt);
+    TimePoint sentAt = startedAt;
+    auto decision = decideSend(place, startedAt);
+    if (!decision.isAllowed()) {
+        withhold(progress, place, decision, startedAt, startedAt);
         co_return replaceServer(progress);
     }
     const bool isIdempotent = progress.isIdempotent();
@@ -295,8 +297,11 @@
     options.correlationId_ = progress.headers_.requestId_;
     options.bodyReservation_ = &progress.control_->responseReservation();
     options.maxResponseBody_ = options.bodyReservation_->account().maxResponseBody();
-    options.maySend_ = [&progress] {
-        return bootNow() < progress.deadline_ && !progress.control_->hasCallerLeft();
+    options.maySend_ = [this, &progress, &place, &decision, &sentAt] {
+        sentAt = bootNow();
+        // More may be known of the server than before it was connected to.
+        decision = decideSend(place, sentAt);
+        return decision.isAllowed() && sentAt < progress.deadline_ && !progress.control_->hasCallerLeft();
     };
     auto handle = std::make_shared<ExchangeHandle>();
     progress.control_->setOnAbandon([handle, isIdempotent] {
@@ -309,6 +314,10 @@
     auto result = co_await client_.exchange(place.address_, serverRequest, options, handle);
     progress.control_->setOnAbandon({});
     const TimePoint now = bootNow();
+    if (!decision.isAllowed()) {
+        withhold(progress, place, decision, startedAt, now);
+        co_return replaceServer(progress);
+    }
     const auto kind = result.outcome_ == ExchangeOutcome::Answered ? Platform::classifyResponse(result.response_) : ResponseKind::Unusable;
     PlacementReport report;
     report.outcome_ = toPlacementOutcome(result, kind);
@@ -329,8 +338,8 @@
         report.heldBackFor_ = announcement.retryAfter_.value_or(Duration::zero());
         report.namedLimit_ = announcement.limit_;
     }
-    if (const auto decision = announcements_.decide(place.server(), false, now); decision.notice_) {
-        report_.leavingServerResponded(progress, place, *decision.notice_, startedAt, now);
+    if (const auto present = announcements_.decide(place.server(), false, now); present.notice_) {
+        report_.leavingServerResponded(progress, place, *present.notice_, sentAt, now);
     }
     placement_.release(progress.service_, place, report, now);
     metrics_.observe("goldcrestwall_server_seconds", {{"service", progress.service_}}, report.duration_);
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -48,8 +48,8 @@
     Task<NextStep> attempt(const HttpRequest &request, RequestProgress &progress, const PlacementResult &place);
     // Whether the request may be sent to the server of its placement. Whoever chose the server may have known less than this instance.
     SendDecision decideSend(const PlacementResult &place, TimePoint now);
-    // Gives up a placement at a server that gets no requests, and tells the coordinator why.
-    void withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now);
+    // Gives up a placement at a server that gets no requests, and tells the coordinator why. `startedAt` is when the attempt began.
+    void withhold(RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint startedAt, TimePoint now);
     PlacementRequest makePlacementRequest(const RequestProgress &progress) const;
     // Counts what a server's response states, and by what it is known to be the response to its request.
     void countResponse(const ExchangeResult &result, Platform::ResponseKind kind);
--- a/Libraries/LibGateway/RequestReport.cpp
+++ b/Libraries/LibGateway/RequestReport.cpp
@@ -37,13 +37,13 @@
     log_.write(line, isSuccess ? LogImportance::Sampled : LogImportance::Kept, now);
 }
 
-void RequestReport::withheld(const RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, TimePoint now)
+void RequestReport::withheld(const RequestProgress &progress, const PlacementResult &place, const SendDecision &decision, Duration attempt, TimePoint now)
 {
     metrics_.increment("goldcrestwall_requests_withheld_total", {{"service", progress.service_}, {"verdict", sendVerdictName(decision.verdict_)}});
     LogLine line("request-withheld");
     line.add("request", progress.headers_.requestId_).add("server", place.server_).add("incarnation", place.startTime_);
     line.add("verdict", sendVerdictName(decision.verdict_)).add("placedBy", placementSourceName(place.source_));
-    line.add("placedAtRevision", place.revision_).add("storeRevision", view_.at());
+    line.add("placedAtRevision", place.revision_).add("storeRevision", view_.at()).addDuration("attemptMs", attempt);
     if (decision.notice_) {
         line.add("reason", leavingReasonName(decision.notice_->reason_)).add("from", noticeSourceName(decision.notice_->source_));
         line.add("leavingRevision", decision.notice_->revision_).addDuration("knownForMs", now - decision.notice_->learntAt_);
