LibGateway, LibPlacement: Compare a server's late writes with its sign, wherever its entry is

A server that had left could get requests again: a write of the same run with a lower sequence, carried out by the store after the entry had been removed or overwritten by an unusable one, ended the sign "draining" or "removed". isOutdated looked only at the entry in force, and withdrawStoreSign takes any ready entry. Class: what is known of a run was kept with its entry, and went with it.

The store's sign has the highest sequence of the run's entries now, and an entry below it is outdated as long as the sign is there. A higher sequence, or another start time, is used as before. A server that does not state its start may be the next run, whose sequence starts anew, so there only an entry in force that says draining is compared, as before.

TestStoreView before the fix: olderDescriptionAppliedAfterTheRemovalDoesNotEndLeaving: assertion failed: notices_->isLeaving({"i-1", 5}, at(3)) olderDescriptionAppliedAfterAnUnusableEntryDoesNotEndLeaving: assertion failed: notices_->isLeaving({"i-1", 5}, at(1)) laterDescriptionAndNextRunAreUsedAfterTheRemoval passed before and passes now. TestStoreView 23 of 23 of these tests.

--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -315,14 +315,16 @@
 
 bool StoreView::isOutdated(const ServerDescription &description) const
 {
-    // A server's write whose response was lost may be applied after a later one.
-    const auto found = servers_.find(description.id_);
-    if (found == servers_.end()) {
+    // A server's write whose response was lost may be applied after a later one, also after its entry was removed. A server that does not
+    // state the start of its run may then be the next one, whose sequence starts anew.
+    const auto known = servers_.find(description.id_);
+    const bool isKnownDraining = known != servers_.end() && known->second.description_.state_ == ServerState::Draining;
+    if (description.startTime_ == 0 && !isKnownDraining) {
         return false;
     }
-    const auto &known = found->second.description_;
-    const bool isSameRun = known.startTime_ == description.startTime_;
-    return isSameRun && known.state_ == ServerState::Draining && description.sequence_ != 0 && description.sequence_ < known.sequence_;
+    const auto *signs = notices_->signs(description.incarnation());
+    const bool isLeaving = signs != nullptr && signs->store_;
+    return isLeaving && description.sequence_ != 0 && description.sequence_ < signs->store_->sequence_;
 }
 
 void StoreView::updateNotices(const ServerDescription &description, Revision revision, TimePoint now)
@@ -340,7 +342,7 @@
 
 void StoreView::recordLeaving(const ServerDescription &server, LeavingReason reason, Revision revision, TimePoint bindsFrom, TimePoint now)
 {
-    notices_->recordLeaving(server.incarnation(), {reason, source_, now, bindsFrom, revision}, now);
+    notices_->recordLeaving(server.incarnation(), {reason, source_, now, bindsFrom, revision, server.sequence_}, now);
 }
 
 void StoreView::decodeConfiguration(const StoreItem &item)
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -164,7 +164,7 @@
     void decode(const Platform::StoreItem &item, TimePoint now);
     void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
     void replaceItems(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
-    // Whether a server wrote the description before the one by which it is known to be leaving.
+    // Whether a server wrote the description before the last one of a run that is known to be leaving.
     bool isOutdated(const ServerDescription &description) const;
     void updateNotices(const ServerDescription &description, Platform::Revision revision, TimePoint now);
     void recordLeaving(const ServerDescription &server, LeavingReason reason, Platform::Revision revision, TimePoint bindsFrom, TimePoint now);
--- a/Libraries/LibPlacement/ServerNotices.cpp
+++ b/Libraries/LibPlacement/ServerNotices.cpp
@@ -85,10 +85,13 @@
 {
     const auto [known, isNew] = signs_.try_emplace(server);
     auto &sign = notice.reason_ == LeavingReason::Announced ? known->second.announced_ : known->second.store_;
+    const std::uint64_t sequence = std::max(sign ? sign->sequence_ : 0, notice.sequence_);
     if (sign && sign->bindsFrom_ <= notice.bindsFrom_) {
+        sign->sequence_ = sequence;
         return false;
     }
     sign = notice;
+    sign->sequence_ = sequence;
     hasAnnounced_ = hasAnnounced_ || notice.reason_ == LeavingReason::Announced;
     updateAnnouncedOnly(server, known->second);
     if (isNew) {
--- a/Libraries/LibPlacement/ServerNotices.h
+++ b/Libraries/LibPlacement/ServerNotices.h
@@ -37,6 +37,8 @@
     TimePoint bindsFrom_;
     // The store's revision of the change; for an entry missing from a complete read, that of the read. 0 if the store has not said so.
     std::uint64_t revision_ = 0;
+    // The highest sequence of the server's entries up to then; 0 if the sign is not from its entry. What the server wrote before says no more.
+    std::uint64_t sequence_ = 0;
 
     auto operator<=>(const LeavingNotice &) const = default;
 };
@@ -125,7 +127,7 @@
         return limits_;
     }
 
-    // Records a sign. The first sign of the store and the first announcement are kept. Returns whether it is new.
+    // Records a sign. The first sign of the store and the first announcement are kept, with the highest sequence. Returns whether it is new.
     bool recordLeaving(const ServerIncarnation &server, const LeavingNotice &notice, TimePoint now);
     // Withdraws the store's sign, because the server's entry says again that it is ready. An announcement of the server itself stays.
     void withdrawStoreSign(const ServerIncarnation &server, TimePoint now);
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -64,6 +64,9 @@
     CPPUNIT_TEST(leavingServersAreNoticed);
     CPPUNIT_TEST(entryRemovedAfterAnOutageLeavesOnlyAfterTheGracePeriod);
     CPPUNIT_TEST(olderDescriptionAppliedLateDoesNotEndDraining);
+    CPPUNIT_TEST(olderDescriptionAppliedAfterTheRemovalDoesNotEndLeaving);
+    CPPUNIT_TEST(olderDescriptionAppliedAfterAnUnusableEntryDoesNotEndLeaving);
+    CPPUNIT_TEST(laterDescriptionAndNextRunAreUsedAfterTheRemoval);
     CPPUNIT_TEST(updatesBringOthersUpToDate);
     CPPUNIT_TEST(changeThatAWatchMissedReachesOthersAfterACompleteRead);
     CPPUNIT_TEST(messagesRoundTrip);
@@ -319,6 +322,45 @@
         CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(1)));
     }
 
+    // Guards against requests to servers that have left, because a write of theirs was carried out after their entry's removal.
+    void olderDescriptionAppliedAfterTheRemovalDoesNotEndLeaving()
+    {
+        view_.apply({put("servers/i-1", serverText("draining", 5, 7), 11), put("servers/i-1", serverText("draining", 5, 9), 12)}, 12, at(0));
+        view_.apply({put("servers/i-2", serverText("ready", 6, 9), 13)}, 13, at(1));
+        view_.apply({removal("servers/i-1", 14), removal("servers/i-2", 15)}, 15, at(2));
+        view_.apply({put("servers/i-1", serverText("ready", 5, 8), 16), put("servers/i-2", serverText("ready", 6, 8), 17)}, 17, at(3));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(3)));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-2", 6}, at(3)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), view_.serverCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), problems_.size());
+        // Nor does a complete read that shows it.
+        view_.replace({{"servers/i-1", serverText("ready", 5, 8), 18, 0}}, 18, at(4));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(4)));
+    }
+
+    void olderDescriptionAppliedAfterAnUnusableEntryDoesNotEndLeaving()
+    {
+        view_.apply({put("servers/i-1", serverText("draining", 5, 9), 11), put("servers/i-1", "{}", 12)}, 12, at(0));
+        view_.apply({put("servers/i-1", serverText("ready", 5, 8), 13)}, 13, at(1));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), view_.serverCount());
+    }
+
+    void laterDescriptionAndNextRunAreUsedAfterTheRemoval()
+    {
+        view_.apply({put("servers/i-1", serverText("draining", 5, 9), 11), put("servers/i-2", serverText("ready", 6, 9), 12)}, 12, at(0));
+        view_.apply({removal("servers/i-1", 13), removal("servers/i-2", 14)}, 14, at(1));
+        view_.apply({put("servers/i-1", serverText("ready", 7, 1), 15), put("servers/i-2", serverText("ready", 6, 10), 16)}, 16, at(2));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 7}, at(2)));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-2", 6}, at(2)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), view_.serverCount());
+        // Without the start of the run, the next one cannot be told from the one that has left.
+        view_.apply({put("servers/i-3", serverText("draining", 0, 9), 17), removal("servers/i-3", 18)}, 18, at(3));
+        view_.apply({put("servers/i-3", serverText("ready", 0, 1), 19)}, 19, at(4));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-3", 0}, at(4)));
+        CPPUNIT_ASSERT(view_.server("i-3") != nullptr);
+    }
+
     void updatesBringOthersUpToDate()
     {
         view_.replace({{"servers/i-1", serverText(), 11, 0}, {"servers/i-2", serverText(), 12, 0}}, 12, at(0));
