LibGateway: Record a sign when a server is removed after an unusable entry

A server whose entry was overwritten by one that names no server, and then removed or followed by the entry of another run, left without a sign: decodeServer dropped what it knew of the run, so the removal had nothing to record. Such a run could still be sent a request by a placement that states no revision; one that states a revision not above the view's was kept back already, since the view has no such server. server-leaving was not logged either. Class: what is known of a run was kept with its entry, and went with it.

The last usable description stays until the entry is usable again or removed. An unusable entry alone is no sign, as before: it is by another writer (entryOfAnotherWriterTakesItsServerOutOfUse).

Found by reading; nobody has seen it in a run.

--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -299,7 +299,10 @@
     }
     if (!decoded.value_) {
         handler_(item.key_, decoded.problem_.reason_);
-        servers_.erase(id);
+        if (const auto known = servers_.find(id); known != servers_.end()) {
+            beforeUnusable_[id] = known->second.description_;
+            servers_.erase(known);
+        }
         return;
     }
     if (isOutdated(*decoded.value_)) {
@@ -310,9 +313,16 @@
         idsWithStartTime_.insert(id);
     }
     updateNotices(*decoded.value_, item.revision_, now);
+    beforeUnusable_.erase(id);
     servers_[id] = {std::move(*decoded.value_), now};
 }
 
+const ServerDescription *StoreView::lastDescription(const std::string &id) const
+{
+    const auto earlier = beforeUnusable_.find(id);
+    return earlier == beforeUnusable_.end() ? server(id) : &earlier->second;
+}
+
 bool StoreView::isOutdated(const ServerDescription &description) const
 {
     // A server's write whose response was lost may be applied after a later one, also after its entry was removed. A server that does not
@@ -329,9 +339,9 @@
 
 void StoreView::updateNotices(const ServerDescription &description, Revision revision, TimePoint now)
 {
-    const auto known = servers_.find(description.id_);
-    if (known != servers_.end() && known->second.description_.startTime_ < description.startTime_) {
-        recordLeaving(known->second.description_, LeavingReason::Restarted, revision, now, now);
+    const auto *known = lastDescription(description.id_);
+    if (known != nullptr && known->startTime_ < description.startTime_) {
+        recordLeaving(*known, LeavingReason::Restarted, revision, now, now);
     }
     if (description.state_ == ServerState::Draining) {
         recordLeaving(description, LeavingReason::Draining, revision, now, now);
@@ -362,15 +372,7 @@
 void StoreView::removeDecoded(const std::string &key, Revision revision, TimePoint now)
 {
     if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
-        idsWithStartTime_.erase(*id);
-        if (const auto known = servers_.find(*id); known != servers_.end()) {
-            recordLeaving(known->second.description_, LeavingReason::Removed, revision, std::max(now, expiryGraceUntil_), now);
-        }
-        if (now < expiryGraceUntil_) {
-            expired_[*id] = expiryGraceUntil_;
-        } else {
-            servers_.erase(*id);
-        }
+        removeServer(*id, revision, now);
     } else if (const auto domain = withoutPrefix(key, Platform::EvacuationPrefix)) {
         evacuatedDomains_.erase(*domain);
     } else if (const auto name = withoutPrefix(key, MemberPrefix)) {
@@ -382,6 +384,20 @@
     }
 }
 
+void StoreView::removeServer(const std::string &id, Revision revision, TimePoint now)
+{
+    idsWithStartTime_.erase(id);
+    if (const auto *known = lastDescription(id)) {
+        recordLeaving(*known, LeavingReason::Removed, revision, std::max(now, expiryGraceUntil_), now);
+    }
+    beforeUnusable_.erase(id);
+    if (now < expiryGraceUntil_) {
+        expired_[id] = expiryGraceUntil_;
+    } else {
+        servers_.erase(id);
+    }
+}
+
 void StoreView::setExpiryGrace(TimePoint until)
 {
     expiryGraceUntil_ = std::max(expiryGraceUntil_, until);
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -164,6 +164,9 @@
     void decode(const Platform::StoreItem &item, TimePoint now);
     void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
     void replaceItems(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
+    // What the last usable entry of the server said, if its entry was not removed since; null if there is none.
+    const ServerDescription *lastDescription(const std::string &id) const;
+    void removeServer(const std::string &id, Platform::Revision revision, TimePoint now);
     // Whether a server wrote the description before the last one of a run that is known to be leaving.
     bool isOutdated(const ServerDescription &description) const;
     void updateNotices(const ServerDescription &description, Platform::Revision revision, TimePoint now);
@@ -188,6 +191,8 @@
     std::map<std::string, TimePoint> expired_;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     std::map<std::string, KnownServer> servers_;
+    // What the usable entry said before the present one, which is unusable.
+    std::map<std::string, ServerDescription> beforeUnusable_;
     // Ids whose entry has stated the start of the server's run since it was registered. Later entries without it are by other writers.
     std::set<std::string> idsWithStartTime_;
     std::set<std::string> evacuatedDomains_;
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(olderDescriptionAppliedAfterTheRemovalDoesNotEndLeaving);
     CPPUNIT_TEST(olderDescriptionAppliedAfterAnUnusableEntryDoesNotEndLeaving);
     CPPUNIT_TEST(laterDescriptionAndNextRunAreUsedAfterTheRemoval);
+    CPPUNIT_TEST(removalAfterAnUnusableEntryIsASign);
+    CPPUNIT_TEST(nextRunAfterAnUnusableEntryIsASign);
     CPPUNIT_TEST(updatesBringOthersUpToDate);
     CPPUNIT_TEST(changeThatAWatchMissedReachesOthersAfterACompleteRead);
     CPPUNIT_TEST(messagesRoundTrip);
@@ -361,6 +363,26 @@
         CPPUNIT_ASSERT(view_.server("i-3") != nullptr);
     }
 
+    // Guards against placements by those that hold an earlier entry of a server that has left.
+    void removalAfterAnUnusableEntryIsASign()
+    {
+        view_.apply({put("servers/i-1", serverText("ready", 5), 11), put("servers/i-1", "{}", 12)}, 12, at(0));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 5}, at(0)));
+        view_.apply({removal("servers/i-1", 13)}, 13, at(1));
+        CPPUNIT_ASSERT((storeSign("i-1", 5) == LeavingNotice{LeavingReason::Removed, NoticeSource::Watch, at(1), at(1), 13}));
+    }
+
+    void nextRunAfterAnUnusableEntryIsASign()
+    {
+        view_.apply({put("servers/i-1", serverText("ready", 5), 11), put("servers/i-1", "{}", 12), put("servers/i-1", serverText("ready", 6), 13)}, 13, at(0));
+        CPPUNIT_ASSERT((storeSign("i-1", 5) == LeavingNotice{LeavingReason::Restarted, NoticeSource::Watch, at(0), at(0), 13}));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 6}, at(0)));
+        // An entry that is usable again replaces what was known before.
+        view_.apply({put("servers/i-1", "{}", 14), put("servers/i-1", serverText("ready", 6), 15), removal("servers/i-1", 16)}, 16, at(1));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 6}, at(1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes_.size());
+    }
+
     void updatesBringOthersUpToDate()
     {
         view_.replace({{"servers/i-1", serverText(), 11, 0}, {"servers/i-2", serverText(), 12, 0}}, 12, at(0));
