LibGateway: Pause between complete reads that a discarded history makes vain

An instance whose watch is told that its history is gone (410) read the whole store and watched again at once, and again, as long as each watch got 410: a store that discards its history faster than a read takes would get as many calls as the instance can make. All nodes share the store's calls, so other instances would get 429 and learn their changes late. Class: a retry without a pause.

A read that follows another within MaxBackoff (700 ms) waits like all other retries of the watch; the first one is made at once as before, so a history that is discarded now and then delays no change.

Found by reading. TestStoreLink (loopback, one instance, a store stand-in that answers each watch with 410) before the fix: storeThatKeepsNoHistoryIsNotReadWithoutPause: Expected less or equal than: 40, Actual: 55275 (calls in 2 s) discardedHistoryDelaysNoChange passed before and passes now.

--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -153,6 +153,8 @@
 Task<void> StoreLink::watch()
 {
     std::uint32_t failures = 0;
+    // Complete reads in a row that were soon followed by a watch whose history was gone.
+    std::uint32_t vainReads = 0;
     for (;;) {
         if (mayFollow(bootNow())) {
             co_await follow();
@@ -172,6 +174,7 @@
         const TimePoint now = bootNow();
         if (changes.outcome_ == StoreOutcome::Done) {
             failures = 0;
+            vainReads = 0;
             isWatchFailing_ = false;
             recordContact(now);
             view_.apply(changes.events_, changes.at_, now);
@@ -194,6 +197,11 @@
         }
         if (changes.outcome_ == StoreOutcome::HistoryCompacted) {
             log_.write(LogLine("store-history-gone").add("revision", view_.at()), LogImportance::State, now);
+            if (now - readAt_ >= MaxBackoff) {
+                vainReads = 0;
+            } else {
+                co_await awaitRetry(backoff(vainReads++));
+            }
             continue;
         }
         isWatchFailing_ = true;
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -377,6 +377,9 @@
     for (;;) {
         // A watch that was opened before the history was discarded is told only with the next change.
         const bool isOpenedLater = discards_ == discardsBefore;
+        if (fault_ == PlatformStoreFault::DiscardsHistory) {
+            return {410, "{}"};
+        }
         if (after < discardedUntil_ && (isOpenedLater || !history_.empty())) {
             return {410, "{}"};
         }
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -35,6 +35,8 @@
     Unresponsive,
     // Lists an item without a key and a revision before all others.
     AddsUnreadableItem,
+    // Rejects each watch, because its changes have been discarded.
+    DiscardsHistory,
 };
 
 // Stores items in memory, with one revision counter, leases, and a history for watches. Thread-safe.
