LibGateway: Show a configuration that cannot be used as a metric

A configuration that this parser refuses stays out of force for good, and no figure showed it: goldcrestwall_configuration_version tells only the one in force, and the entry-unusable line shares its rate with the lines about requests, of which an overloaded instance leaves out most. goldcrestwall_configuration_version_newest is the highest version that any configuration in the store has stated, read also if the rest cannot be used; the line about the configuration counts as a change of state now. What is taken into force does not change.

TestStoreView::versionOfAnUnusableConfigurationIsKnown, with the figure there but never set: Expected: 9, Actual: 0.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -91,7 +91,8 @@
     , announcements_(self_.name_, notices_, log_, metrics_)
     , view_(
           [this](const std::string &key, const std::string &reason) {
-              log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason), LogImportance::Kept, bootNow());
+              const auto importance = key == Platform::ConfigurationKey ? LogImportance::State : LogImportance::Kept;
+              log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason), importance, bootNow());
           },
           notices_)
     , store_(loop_, settings_.storeAddress_, memory_)
@@ -419,6 +420,7 @@
     metrics_.setGauge("goldcrestwall_log_bytes", {}, static_cast<double>(log_.writtenBytes()));
     metrics_.setGauge("goldcrestwall_store_revision", {}, static_cast<double>(view_.at()));
     metrics_.setGauge("goldcrestwall_configuration_version", {}, static_cast<double>(configurationVersion_));
+    metrics_.setGauge("goldcrestwall_configuration_version_newest", {}, static_cast<double>(view_.newestConfigurationVersion()));
 }
 
 Task<void> Gateway::awaitSignals()
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -358,6 +358,8 @@
 void StoreView::decodeConfiguration(const StoreItem &item)
 {
     auto decoded = Platform::decodeConfiguration(item.value_);
+    const auto version = decoded.value_ ? decoded.value_->version_ : Platform::readConfigurationVersion(item.value_).value_or(0);
+    newestConfigurationVersion_ = std::max(newestConfigurationVersion_, version);
     if (!decoded.value_) {
         handler_(item.key_, decoded.problem_.reason_);
         return;
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -124,6 +124,11 @@
     {
         return configuration_;
     }
+    // The highest version that any configuration in the store has stated. Above that of `configuration()` if one could not be used.
+    std::uint64_t newestConfigurationVersion() const
+    {
+        return newestConfigurationVersion_;
+    }
     std::vector<PoolServerInput> serversOf(const std::string &service) const;
     const ServerDescription *server(const std::string &id) const;
     std::size_t serverCount() const
@@ -190,6 +195,7 @@
     TimePoint expiryGraceUntil_;
     std::map<std::string, TimePoint> expired_;
     std::shared_ptr<const RoutingConfiguration> configuration_;
+    std::uint64_t newestConfigurationVersion_ = 0;
     std::map<std::string, KnownServer> servers_;
     // What the usable entry said before the present one, which is unusable.
     std::map<std::string, ServerDescription> beforeUnusable_;
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(delayedUpdateOfAPeerDoesNotBringBackRemovedServers);
     CPPUNIT_TEST(removedServerMayRegisterAgain);
     CPPUNIT_TEST(configurationNeverGoesBack);
+    CPPUNIT_TEST(versionOfAnUnusableConfigurationIsKnown);
     CPPUNIT_TEST(snapshotRemovesMissingEntries);
     CPPUNIT_TEST(expiredServersAreKeptDuringGracePeriod);
     CPPUNIT_TEST(leavingServersAreNoticed);
@@ -258,6 +259,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), problems_.size());
     }
 
+    // Guards against a configuration that stays out of force for good without a figure that shows it.
+    void versionOfAnUnusableConfigurationIsKnown()
+    {
+        view_.apply({put("op/config", configurationText(9), 11)}, 11, at(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), view_.newestConfigurationVersion());
+        view_.apply({put("op/config", R"({"version":12,"resources":5})", 12)}, 12, at(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), view_.configuration()->version_);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), view_.newestConfigurationVersion());
+        // One that states no version, or an earlier one, is not newer.
+        for (const char *text : {"{", R"({"version":"x"})", R"({"version":-1})", R"({"version":1e300})", R"({"version":10,"resources":5})"}) {
+            view_.apply({put("op/config", text, view_.at() + 1)}, view_.at() + 1, at(2));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), view_.newestConfigurationVersion());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), problems_.size());
+        view_.apply({put("op/config", configurationText(13), view_.at() + 1)}, view_.at() + 1, at(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(13), view_.newestConfigurationVersion());
+    }
+
     void snapshotRemovesMissingEntries()
     {
         view_.apply({put("servers/i-1", serverText(), 11), put("servers/i-2", serverText(), 12)}, 12, at(0));
