--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -299,7 +299,10 @@
     }
     if (!decoded.value_) {
         handler_(item.key_, decoded.problem_.reason_);
-        servers_.erase(id);
+        if (const auto known = servers_.find(id); known != servers_.end()) {
+            beforeUnusable_[id] = known->second.description_;
+            servers_.erase(known);
+        }
         return;
     }
     if (isOutdated(*decoded.value_)) {
@@ -310,26 +313,35 @@
         idsWithStartTime_.insert(id);
     }
     updateNotices(*decoded.value_, item.revision_, now);
+    beforeUnusable_.erase(id);
     servers_[id] = {std::move(*decoded.value_), now};
 }
 
+const ServerDescription *StoreView::lastDescription(const std::string &id) const
+{
+    const auto earlier = beforeUnusable_.find(id);
+    return earlier == beforeUnusable_.end() ? server(id) : &earlier->second;
+}
+
 bool StoreView::isOutdated(const ServerDescription &description) const
 {
-    // A server's write whose response was lost may be applied after a later one.
-    const auto found = servers_.find(description.id_);
-    if (found == servers_.end()) {
+    // A server's write whose response was lost may be applied after a later one, also after its entry was removed. A server that does not
+    // state the start of its run may then be the next one, whose sequence starts anew.
+    const auto known = servers_.find(description.id_);
+    const bool isKnownDraining = known != servers_.end() && known->second.description_.state_ == ServerState::Draining;
+    if (description.startTime_ == 0 && !isKnownDraining) {
         return false;
     }
-    const auto &known = found->second.description_;
-    const bool isSameRun = known.startTime_ == description.startTime_;
-    return isSameRun && known.state_ == ServerState::Draining && description.sequence_ != 0 && description.sequence_ < known.sequence_;
+    const auto *signs = notices_->signs(description.incarnation());
+    const bool isLeaving = signs != nullptr && signs->store_;
+    return isLeaving && description.sequence_ != 0 && description.sequence_ < signs->store_->sequence_;
 }
 
 void StoreView::updateNotices(const ServerDescription &description, Revision revision, TimePoint now)
 {
-    const auto known = servers_.find(description.id_);
-    if (known != servers_.end() && known->second.description_.startTime_ < description.startTime_) {
-        recordLeaving(known->second.description_, LeavingReason::Restarted, revision, now, now);
+    const auto *known = lastDescription(description.id_);
+    if (known != nullptr && known->startTime_ < description.startTime_) {
+        recordLeaving(*known, LeavingReason::Restarted, revision, now, now);
     }
     if (description.state_ == ServerState::Draining) {
         recordLeaving(description, LeavingReason::Draining, revision, now, now);
@@ -340,12 +352,14 @@
 
 void StoreView::recordLeaving(const ServerDescription &server, LeavingReason reason, Revision revision, TimePoint bindsFrom, TimePoint now)
 {
-    notices_->recordLeaving(server.incarnation(), {reason, source_, now, bindsFrom, revision}, now);
+    notices_->recordLeaving(server.incarnation(), {reason, source_, now, bindsFrom, revision, server.sequence_}, now);
 }
 
 void StoreView::decodeConfiguration(const StoreItem &item)
 {
     auto decoded = Platform::decodeConfiguration(item.value_);
+    const auto version = decoded.value_ ? decoded.value_->version_ : Platform::readConfigurationVersion(item.value_).value_or(0);
+    newestConfigurationVersion_ = std::max(newestConfigurationVersion_, version);
     if (!decoded.value_) {
         handler_(item.key_, decoded.problem_.reason_);
         return;
@@ -360,15 +374,7 @@
 void StoreView::removeDecoded(const std::string &key, Revision revision, TimePoint now)
 {
     if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
-        idsWithStartTime_.erase(*id);
-        if (const auto known = servers_.find(*id); known != servers_.end()) {
-            recordLeaving(known->second.description_, LeavingReason::Removed, revision, std::max(now, expiryGraceUntil_), now);
-        }
-        if (now < expiryGraceUntil_) {
-            expired_[*id] = expiryGraceUntil_;
-        } else {
-            servers_.erase(*id);
-        }
+        removeServer(*id, revision, now);
     } else if (const auto domain = withoutPrefix(key, Platform::EvacuationPrefix)) {
         evacuatedDomains_.erase(*domain);
     } else if (const auto name = withoutPrefix(key, MemberPrefix)) {
@@ -380,6 +386,20 @@
     }
 }
 
+void StoreView::removeServer(const std::string &id, Revision revision, TimePoint now)
+{
+    idsWithStartTime_.erase(id);
+    if (const auto *known = lastDescription(id)) {
+        recordLeaving(*known, LeavingReason::Removed, revision, std::max(now, expiryGraceUntil_), now);
+    }
+    beforeUnusable_.erase(id);
+    if (now < expiryGraceUntil_) {
+        expired_[id] = expiryGraceUntil_;
+    } else {
+        servers_.erase(id);
+    }
+}
+
 void StoreView::setExpiryGrace(TimePoint until)
 {
     expiryGraceUntil_ = std::max(expiryGraceUntil_, until);
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -124,6 +124,11 @@
     {
         return configuration_;
     }
+    // The highest version that any configuration in the store has stated. Above that of `configuration()` if one could not be used.
+    std::uint64_t newestConfigurationVersion() const
+    {
+        return newestConfigurationVersion_;
+    }
     std::vector<PoolServerInput> serversOf(const std::string &service) const;
     const ServerDescription *server(const std::string &id) const;
     std::size_t serverCount() const
@@ -164,7 +169,10 @@
     void decode(const Platform::StoreItem &item, TimePoint now);
     void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
     void replaceItems(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
-    // Whether a server wrote the description before the one by which it is known to be leaving.
+    // What the last usable entry of the server said, if its entry was not removed since; null if there is none.
+    const ServerDescription *lastDescription(const std::string &id) const;
+    void removeServer(const std::string &id, Platform::Revision revision, TimePoint now);
+    // Whether a server wrote the description before the last one of a run that is known to be leaving.
     bool isOutdated(const ServerDescription &description) const;
     void updateNotices(const ServerDescription &description, Platform::Revision revision, TimePoint now);
     void recordLeaving(const ServerDescription &server, LeavingReason reason, Platform::Revision revision, TimePoint bindsFrom, TimePoint now);
@@ -187,7 +195,10 @@
     TimePoint expiryGraceUntil_;
     std::map<std::string, TimePoint> expired_;
     std::shared_ptr<const RoutingConfiguration> configuration_;
+    std::uint64_t newestConfigurationVersion_ = 0;
     std::map<std::string, KnownServer> servers_;
+    // What the usable entry said before the present one, which is unusable.
+    std::map<std::string, ServerDescription> beforeUnusable_;
     // Ids whose entry has stated the start of the server's run since it was registered. Later entries without it are by other writers.
     std::set<std::string> idsWithStartTime_;
     std::set<std::string> evacuatedDomains_;
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -59,11 +59,17 @@
     CPPUNIT_TEST(delayedUpdateOfAPeerDoesNotBringBackRemovedServers);
     CPPUNIT_TEST(removedServerMayRegisterAgain);
     CPPUNIT_TEST(configurationNeverGoesBack);
+    CPPUNIT_TEST(versionOfAnUnusableConfigurationIsKnown);
     CPPUNIT_TEST(snapshotRemovesMissingEntries);
     CPPUNIT_TEST(expiredServersAreKeptDuringGracePeriod);
     CPPUNIT_TEST(leavingServersAreNoticed);
     CPPUNIT_TEST(entryRemovedAfterAnOutageLeavesOnlyAfterTheGracePeriod);
     CPPUNIT_TEST(olderDescriptionAppliedLateDoesNotEndDraining);
+    CPPUNIT_TEST(olderDescriptionAppliedAfterTheRemovalDoesNotEndLeaving);
+    CPPUNIT_TEST(olderDescriptionAppliedAfterAnUnusableEntryDoesNotEndLeaving);
+    CPPUNIT_TEST(laterDescriptionAndNextRunAreUsedAfterTheRemoval);
+    CPPUNIT_TEST(removalAfterAnUnusableEntryIsASign);
+    CPPUNIT_TEST(nextRunAfterAnUnusableEntryIsASign);
     CPPUNIT_TEST(updatesBringOthersUpToDate);
     CPPUNIT_TEST(changeThatAWatchMissedReachesOthersAfterACompleteRead);
     CPPUNIT_TEST(messagesRoundTrip);
@@ -253,6 +259,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), problems_.size());
     }
 
+    // Guards against a configuration that stays out of force for good without a figure that shows it.
+    void versionOfAnUnusableConfigurationIsKnown()
+    {
+        view_.apply({put("op/config", configurationText(9), 11)}, 11, at(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), view_.newestConfigurationVersion());
+        view_.apply({put("op/config", R"({"version":12,"resources":5})", 12)}, 12, at(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), view_.configuration()->version_);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), view_.newestConfigurationVersion());
+        // One that states no version, or an earlier one, is not newer.
+        for (const char *text : {"{", R"({"version":"x"})", R"({"version":-1})", R"({"version":1e300})", R"({"version":10,"resources":5})"}) {
+            view_.apply({put("op/config", text, view_.at() + 1)}, view_.at() + 1, at(2));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), view_.newestConfigurationVersion());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), problems_.size());
+        view_.apply({put("op/config", configurationText(13), view_.at() + 1)}, view_.at() + 1, at(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(13), view_.newestConfigurationVersion());
+    }
+
     void snapshotRemovesMissingEntries()
     {
         view_.apply({put("servers/i-1", serverText(), 11), put("servers/i-2", serverText(), 12)}, 12, at(0));
@@ -319,6 +343,65 @@
         CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(1)));
     }
 
+    // Guards against requests to servers that have left, because a write of theirs was carried out after their entry's removal.
+    void olderDescriptionAppliedAfterTheRemovalDoesNotEndLeaving()
+    {
+        view_.apply({put("servers/i-1", serverText("draining", 5, 7), 11), put("servers/i-1", serverText("draining", 5, 9), 12)}, 12, at(0));
+        view_.apply({put("servers/i-2", serverText("ready", 6, 9), 13)}, 13, at(1));
+        view_.apply({removal("servers/i-1", 14), removal("servers/i-2", 15)}, 15, at(2));
+        view_.apply({put("servers/i-1", serverText("ready", 5, 8), 16), put("servers/i-2", serverText("ready", 6, 8), 17)}, 17, at(3));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(3)));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-2", 6}, at(3)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), view_.serverCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), problems_.size());
+        // Nor does a complete read that shows it.
+        view_.replace({{"servers/i-1", serverText("ready", 5, 8), 18, 0}}, 18, at(4));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(4)));
+    }
+
+    void olderDescriptionAppliedAfterAnUnusableEntryDoesNotEndLeaving()
+    {
+        view_.apply({put("servers/i-1", serverText("draining", 5, 9), 11), put("servers/i-1", "{}", 12)}, 12, at(0));
+        view_.apply({put("servers/i-1", serverText("ready", 5, 8), 13)}, 13, at(1));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 5}, at(1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), view_.serverCount());
+    }
+
+    void laterDescriptionAndNextRunAreUsedAfterTheRemoval()
+    {
+        view_.apply({put("servers/i-1", serverText("draining", 5, 9), 11), put("servers/i-2", serverText("ready", 6, 9), 12)}, 12, at(0));
+        view_.apply({removal("servers/i-1", 13), removal("servers/i-2", 14)}, 14, at(1));
+        view_.apply({put("servers/i-1", serverText("ready", 7, 1), 15), put("servers/i-2", serverText("ready", 6, 10), 16)}, 16, at(2));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 7}, at(2)));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-2", 6}, at(2)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), view_.serverCount());
+        // Without the start of the run, the next one cannot be told from the one that has left.
+        view_.apply({put("servers/i-3", serverText("draining", 0, 9), 17), removal("servers/i-3", 18)}, 18, at(3));
+        view_.apply({put("servers/i-3", serverText("ready", 0, 1), 19)}, 19, at(4));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-3", 0}, at(4)));
+        CPPUNIT_ASSERT(view_.server("i-3") != nullptr);
+    }
+
+    // Guards against placements by those that hold an earlier entry of a server that has left.
+    void removalAfterAnUnusableEntryIsASign()
+    {
+        view_.apply({put("servers/i-1", serverText("ready", 5), 11), put("servers/i-1", "{}", 12)}, 12, at(0));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 5}, at(0)));
+        view_.apply({removal("servers/i-1", 13)}, 13, at(1));
+        CPPUNIT_ASSERT((storeSign("i-1", 5) == LeavingNotice{LeavingReason::Removed, NoticeSource::Watch, at(1), at(1), 13}));
+    }
+
+    void nextRunAfterAnUnusableEntryIsASign()
+    {
+        view_.apply({put("servers/i-1", serverText("ready", 5), 11), put("servers/i-1", "{}", 12), put("servers/i-1", serverText("ready", 6), 13)}, 13, at(0));
+        CPPUNIT_ASSERT((storeSign("i-1", 5) == LeavingNotice{LeavingReason::Restarted, NoticeSource::Watch, at(0), at(0), 13}));
+        CPPUNIT_ASSERT(!notices_->isLeaving({"i-1", 6}, at(0)));
+        // An entry that is usable again replaces what was known before.
+        view_.apply({put("servers/i-1", "{}", 14), put("servers/i-1", serverText("ready", 6), 15), removal("servers/i-1", 16)}, 16, at(1));
+        CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 6}, at(1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes_.size());
+    }
+
     void updatesBringOthersUpToDate()
     {
         view_.replace({{"servers/i-1", serverText(), 11, 0}, {"servers/i-2", serverText(), 12, 0}}, 12, at(0));
