--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -472,6 +472,9 @@
     case PlatformServerFault::RepeatsPreviousResponse:
         sendWithPreviousResponse(request, formatResponse(requestId, text, text.size()));
         return;
+    case PlatformServerFault::MisdirectsWithoutStatement:
+        sendRaw(request, "HTTP/1.1 421 Misdirected Request\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nContent-Length: 0\r\n\r\n", false);
+        return;
     case PlatformServerFault::EndlessHeaders:
         sendEndless(request, "HTTP/1.1 200 OK\r\n", "X-More: " + std::string(1000, 'x') + "\r\n");
         return;
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -63,6 +63,8 @@
     RepeatsPreviousResponse,
     // Rejects each request once. When a request comes on the connection of a rejection, sends that rejection once more and runs the request.
     RepeatsRejections,
+    // Runs requests and responds with the status of a misdirected request, without stating that they did not run.
+    MisdirectsWithoutStatement,
 };
 
 // A request that a server started to run.
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(lateSecondAnswersReachNobody);
     CPPUNIT_TEST(repeatedRejectionIsNoAnswerToTheNextSend);
     CPPUNIT_TEST(copyOfARejectionIsNoAnswerToItsCallersRepeat);
+    CPPUNIT_TEST(statusWithoutStatementIsNoPromise);
     CPPUNIT_TEST(chunkExtensionWithoutEndIsRefused);
     CPPUNIT_TEST(bytesThatAreNoMessagesEndNoProcess);
     CPPUNIT_TEST_SUITE_END();
@@ -383,6 +384,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(20), served);
     }
 
+    // Guards against a booking that has run and is told otherwise, because the status alone is taken for the server's statement.
+    void statusWithoutStatementIsNoPromise()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        setFault(deployment, PlatformServerFault::MisdirectsWithoutStatement);
+        const auto booking = deployment.call(0, makeBooking());
+        checkBookings(deployment, {booking});
+        CPPUNIT_ASSERT_EQUAL(502, booking.status_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.recorder().runsOf(booking.requestId_));
+    }
+
     // Guards against an instance that collects and scans one caller's line without end, and serves nobody meanwhile.
     void chunkExtensionWithoutEndIsRefused()
     {
--- a/Tests/Platform/TestBackendProtocol.cpp
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -79,8 +79,12 @@
             {503, {}, ResponseKind::Unusable},
             {429, {signature}, ResponseKind::Unusable},
             {408, {}, ResponseKind::Unusable},
-            {421, {}, ResponseKind::Misdirected},
             {421, {notRun}, ResponseKind::Misdirected},
+            // Guards against a status that is taken for the server's statement, and against a response that contradicts itself.
+            {421, {}, ResponseKind::Unusable},
+            {421, {signature}, ResponseKind::Unusable},
+            {200, {signature, notRun}, ResponseKind::Unusable},
+            {204, {signature, notRun}, ResponseKind::Unusable},
             {504, {signature}, ResponseKind::Complete},
         };
         for (const auto &each : cases) {
