TestConnections: Repeat rejected orders under copies that come late, in parts, twice and early

Tests of processes: four callers at the same time make orders that their server rejects once, and repeat each with its id at the same instance. The server writes the rejection once more in the place of the answer, in two parts with 5 ms between them, twice, or 5 ms after the rejection. Each order must run at most once and be answered 200 in the end.

RepeatsRejections behaves as before; its bytes are written without the lock now, so that servers serve several callers during the pause.

--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -20,6 +20,8 @@
 
 constexpr int MaxThreads = 300;
 constexpr auto PairPollInterval = std::chrono::milliseconds(1);
+// How long after a rejection its copy follows, or after the first part of a copy the second.
+constexpr auto CopyDelay = std::chrono::milliseconds(5);
 constexpr auto LateGrantDelay = std::chrono::milliseconds(1500);
 // A cold server may get this multiple of its rate plus this number of requests within a second; more is a violation.
 constexpr double ColdRateFactor = 1.5;
@@ -63,6 +65,19 @@
     return threads;
 }
 
+bool repeatsRejections(PlatformServerFault fault)
+{
+    switch (fault) {
+    case PlatformServerFault::RepeatsRejections:
+    case PlatformServerFault::RepeatsRejectionsTwice:
+    case PlatformServerFault::RepeatsRejectionsInParts:
+    case PlatformServerFault::RepeatsRejectionsEarly:
+        return true;
+    default:
+        return false;
+    }
+}
+
 std::string formatResponse(const std::string &requestId, const std::string &body, std::size_t announced)
 {
     return "HTTP/1.1 200 OK\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nGoldcrestwall-Server-Signature: s\r\nContent-Length: " + std::to_string(announced)
@@ -383,8 +398,12 @@
         return true;
     }
     recordArrival();
-    if (fault_ == PlatformServerFault::RepeatsRejections && isRejectedOnce(request)) {
-        return true;
+    if (const auto fault = fault_; repeatsRejections(fault)) {
+        lock.unlock();
+        if (isRejectedOnce(request, fault)) {
+            return true;
+        }
+        lock.lock();
     }
     if (fault_ == PlatformServerFault::Sheds || isLeftAlone() || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
         reject(response, 503);
@@ -498,22 +517,38 @@
     response.sendBuffer(text.data(), text.size());
 }
 
-bool PlatformServerStandIn::isRejectedOnce(Poco::Net::HTTPServerRequest &request)
+bool PlatformServerStandIn::isRejectedOnce(Poco::Net::HTTPServerRequest &request, PlatformServerFault fault)
 {
     // Bypasses the response object, so that the connection stays open.
     auto &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
     const std::string requestId = request.get("Goldcrestwall-Request-Id");
-    const auto port = request.clientAddress().port();
-    if (!rejectedOnce_.insert(requestId).second) {
-        const auto &copy = lastRejections_[port];
-        socket.sendBytes(copy.data(), static_cast<int>(copy.size()));
-        return false;
-    }
-    const std::string rejection =
+    std::string bytes =
         "HTTP/1.1 503 Service Unavailable\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nGoldcrestwall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-    lastRejections_[port] = rejection;
-    socket.sendBytes(rejection.data(), static_cast<int>(rejection.size()));
-    return true;
+    bool isFirst = false;
+    {
+        const std::lock_guard lock(mutex_);
+        auto &last = lastRejections_[request.clientAddress().port()];
+        isFirst = rejectedOnce_.insert(requestId).second;
+        if (isFirst) {
+            last = bytes;
+        } else {
+            bytes = fault == PlatformServerFault::RepeatsRejectionsTwice ? last + last : last;
+        }
+    }
+    const bool isInParts = !isFirst && fault == PlatformServerFault::RepeatsRejectionsInParts;
+    const auto firstPart = static_cast<int>(isInParts ? bytes.size() / 2 : bytes.size());
+    if (isFirst || fault != PlatformServerFault::RepeatsRejectionsEarly) {
+        socket.sendBytes(bytes.data(), firstPart);
+    }
+    if (isInParts) {
+        std::this_thread::sleep_for(CopyDelay);
+        socket.sendBytes(bytes.data() + firstPart, static_cast<int>(bytes.size()) - firstPart);
+    }
+    if (isFirst && fault == PlatformServerFault::RepeatsRejectionsEarly) {
+        std::this_thread::sleep_for(CopyDelay);
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
+    return isFirst;
 }
 
 void PlatformServerStandIn::sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer)
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -63,6 +63,12 @@
     RepeatsPreviousResponse,
     // Rejects each request once. When a request comes on the connection of a rejection, sends that rejection once more and runs the request.
     RepeatsRejections,
+    // As RepeatsRejections, but sends the rejection twice more.
+    RepeatsRejectionsTwice,
+    // As RepeatsRejections, but sends the rejection in two parts with a pause between them.
+    RepeatsRejectionsInParts,
+    // Rejects each request once and sends the rejection once more a little later, while the connection is idle.
+    RepeatsRejectionsEarly,
     // Runs requests and responds with the status of a misdirected request, without stating that they did not run.
     MisdirectsWithoutStatement,
 };
@@ -163,8 +169,8 @@
     void release(const std::string &body, Poco::Net::HTTPServerResponse &response);
     bool isRejected(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
-    // Rejects the request if it is its first arrival. Otherwise sends the last rejection on the connection once more.
-    bool isRejectedOnce(Poco::Net::HTTPServerRequest &request);
+    // Rejects the request if it is its first arrival. Otherwise sends the last rejection on the connection once more, as the fault says.
+    bool isRejectedOnce(Poco::Net::HTTPServerRequest &request, PlatformServerFault fault);
     void sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer);
     // Sends `head` once, then `filler` repeatedly until the connection is closed or the fault is cleared.
     void sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler);
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -30,6 +30,49 @@
     }
 }
 
+// Several callers at the same time make orders, and repeat each with its id while it is rejected. Each server rejects an order once, and its key
+// may move meanwhile. Returns the last answer to each order.
+std::vector<CallerAnswer> makeOrdersThatAreRejected(Deployment &deployment)
+{
+    constexpr std::uint32_t Callers = 4;
+    constexpr std::uint32_t OrdersOfEach = 6;
+    constexpr int MaxCalls = 5;
+    std::vector<CallerAnswer> answers(std::size_t{Callers} * OrdersOfEach);
+    std::vector<std::jthread> callers;
+    for (std::uint32_t caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&deployment, &answers, caller] {
+            CallerRequest order = makeBooking();
+            order.host_ = "keyed.example";
+            order.path_ = "/once/1";
+            for (std::uint32_t i = caller * OrdersOfEach; i < (caller + 1) * OrdersOfEach; ++i) {
+                order.key_ = i * 2500;
+                order.requestId_ = "order-" + std::to_string(i);
+                for (int call = 0; call < MaxCalls && (call == 0 || answers[i].status_ == 503); ++call) {
+                    answers[i] = deployment.call(0, order);
+                }
+            }
+        });
+    }
+    callers.clear();
+    return answers;
+}
+
+void checkOrders(PlatformServerFault fault)
+{
+    Deployment deployment(1);
+    deployment.putConfiguration(R"({"resourceType":"routes","metadata":{"name":"r-once"},"spec":{"host":"keyed.example","prefix":"/once/",
+        "kind":"non_idempotent","timeoutS":2,"aimS":0.3,"priority":1,"service":"sharded","maxAttempts":1}},)");
+    CPPUNIT_ASSERT(deployment.awaitServing());
+    for (std::size_t i = 0; i < 4; ++i) {
+        deployment.sharded(i).setFault(fault);
+    }
+    const auto answers = makeOrdersThatAreRejected(deployment);
+    checkBookings(deployment, answers);
+    CPPUNIT_ASSERT(std::ranges::all_of(answers, [](const CallerAnswer &answer) {
+        return answer.status_ == 200;
+    }));
+}
+
 bool awaitRun(Deployment &deployment, const std::string &id)
 {
     return Deployment::eventually([&] {
@@ -57,6 +100,10 @@
     CPPUNIT_TEST(lateSecondAnswersReachNobody);
     CPPUNIT_TEST(repeatedRejectionIsNoAnswerToTheNextSend);
     CPPUNIT_TEST(copyOfARejectionIsNoAnswerToItsCallersRepeat);
+    CPPUNIT_TEST(lateCopiesOfRejectionsAreNoAnswersToRepeats);
+    CPPUNIT_TEST(copiesOfRejectionsInPartsAreNoAnswersToRepeats);
+    CPPUNIT_TEST(secondCopiesOfRejectionsAreNoAnswersToRepeats);
+    CPPUNIT_TEST(earlyCopiesOfRejectionsAreNoAnswersToRepeats);
     CPPUNIT_TEST(statusWithoutStatementIsNoPromise);
     CPPUNIT_TEST(chunkExtensionWithoutEndIsRefused);
     CPPUNIT_TEST(bytesThatAreNoMessagesEndNoProcess);
@@ -384,6 +431,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(20), served);
     }
 
+    // These guard against a booking that is told rejected and has run, whenever and in whatever pieces the copy of its rejection comes.
+    void lateCopiesOfRejectionsAreNoAnswersToRepeats()
+    {
+        checkOrders(PlatformServerFault::RepeatsRejections);
+    }
+
+    void copiesOfRejectionsInPartsAreNoAnswersToRepeats()
+    {
+        checkOrders(PlatformServerFault::RepeatsRejectionsInParts);
+    }
+
+    void secondCopiesOfRejectionsAreNoAnswersToRepeats()
+    {
+        checkOrders(PlatformServerFault::RepeatsRejectionsTwice);
+    }
+
+    void earlyCopiesOfRejectionsAreNoAnswersToRepeats()
+    {
+        checkOrders(PlatformServerFault::RepeatsRejectionsEarly);
+    }
+
     // Guards against a booking that has run and is told otherwise, because the status alone is taken for the server's statement.
     void statusWithoutStatementIsNoPromise()
     {
