RequestFlow: Believe no rejection that names no request on a kept connection

Callers were told 503 for bookings that had run, or had them run twice: on a connection whose responses had all named their requests, a rejection without an id was believed, though servers echo the id, so that it is the response of nobody in particular.

Red before: TestConnections::rejectionOfNobodyOnAKeptConnectionIsNoPromise, "q74 ran twice".

Such a response is Unusable now, for all requests: 502 for what must not run twice. On a new connection it is believed as before, since no byte stood there before the request.

Rejections that name no request have a fault of their own, SendsUnnamedRejections.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -60,6 +60,18 @@
     return "unknown";
 }
 
+ResponseKind kindOf(const ExchangeResult &result)
+{
+    if (result.outcome_ != ExchangeOutcome::Answered) {
+        return ResponseKind::Unusable;
+    }
+    const auto kind = Platform::classifyResponse(result.response_);
+    const bool isStatedNotRun = kind == ResponseKind::NotRun || kind == ResponseKind::Misdirected;
+    // On a kept connection, a response that names no request may be one that nobody has waited for.
+    const bool mayBeOfAnother = !result.isCorrelated_ && !result.isNewConnection_;
+    return isStatedNotRun && mayBeOfAnother ? ResponseKind::Unusable : kind;
+}
+
 PlacementOutcome toPlacementOutcome(const ExchangeResult &result, ResponseKind kind)
 {
     switch (result.outcome_) {
@@ -307,7 +319,7 @@
     auto result = co_await client_.exchange(place.address_, serverRequest, options, handle);
     progress.control_->setOnAbandon({});
     const TimePoint now = bootNow();
-    const auto kind = result.outcome_ == ExchangeOutcome::Answered ? Platform::classifyResponse(result.response_) : ResponseKind::Unusable;
+    const auto kind = kindOf(result);
     PlacementReport report;
     report.outcome_ = toPlacementOutcome(result, kind);
     const bool isTimeout = result.outcome_ == ExchangeOutcome::Answered && result.response_.result_int() == GatewayTimeout;
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -279,8 +279,11 @@
     return std::to_string(running_) + "," + std::to_string(waiting_) + "," + std::to_string(behaviour_.slots_) + ",100";
 }
 
-void PlatformServerStandIn::reject(Poco::Net::HTTPServerResponse &response, int status) const
+void PlatformServerStandIn::reject(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, int status) const
 {
+    if (const auto requestId = request.get("Goldcrestwall-Request-Id", ""); !requestId.empty()) {
+        response.set("Goldcrestwall-Request-Id", requestId);
+    }
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     response.set("Goldcrestwall-Not-Executed", "1");
     response.set("Goldcrestwall-Instance-Id", id_);
@@ -289,11 +292,11 @@
     response.send();
 }
 
-void PlatformServerStandIn::checkHealth(Poco::Net::HTTPServerResponse &response)
+void PlatformServerStandIn::checkHealth(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
 {
     ++healthCount_;
     if (isLeftAlone()) {
-        reject(response, 503);
+        reject(request, response, 503);
         return;
     }
     const std::lock_guard lock(mutex_);
@@ -313,7 +316,7 @@
     const auto &path = request.getURI();
     const std::string targetId = request.get("Goldcrestwall-Target-Instance", id_);
     if (targetId != id_) {
-        reject(response, 421);
+        reject(request, response, 421);
     } else if (path == "/-/grant") {
         grant(body, response);
     } else if (path == "/-/release" && hasFault(PlatformServerFault::IgnoresReleases)) {
@@ -321,7 +324,7 @@
     } else if (path == "/-/release") {
         release(body, response);
     } else if (path == "/health") {
-        checkHealth(response);
+        checkHealth(request, response);
     } else if (!isRejected(request, response)) {
         run(request, response, body);
     }
@@ -394,7 +397,7 @@
 {
     std::unique_lock lock(mutex_);
     if (request.get("Goldcrestwall-Request-Id", "").empty()) {
-        reject(response, 400);
+        reject(request, response, 400);
         return true;
     }
     recordArrival();
@@ -406,13 +409,13 @@
         lock.lock();
     }
     if (fault_ == PlatformServerFault::Sheds || isLeftAlone() || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
-        reject(response, 503);
+        reject(request, response, 503);
         return true;
     }
     if (behaviour_.isSharded_) {
         const auto key = static_cast<std::uint32_t>(std::stoul(request.get("Goldcrestwall-Shard-Key", "0")));
         if (!holdsLocked(key)) {
-            reject(response, 421);
+            reject(request, response, 421);
             return true;
         }
         lock.unlock();
@@ -491,6 +494,9 @@
     case PlatformServerFault::RepeatsPreviousResponse:
         sendWithPreviousResponse(request, formatResponse(requestId, text, text.size()));
         return;
+    case PlatformServerFault::SendsUnnamedRejections:
+        sendAfterUnnamedRejection(request, formatResponse(requestId, text, text.size()));
+        return;
     case PlatformServerFault::MisdirectsWithoutStatement:
         sendRaw(request, "HTTP/1.1 421 Misdirected Request\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nContent-Length: 0\r\n\r\n", false);
         return;
@@ -551,6 +557,22 @@
     return isFirst;
 }
 
+void PlatformServerStandIn::sendAfterUnnamedRejection(Poco::Net::HTTPServerRequest &request, const std::string &answer)
+{
+    // Bypasses the response object, so that the connection stays open.
+    auto &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    std::string bytes = answer;
+    {
+        const std::lock_guard lock(mutex_);
+        auto &last = lastResponses_[request.clientAddress().port()];
+        if (!last.empty()) {
+            bytes = "HTTP/1.1 503 Service Unavailable\r\nGoldcrestwall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + answer;
+        }
+        last = answer;
+    }
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
 void PlatformServerStandIn::sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer)
 {
     // Bypasses the response object, so that the connection stays open.
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -71,6 +71,8 @@
     RepeatsRejectionsEarly,
     // Runs requests and responds with the status of a misdirected request, without stating that they did not run.
     MisdirectsWithoutStatement,
+    // Runs requests; from the second response of a connection on, sends a rejection that names no request right before each.
+    SendsUnnamedRejections,
 };
 
 // A request that a server started to run.
@@ -171,12 +173,13 @@
     void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
     // Rejects the request if it is its first arrival. Otherwise sends the last rejection on the connection once more, as the fault says.
     bool isRejectedOnce(Poco::Net::HTTPServerRequest &request, PlatformServerFault fault);
+    void sendAfterUnnamedRejection(Poco::Net::HTTPServerRequest &request, const std::string &answer);
     void sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer);
     // Sends `head` once, then `filler` repeatedly until the connection is closed or the fault is cleared.
     void sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler);
     void sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset);
-    void reject(Poco::Net::HTTPServerResponse &response, int status) const;
-    void checkHealth(Poco::Net::HTTPServerResponse &response);
+    void reject(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, int status) const;
+    void checkHealth(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void setAnnouncementHeaders(Poco::Net::HTTPServerResponse &response) const;
     bool isLeftAlone() const;
     void recordArrival();
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(secondCopiesOfRejectionsAreNoAnswersToRepeats);
     CPPUNIT_TEST(earlyCopiesOfRejectionsAreNoAnswersToRepeats);
     CPPUNIT_TEST(statusWithoutStatementIsNoPromise);
+    CPPUNIT_TEST(rejectionOfNobodyOnAKeptConnectionIsNoPromise);
     CPPUNIT_TEST(chunkExtensionWithoutEndIsRefused);
     CPPUNIT_TEST(bytesThatAreNoMessagesEndNoProcess);
     CPPUNIT_TEST_SUITE_END();
@@ -464,6 +465,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.recorder().runsOf(booking.requestId_));
     }
 
+    // Guards against a booking that has run and is told rejected, because a rejection that names no request comes on a connection whose
+    // responses have all named theirs.
+    void rejectionOfNobodyOnAKeptConnectionIsNoPromise()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        setFault(deployment, PlatformServerFault::SendsUnnamedRejections);
+        std::size_t unknown = 0;
+        for (int i = 0; i < 20; ++i) {
+            const auto booking = deployment.call(0, makeBooking());
+            checkBookings(deployment, {booking});
+            CPPUNIT_ASSERT(booking.status_ == 200 || booking.status_ == 502);
+            unknown += booking.status_ == 502 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(unknown > 0);
+    }
+
     // Guards against an instance that collects and scans one caller's line without end, and serves nobody meanwhile.
     void chunkExtensionWithoutEndIsRefused()
     {
