--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -60,6 +60,18 @@
     return "unknown";
 }
 
+ResponseKind kindOf(const ExchangeResult &result)
+{
+    if (result.outcome_ != ExchangeOutcome::Answered) {
+        return ResponseKind::Unusable;
+    }
+    const auto kind = Platform::classifyResponse(result.response_);
+    const bool isStatedNotRun = kind == ResponseKind::NotRun || kind == ResponseKind::Misdirected;
+    // On a kept connection, a response that names no request may be one that nobody has waited for.
+    const bool mayBeOfAnother = !result.isCorrelated_ && !result.isNewConnection_;
+    return isStatedNotRun && mayBeOfAnother ? ResponseKind::Unusable : kind;
+}
+
 PlacementOutcome toPlacementOutcome(const ExchangeResult &result, ResponseKind kind)
 {
     switch (result.outcome_) {
@@ -289,8 +301,6 @@
     options.connectTimeout_ = ServerConnectTimeout;
     options.timeout_ = std::max<Duration>(1ms, progress.deadline_ + DeadlineGrace - startedAt);
     options.maxIdle_ = isIdempotent ? MaxIdleIdempotent : MaxIdleNonIdempotent;
-    // Rejections may come without an id. A server that writes one once more must not make a request that has run look rejected.
-    options.needsCorrelatedConnection_ = !isIdempotent;
     options.correlationHeader_ = Platform::RequestIdHeader;
     options.correlationId_ = progress.headers_.requestId_;
     options.bodyReservation_ = &progress.control_->responseReservation();
@@ -316,7 +326,7 @@
         withhold(progress, place, decision, startedAt, now);
         co_return replaceServer(progress);
     }
-    const auto kind = result.outcome_ == ExchangeOutcome::Answered ? Platform::classifyResponse(result.response_) : ResponseKind::Unusable;
+    const auto kind = kindOf(result);
     PlacementReport report;
     report.outcome_ = toPlacementOutcome(result, kind);
     const bool isTimeout = result.outcome_ == ExchangeOutcome::Answered && result.response_.result_int() == GatewayTimeout;
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -20,6 +20,8 @@
 
 constexpr int MaxThreads = 300;
 constexpr auto PairPollInterval = std::chrono::milliseconds(1);
+// How long after a rejection its copy follows, or after the first part of a copy the second.
+constexpr auto CopyDelay = std::chrono::milliseconds(5);
 constexpr auto LateGrantDelay = std::chrono::milliseconds(1500);
 // A cold server may get this multiple of its rate plus this number of requests within a second; more is a violation.
 constexpr double ColdRateFactor = 1.5;
@@ -63,6 +65,19 @@
     return threads;
 }
 
+bool repeatsRejections(PlatformServerFault fault)
+{
+    switch (fault) {
+    case PlatformServerFault::RepeatsRejections:
+    case PlatformServerFault::RepeatsRejectionsTwice:
+    case PlatformServerFault::RepeatsRejectionsInParts:
+    case PlatformServerFault::RepeatsRejectionsEarly:
+        return true;
+    default:
+        return false;
+    }
+}
+
 std::string formatResponse(const std::string &requestId, const std::string &body, std::size_t announced)
 {
     return "HTTP/1.1 200 OK\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nGoldcrestwall-Server-Signature: s\r\nContent-Length: " + std::to_string(announced)
@@ -264,8 +279,11 @@
     return std::to_string(running_) + "," + std::to_string(waiting_) + "," + std::to_string(behaviour_.slots_) + ",100";
 }
 
-void PlatformServerStandIn::reject(Poco::Net::HTTPServerResponse &response, int status) const
+void PlatformServerStandIn::reject(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, int status) const
 {
+    if (const auto requestId = request.get("Goldcrestwall-Request-Id", ""); !requestId.empty()) {
+        response.set("Goldcrestwall-Request-Id", requestId);
+    }
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     response.set("Goldcrestwall-Not-Executed", "1");
     response.set("Goldcrestwall-Instance-Id", id_);
@@ -274,11 +292,11 @@
     response.send();
 }
 
-void PlatformServerStandIn::checkHealth(Poco::Net::HTTPServerResponse &response)
+void PlatformServerStandIn::checkHealth(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
 {
     ++healthCount_;
     if (isLeftAlone()) {
-        reject(response, 503);
+        reject(request, response, 503);
         return;
     }
     const std::lock_guard lock(mutex_);
@@ -298,7 +316,7 @@
     const auto &path = request.getURI();
     const std::string targetId = request.get("Goldcrestwall-Target-Instance", id_);
     if (targetId != id_) {
-        reject(response, 421);
+        reject(request, response, 421);
     } else if (path == "/-/grant") {
         grant(body, response);
     } else if (path == "/-/release" && hasFault(PlatformServerFault::IgnoresReleases)) {
@@ -306,7 +324,7 @@
     } else if (path == "/-/release") {
         release(body, response);
     } else if (path == "/health") {
-        checkHealth(response);
+        checkHealth(request, response);
     } else if (!isRejected(request, response)) {
         run(request, response, body);
     }
@@ -379,21 +397,25 @@
 {
     std::unique_lock lock(mutex_);
     if (request.get("Goldcrestwall-Request-Id", "").empty()) {
-        reject(response, 400);
+        reject(request, response, 400);
         return true;
     }
     recordArrival();
-    if (fault_ == PlatformServerFault::RepeatsRejections && isRejectedOnce(request)) {
-        return true;
+    if (const auto fault = fault_; repeatsRejections(fault)) {
+        lock.unlock();
+        if (isRejectedOnce(request, fault)) {
+            return true;
+        }
+        lock.lock();
     }
     if (fault_ == PlatformServerFault::Sheds || isLeftAlone() || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
-        reject(response, 503);
+        reject(request, response, 503);
         return true;
     }
     if (behaviour_.isSharded_) {
         const auto key = static_cast<std::uint32_t>(std::stoul(request.get("Goldcrestwall-Shard-Key", "0")));
         if (!holdsLocked(key)) {
-            reject(response, 421);
+            reject(request, response, 421);
             return true;
         }
         lock.unlock();
@@ -472,6 +494,12 @@
     case PlatformServerFault::RepeatsPreviousResponse:
         sendWithPreviousResponse(request, formatResponse(requestId, text, text.size()));
         return;
+    case PlatformServerFault::SendsUnnamedRejections:
+        sendAfterUnnamedRejection(request, formatResponse(requestId, text, text.size()));
+        return;
+    case PlatformServerFault::MisdirectsWithoutStatement:
+        sendRaw(request, "HTTP/1.1 421 Misdirected Request\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nContent-Length: 0\r\n\r\n", false);
+        return;
     case PlatformServerFault::EndlessHeaders:
         sendEndless(request, "HTTP/1.1 200 OK\r\n", "X-More: " + std::string(1000, 'x') + "\r\n");
         return;
@@ -495,22 +523,54 @@
     response.sendBuffer(text.data(), text.size());
 }
 
-bool PlatformServerStandIn::isRejectedOnce(Poco::Net::HTTPServerRequest &request)
+bool PlatformServerStandIn::isRejectedOnce(Poco::Net::HTTPServerRequest &request, PlatformServerFault fault)
 {
     // Bypasses the response object, so that the connection stays open.
     auto &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
     const std::string requestId = request.get("Goldcrestwall-Request-Id");
-    const auto port = request.clientAddress().port();
-    if (!rejectedOnce_.insert(requestId).second) {
-        const auto &copy = lastRejections_[port];
-        socket.sendBytes(copy.data(), static_cast<int>(copy.size()));
-        return false;
-    }
-    const std::string rejection =
+    std::string bytes =
         "HTTP/1.1 503 Service Unavailable\r\nGoldcrestwall-Request-Id: " + requestId + "\r\nGoldcrestwall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-    lastRejections_[port] = rejection;
-    socket.sendBytes(rejection.data(), static_cast<int>(rejection.size()));
-    return true;
+    bool isFirst = false;
+    {
+        const std::lock_guard lock(mutex_);
+        auto &last = lastRejections_[request.clientAddress().port()];
+        isFirst = rejectedOnce_.insert(requestId).second;
+        if (isFirst) {
+            last = bytes;
+        } else {
+            bytes = fault == PlatformServerFault::RepeatsRejectionsTwice ? last + last : last;
+        }
+    }
+    const bool isInParts = !isFirst && fault == PlatformServerFault::RepeatsRejectionsInParts;
+    const auto firstPart = static_cast<int>(isInParts ? bytes.size() / 2 : bytes.size());
+    if (isFirst || fault != PlatformServerFault::RepeatsRejectionsEarly) {
+        socket.sendBytes(bytes.data(), firstPart);
+    }
+    if (isInParts) {
+        std::this_thread::sleep_for(CopyDelay);
+        socket.sendBytes(bytes.data() + firstPart, static_cast<int>(bytes.size()) - firstPart);
+    }
+    if (isFirst && fault == PlatformServerFault::RepeatsRejectionsEarly) {
+        std::this_thread::sleep_for(CopyDelay);
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
+    return isFirst;
+}
+
+void PlatformServerStandIn::sendAfterUnnamedRejection(Poco::Net::HTTPServerRequest &request, const std::string &answer)
+{
+    // Bypasses the response object, so that the connection stays open.
+    auto &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    std::string bytes = answer;
+    {
+        const std::lock_guard lock(mutex_);
+        auto &last = lastResponses_[request.clientAddress().port()];
+        if (!last.empty()) {
+            bytes = "HTTP/1.1 503 Service Unavailable\r\nGoldcrestwall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + answer;
+        }
+        last = answer;
+    }
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
 }
 
 void PlatformServerStandIn::sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer)
