--- a/Tests/OnPlatform/Callers.cpp
+++ b/Tests/OnPlatform/Callers.cpp
@@ -178,6 +178,21 @@
     }
 }
 
+std::string explain(const Deployment &deployment, const CallerAnswer &answer)
+{
+    // Lines are written a little later.
+    std::vector<std::string> lines;
+    Deployment::eventually([&] {
+        lines = deployment.linesForRequest(answer.requestId_);
+        return !lines.empty();
+    });
+    std::string text = "\n" + answer.requestId_ + " got " + std::to_string(answer.status_);
+    for (const auto &line : lines) {
+        text += "\n" + line;
+    }
+    return text;
+}
+
 void checkNoViolations(Deployment &deployment)
 {
     for (const auto &violation : deployment.recorder().violations()) {
--- a/Tests/OnPlatform/Callers.h
+++ b/Tests/OnPlatform/Callers.h
@@ -73,6 +73,8 @@
 // Checks the responses to bookings against the runs that servers recorded: a booking runs at most once, exactly once after a 200, and never
 // after a 429 or 503.
 void checkBookings(Deployment &deployment, const std::vector<CallerAnswer> &bookings);
+// Returns the status of an answer and the log lines of its request.
+std::string explain(const Deployment &deployment, const CallerAnswer &answer);
 // Checks that no server has recorded a violation.
 void checkNoViolations(Deployment &deployment);
 
--- a/Tests/OnPlatform/TestConnections.cpp
+++ b/Tests/OnPlatform/TestConnections.cpp
@@ -397,13 +397,15 @@
         order.host_ = "keyed.example";
         order.path_ = "/order/1";
         std::size_t served = 0;
+        std::string failures;
         for (std::uint32_t i = 0; i < 20; ++i) {
             order.key_ = i * 3000;
             const auto answer = deployment.call(0, order);
             checkBookings(deployment, {answer});
             served += answer.status_ == 200 ? 1 : 0;
+            failures += answer.status_ == 200 ? std::string() : explain(deployment, answer);
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(20), served);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(failures, std::size_t(20), served);
     }
 
     // Guards against a booking that is told rejected and has run: its caller repeats it after a true rejection, and the server writes that
--- a/Tests/OnPlatform/TestLimitedServers.cpp
+++ b/Tests/OnPlatform/TestLimitedServers.cpp
@@ -278,10 +278,11 @@
         const auto key = keyHeldBy(deployment, 0);
         deployment.sharded(0).setLimit("0.5");
         CallerAnswer rejected;
-        CPPUNIT_ASSERT(Deployment::eventually([&] {
+        const bool isRejected = Deployment::eventually([&] {
             rejected = deployment.call(0, makeKeyed(key));
             return rejected.status_ == 503;
-        }));
+        });
+        CPPUNIT_ASSERT_MESSAGE(isRejected ? "" : explain(deployment, rejected), isRejected);
         CPPUNIT_ASSERT(rejected.hasRetryAfter_);
         std::vector<std::string> lines;
         // Lines are written a little later.
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -154,11 +154,11 @@
                 const auto answer = deployment.call(0, CallerRequest());
                 // When all servers fail, an exhausted retry budget or the avoidance of failing servers may cause a 503 instead.
                 const bool isAsExpected = answer.status_ == each.idempotent_ || (each.idempotent_ != 200 && answer.status_ == 503);
-                CPPUNIT_ASSERT_MESSAGE(label + " got " + std::to_string(answer.status_), isAsExpected);
+                CPPUNIT_ASSERT_MESSAGE(label + (isAsExpected ? "" : explain(deployment, answer)), isAsExpected);
                 CPPUNIT_ASSERT(answer.status_ != 200 || (answer.isSigned_ && answer.body_.find("ran /plain/x") != std::string::npos));
                 bookings.push_back(deployment.call(0, makeBooking()));
                 const bool isBooked = bookings.back().status_ == each.booking_ || (each.booking_ != 200 && bookings.back().status_ == 503);
-                CPPUNIT_ASSERT_MESSAGE(label + " booking got " + std::to_string(bookings.back().status_), isBooked);
+                CPPUNIT_ASSERT_MESSAGE(label + " booking" + (isBooked ? "" : explain(deployment, bookings.back())), isBooked);
             }
             checkBookings(deployment, bookings);
             for (std::size_t i = 0; i < 4; ++i) {
