LibGateway: Keep the granter after a write in doubt if nobody else can have granted

Cause: whatever the store said afterwards, the granter started anew.

A granter writes before it grants, and each write renames the granter. So if the stored assignment is still the one before the write, or is byte for byte the one that was written, nobody else has granted, and the granter goes on with all it knows. Only another assignment starts it anew.

Red before: keysMoveAtOnceAfterAWriteInDoubt (a server is draining, the answer to the write is lost, the store is sound again) TestOnPlatform.cpp:309:Assertion / assertion failed / - Expression: hasMoved with the log: write in doubt at 0 ms, granter-started at 500 ms, keys-released (accepted) at 551 ms, no grant within 3 s.

--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -241,22 +241,27 @@
         co_return;
     }
     if (commit.outcome_ == StoreOutcome::Done) {
-        storedRevision_ = commit.revision_;
-        unconfirmedStandbys_.clear();
-        granter_->recordStored(std::move(assignment), now);
-        run(grantsUntil_, false, now);
+        recordWritten(std::move(assignment), commit.revision_, now);
         co_return;
     }
     const bool isCertain = commit.outcome_ == StoreOutcome::Refused || commit.outcome_ == StoreOutcome::Unreachable;
     if (!isCertain) {
-        co_await reload();
+        co_await reload(std::move(assignment));
     }
 }
 
-Task<void> ShardService::reload()
+void ShardService::recordWritten(ShardAssignment assignment, Platform::Revision revision, TimePoint now)
+{
+    storedRevision_ = revision;
+    unconfirmedStandbys_.clear();
+    granter_->recordStored(std::move(assignment), now);
+    run(grantsUntil_, false, now);
+}
+
+Task<void> ShardService::reload(ShardAssignment written)
 {
     // The write may have been applied, or may still be applied while its condition holds. The stored value decides. Once the next write
-    // is applied, the earlier write's condition fails.
+    // is applied, the earlier write's condition fails. Only if another value is stored may another instance have granted.
     isReloading_ = true;
     for (;;) {
         co_await sleepFor(loop_, ReloadInterval);
@@ -272,11 +277,19 @@
         }
         const TimePoint now = bootNow();
         const auto item = std::ranges::find(page.items_, assignmentKey(service_), &Platform::StoreItem::key_);
-        const auto stored = item == page.items_.end() ? std::nullopt : decodeAssignment(item->value_);
-        storedRevision_ = item == page.items_.end() ? 0 : item->revision_;
-        unconfirmedStandbys_.clear();
-        create(stored, now, now);
+        const auto revision = item == page.items_.end() ? 0 : item->revision_;
         isReloading_ = false;
+        if (revision == storedRevision_) {
+            // Nobody else can have granted since, and the write has no effect yet.
+            co_return;
+        }
+        if (item != page.items_.end() && item->value_ == encodeAssignment(written)) {
+            recordWritten(std::move(written), revision, now);
+            co_return;
+        }
+        storedRevision_ = revision;
+        unconfirmedStandbys_.clear();
+        create(item == page.items_.end() ? std::nullopt : decodeAssignment(item->value_), now, now);
         co_return;
     }
 }
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -40,7 +40,10 @@
     void recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint sentAt, TimePoint now);
     Task<void> sendGrant(GrantCall call);
     Task<void> sendRelease(ReleaseCall call);
-    Task<void> reload();
+    // Records that the assignment that this instance wrote is stored.
+    void recordWritten(ShardAssignment assignment, Platform::Revision revision, TimePoint now);
+    // Finds out whether the assignment, whose write is in doubt, is stored.
+    Task<void> reload(ShardAssignment written);
     // Starts the granter anew from the assignment in the store, if there is one.
     void create(const std::optional<ShardAssignment> &stored, TimePoint seenAt, TimePoint now);
     // Starts the granter if there is none, and anew if another instance has granted since this one did.
--- a/Tests/LibPlacement/TestSuccession.cpp
+++ b/Tests/LibPlacement/TestSuccession.cpp
@@ -99,6 +99,8 @@
     int granterEntryRevision_ = 0;
     int storedRevision_ = 0;
     bool isWriteInDoubt_ = false;
+    // The assignment whose write is in doubt.
+    ShardAssignment written_;
 };
 
 struct ModelServer
@@ -458,9 +460,7 @@
         const bool isLast = isLastGranter(instanceName(index), known ? &*known : nullptr);
         if (instance.isWriteInDoubt_) {
             if (hearsStore(instance)) {
-                instance.isWriteInDoubt_ = false;
-                instance.storedRevision_ = store_.assignmentRevision_;
-                startGranter(index, store_.assignment_, now_);
+                adoptAfterDoubt(index);
             }
             const bool isAdopted = !isVacant && instance.granterEntryRevision_ == instance.view_.entry_.revision_;
             return instance.granter_ && (isAdopted || (isLast && (isVacant || instance.isWriteInDoubt_)));
@@ -482,6 +482,22 @@
         return true;
     }
 
+    // Takes the result of a write in doubt from the store. Only if another assignment is stored may another instance have granted.
+    void adoptAfterDoubt(int index)
+    {
+        auto &instance = instances_[index];
+        instance.isWriteInDoubt_ = false;
+        if (instance.storedRevision_ == store_.assignmentRevision_) {
+            return;
+        }
+        instance.storedRevision_ = store_.assignmentRevision_;
+        if (store_.assignment_ == instance.written_) {
+            instance.granter_->recordStored(instance.written_, now_);
+        } else {
+            startGranter(index, store_.assignment_, now_);
+        }
+    }
+
     void grant(int index)
     {
         auto &instance = instances_[index];
@@ -527,6 +543,7 @@
         }
         if (!hearsStore(instance) || !isCurrent || store_.assignment_ != next) {
             instance.isWriteInDoubt_ = true;
+            instance.written_ = *next;
             return;
         }
         instance.storedRevision_ = store_.assignmentRevision_;
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -17,6 +17,25 @@
         + R"(","kind":"idempotent","timeoutS":2,"aimS":0.3,"priority":1,"service":"plain","maxAttempts":2}},)";
 }
 
+// Returns some of the keys that a server holds.
+std::vector<std::uint32_t> keysHeldBy(Deployment &deployment, std::size_t sharded)
+{
+    std::vector<std::uint32_t> keys;
+    for (std::uint32_t key = 0; key < 65536; key += 4096) {
+        if (deployment.sharded(sharded).holds(key)) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
+bool isWriteInDoubt(const Deployment &deployment)
+{
+    return std::ranges::any_of(deployment.linesContaining("\"assignment-written\""), [](const std::string &line) {
+        return line.find("\"outcome\":\"unknown\"") != std::string::npos;
+    });
+}
+
 } // namespace
 
 class TestOnPlatform : public CppUnit::TestFixture
@@ -30,6 +49,7 @@
     CPPUNIT_TEST(lostCoordinatorLosesNoBooking);
     CPPUNIT_TEST(storeOutageIsSurvived);
     CPPUNIT_TEST(keysAreServedWhileAWriteIsInDoubt);
+    CPPUNIT_TEST(keysMoveAtOnceAfterAWriteInDoubt);
     CPPUNIT_TEST(routeChangeBehindDeafWatchesTakesEffect);
     CPPUNIT_TEST(instanceWithoutStoreFollowsItsPeers);
     CPPUNIT_TEST(fewInstancesWatchTheStore);
@@ -250,17 +270,9 @@
         }
         deployment.store().setFault(PlatformStoreFault::LosesWriteAnswers);
         deployment.sharded(0).removeEntry();
-        const auto isInDoubt = [&deployment] {
-            for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
-                for (const auto &line : deployment.instance(i).logLines()) {
-                    if (line.find("\"assignment-written\"") != std::string::npos && line.find("\"outcome\":\"unknown\"") != std::string::npos) {
-                        return true;
-                    }
-                }
-            }
-            return false;
-        };
-        CPPUNIT_ASSERT(Deployment::eventually(isInDoubt));
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            return isWriteInDoubt(deployment);
+        }));
         deployment.store().setFault(PlatformStoreFault::Unresponsive);
         // Longer than a server holds keys without a renewal.
         std::this_thread::sleep_for(std::chrono::seconds(5));
@@ -272,6 +284,32 @@
         checkNoViolations(deployment);
     }
 
+    // Guards against a granter that forgets, after a write in doubt, that nobody but itself has granted, and lets its own grants run out first.
+    void keysMoveAtOnceAfterAWriteInDoubt()
+    {
+        // A server holds keys for 3.2 s without a renewal.
+        constexpr auto MaxMoveTime = 3s;
+        Deployment deployment(2);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        const auto keys = keysHeldBy(deployment, 0);
+        CPPUNIT_ASSERT(!keys.empty());
+        deployment.store().setFault(PlatformStoreFault::LosesWriteAnswers);
+        deployment.sharded(0).registerEntry("draining");
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            return isWriteInDoubt(deployment);
+        }));
+        deployment.store().setFault(PlatformStoreFault::None);
+        const bool hasMoved = Deployment::eventually(
+            [&] {
+                return std::ranges::all_of(keys, [&](std::uint32_t key) {
+                    return deployment.call(0, makeKeyed(key)).status_ == 200;
+                });
+            },
+            MaxMoveTime);
+        CPPUNIT_ASSERT(hasMoved);
+        checkNoViolations(deployment);
+    }
+
     // The store discards its history: open watches miss a change and are closed, and watches opened at that moment miss it too.
     void routeChangeBehindDeafWatchesTakesEffect()
     {
