StandIns: Reject a request once at all servers together, not once at each

Cause, from the kept logs: the order's key moved between its rejection and its second send (s-0 rejects at 208984, keys 0 to 15 released by s-0 at 208987, s-1 rejects at 208991), and each stand-in rejected a request that it had not seen, so the order was rejected by two servers in its two sends (maxAttempts 2). Its 503 was true and it had not run: the test asked for 200 for an order that all its sends had rejected. RepeatsRejections now rejects a request once at all servers together, as the test means it. Each order is rejected once and its rejection written once more, as before, and all 20 have to get 200.

--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -93,6 +93,12 @@
     return runs_.size();
 }
 
+bool PlatformRunRecorder::recordRejection(const std::string &requestId)
+{
+    const std::lock_guard lock(mutex_);
+    return rejectedOnce_.insert(requestId).second;
+}
+
 std::size_t PlatformRunRecorder::runCount() const
 {
     const std::lock_guard lock(mutex_);
@@ -534,7 +540,7 @@
     {
         const std::lock_guard lock(mutex_);
         auto &last = lastRejections_[request.clientAddress().port()];
-        isFirst = rejectedOnce_.insert(requestId).second;
+        isFirst = recorder_.recordRejection(requestId);
         if (isFirst) {
             last = bytes;
         } else {
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -61,7 +61,8 @@
     RespondsInPairs,
     // Sends a copy of the previous response on the connection right before each response.
     RepeatsPreviousResponse,
-    // Rejects each request once. When a request comes on the connection of a rejection, sends that rejection once more and runs the request.
+    // Rejects each request once, at the first server with this fault that it reaches. When a request comes on the connection of a rejection, sends that
+    // rejection once more and runs the request.
     RepeatsRejections,
     // As RepeatsRejections, but sends the rejection twice more.
     RepeatsRejectionsTwice,
@@ -96,12 +97,15 @@
     std::size_t runCount() const;
     void recordViolation(std::string what);
     std::vector<PlatformRun> runs() const;
+    // Records that a server rejects a request; returns whether it is the first rejection.
+    bool recordRejection(const std::string &requestId);
     std::size_t runsOf(const std::string &requestId) const;
     std::vector<std::string> violations() const;
 
 private:
     mutable std::mutex mutex_;
     std::vector<PlatformRun> runs_;
+    std::set<std::string> rejectedOnce_;
     std::vector<std::string> violations_;
 };
 
@@ -203,8 +207,7 @@
     std::uint32_t running_ = 0;
     // Number of runs at all servers when the fault was set.
     std::size_t runsBeforeFault_ = 0;
-    // The requests that were rejected once, and the last rejection on each connection, by the peer's port.
-    std::set<std::string> rejectedOnce_;
+    // The last rejection on each connection, by the peer's port.
     std::map<std::uint16_t, std::string> lastRejections_;
     // The last response on each connection, by the peer's port.
     std::map<std::uint16_t, std::string> lastResponses_;
