LibGateway: Send each grant over a connection of its own

Grants carry no request id and shared kept connections, so that a server's late copy of an earlier response was taken for the response to the next grant. A copied 200 makes a grant that is carried out later look accepted: once the server has released the keys they are granted to another one at once, and the late grant gives them back to the first. A copied 400, 404 or 421 would make a grant that is in force look never received (NotSent), a copied 409 look refused, with the same end.

Why it works: no earlier response can stand where the response to a grant is due if the connection has had no earlier call. Releases had new connections already, but left them for grants, and closed an idle one each time; now neither keeps its connection. So the outcome NotSent rests on a response to this grant too.

The stand-in waits for late grants on its condition, so that clearing the fault ends the wait.

--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -73,8 +73,8 @@
     PlacementService &placement_;
     AnnouncementRecorder &announcements_;
     EventLog &log_;
-    // Responses to grants, releases and health checks carry no request id. Separate clients, and so separate connections, keep a duplicate
-    // response of one kind from being taken for a response of the other.
+    // Grants and releases have a connection of their own each. Responses to health checks carry no request id either; a separate client keeps
+    // their connections apart.
     HttpClient shardCallClient_;
     HttpClient healthClient_;
     std::map<std::string, std::shared_ptr<ShardService>> shards_;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -218,7 +218,7 @@
             result.outcome_ = ExchangeOutcome::Answered;
             result.isCorrelated_ = !correlationId.empty();
             // A server that writes responses nobody is waiting for may be closing the connection, or write the next one there too.
-            co_return !hasOtherResponse && response.keep_alive() && buffer.size() == 0 && !response.need_eof();
+            co_return !hasOtherResponse && request.keep_alive() && response.keep_alive() && buffer.size() == 0 && !response.need_eof();
         }
         if (!response.keep_alive()) {
             result.outcome_ = ExchangeOutcome::Lost;
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -300,11 +300,11 @@
     if (targetId != id_) {
         reject(response, 421);
     } else if (path == "/-/grant") {
-        grant(body, response);
+        grant(request, body, response);
     } else if (path == "/-/release" && hasFault(PlatformServerFault::IgnoresReleases)) {
         sendRaw(request, "", true);
     } else if (path == "/-/release") {
-        release(body, response);
+        release(request, body, response);
     } else if (path == "/health") {
         checkHealth(response);
     } else if (!isRejected(request, response)) {
@@ -312,7 +312,7 @@
     }
 }
 
-void PlatformServerStandIn::grant(const std::string &body, Poco::Net::HTTPServerResponse &response)
+void PlatformServerStandIn::grant(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response)
 {
     const TimePoint arrivedAt = monotonicNow();
     const auto order = Json::parse(body);
@@ -327,10 +327,17 @@
         response.send();
         return;
     }
-    if (hasFault(PlatformServerFault::GrantsLate)) {
-        std::this_thread::sleep_for(LateGrantDelay);
+    const bool sendsCopies = hasFault(PlatformServerFault::GrantsLateAfterCopies);
+    if (sendsCopies) {
+        sendPreviousShardCallResponse(request);
+    }
+    std::unique_lock lock(mutex_);
+    if (sendsCopies || fault_ == PlatformServerFault::GrantsLate) {
+        ++lateGrantCount_;
+        stateChanged_.wait_for(lock, LateGrantDelay, [this] {
+            return fault_ == PlatformServerFault::None;
+        });
     }
-    const std::lock_guard lock(mutex_);
     const bool isOld = std::ranges::any_of(holds_, [&hold](const Hold &held) {
         return held.first_ <= hold.last_ && hold.first_ <= held.last_ && held.token_ > hold.token_;
     });
@@ -341,12 +348,10 @@
         holds_.push_back(hold);
     }
     response.setStatus(isOld ? Poco::Net::HTTPResponse::HTTP_CONFLICT : Poco::Net::HTTPResponse::HTTP_OK);
-    setAnnouncementHeaders(response);
-    response.setContentLength(0);
-    response.send();
+    respondToShardCall(request, response);
 }
 
-void PlatformServerStandIn::release(const std::string &body, Poco::Net::HTTPServerResponse &response)
+void PlatformServerStandIn::release(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response)
 {
     const auto order = Json::parse(body);
     const auto first = order.at("from").get<std::uint32_t>();
@@ -370,8 +375,16 @@
         return running_ == 0 || fault_ == PlatformServerFault::Unresponsive;
     });
     response.set("Goldcrestwall-Handover", "handover-" + id_);
+    respondToShardCall(request, response);
+}
+
+void PlatformServerStandIn::respondToShardCall(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
     setAnnouncementHeaders(response);
     response.setContentLength(0);
+    std::ostringstream bytes;
+    response.write(bytes);
+    lastShardCallResponses_[request.clientAddress().port()] = bytes.str();
     response.send();
 }
 
@@ -513,6 +526,15 @@
     return true;
 }
 
+void PlatformServerStandIn::sendPreviousShardCallResponse(Poco::Net::HTTPServerRequest &request)
+{
+    // Bypasses the response object, so that the connection stays open.
+    auto &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    const std::lock_guard lock(mutex_);
+    const auto &copy = lastShardCallResponses_[request.clientAddress().port()];
+    socket.sendBytes(copy.data(), static_cast<int>(copy.size()));
+}
+
 void PlatformServerStandIn::sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer)
 {
     // Bypasses the response object, so that the connection stays open.
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -49,6 +49,8 @@
     Unresponsive,
     // Applies grants and responds to them only after a delay.
     GrantsLate,
+    // Like GrantsLate, and sends a copy of the previous response to a grant or a release on the connection at once.
+    GrantsLateAfterCopies,
     // Resets the connection when it is asked to release keys, and keeps them.
     IgnoresReleases,
     // Closes the connection after each response without announcing it in a header.
@@ -136,6 +138,11 @@
         return arrivalCount_;
     }
 
+    // Number of grants that were applied late or are going to be.
+    std::size_t lateGrantCount() const
+    {
+        return lateGrantCount_;
+    }
     // Number of endless responses that the peer has ended by closing the connection.
     std::size_t closedEndlessCount() const
     {
@@ -157,13 +164,17 @@
         TimePoint until_;
     };
 
-    void grant(const std::string &body, Poco::Net::HTTPServerResponse &response);
-    void release(const std::string &body, Poco::Net::HTTPServerResponse &response);
+    void grant(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response);
+    void release(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response);
     bool isRejected(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
     // Rejects the request if it is its first arrival. Otherwise sends the last rejection on the connection once more.
     bool isRejectedOnce(Poco::Net::HTTPServerRequest &request);
     void sendWithPreviousResponse(Poco::Net::HTTPServerRequest &request, const std::string &answer);
+    // Sends the response to a grant or a release and keeps it for a copy.
+    void respondToShardCall(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    // Sends a copy of the previous response to a grant or a release on the connection, if there is one.
+    void sendPreviousShardCallResponse(Poco::Net::HTTPServerRequest &request);
     // Sends `head` once, then `filler` repeatedly until the connection is closed or the fault is cleared.
     void sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler);
     void sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset);
@@ -195,6 +206,8 @@
     // The requests that were rejected once, and the last rejection on each connection, by the peer's port.
     std::set<std::string> rejectedOnce_;
     std::map<std::uint16_t, std::string> lastRejections_;
+    // The last response to a grant or a release on each connection, by the peer's port.
+    std::map<std::uint16_t, std::string> lastShardCallResponses_;
     // The last response on each connection, by the peer's port.
     std::map<std::uint16_t, std::string> lastResponses_;
     std::uint32_t waiting_ = 0;
@@ -206,6 +219,7 @@
     std::uint64_t highestToken_ = 0;
     std::atomic<std::size_t> healthCount_ = 0;
     std::atomic<std::size_t> arrivalCount_ = 0;
+    std::atomic<std::size_t> lateGrantCount_ = 0;
     std::atomic<std::size_t> closedEndlessCount_ = 0;
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -120,6 +120,7 @@
     CPPUNIT_TEST(connectionsAreKeptOnlyWhenClean);
     CPPUNIT_TEST(copyOfAnUncorrelatedRejectionIsNoAnswerToWorkThatRunsOnce);
     CPPUNIT_TEST(closedConnectionIsNotReused);
+    CPPUNIT_TEST(connectionIsNotKeptAfterARequestToCloseIt);
     CPPUNIT_TEST(idleConnectionIsNotReusedAfterItsTimeout);
     CPPUNIT_TEST(unreachableServerIsReportedAsNotSent);
     CPPUNIT_TEST(cancelEndsTheExchange);
@@ -277,7 +278,8 @@
     }
 
     // Makes `count` exchanges in sequence with a server that runs the scripts.
-    std::vector<ExchangeResult> runExchanges(std::vector<Script> scripts, int count, ExchangeOptions options = makeOptions())
+    std::vector<ExchangeResult>
+    runExchanges(std::vector<Script> scripts, int count, ExchangeOptions options = makeOptions(), const HttpRequest &request = makeRequest())
     {
         asio::io_context loop;
         ScriptedServer server(loop, std::move(scripts));
@@ -287,7 +289,7 @@
             loop,
             [&]() -> Task<void> {
                 for (int i = 0; i < count; ++i) {
-                    results.push_back(co_await client.exchange(server.address(), makeRequest(), options, std::make_shared<ExchangeHandle>()));
+                    results.push_back(co_await client.exchange(server.address(), request, options, std::make_shared<ExchangeHandle>()));
                     co_await sleepFor(loop, 20ms);
                 }
                 loop.stop();
@@ -386,6 +388,16 @@
         CPPUNIT_ASSERT(results[1].isNewConnection_);
     }
 
+    void connectionIsNotKeptAfterARequestToCloseIt()
+    {
+        const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        auto request = makeRequest();
+        request.keep_alive(false);
+        const auto results = runExchanges({{{clean, clean}, false}, {{clean}, false}}, 2, makeOptions(), request);
+        CPPUNIT_ASSERT(results[1].outcome_ == ExchangeOutcome::Answered);
+        CPPUNIT_ASSERT(results[1].isNewConnection_);
+    }
+
     void idleConnectionIsNotReusedAfterItsTimeout()
     {
         const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
--- a/Tests/OnPlatform/TestLeavingServers.cpp
+++ b/Tests/OnPlatform/TestLeavingServers.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(serverAnnouncesLeavingWhileStoreIsSilent);
     CPPUNIT_TEST(coordinatorHearsOfAnnouncementFromOthers);
     CPPUNIT_TEST(keysMoveFromAnnouncedHolderThatIgnoresReleases);
+    CPPUNIT_TEST(copyOfAnEarlierResponseIsNoAnswerToAGrant);
     CPPUNIT_TEST(newRunOfAnnouncedServerIsUsed);
     CPPUNIT_TEST(readyEntryAfterAnnouncementIsNotBelieved);
     CPPUNIT_TEST(restartedInstanceHearsOfAnnouncementsBeforeTheStoreTells);
@@ -132,6 +133,40 @@
         checkNoViolations(deployment);
     }
 
+    // Guards against two holders: a server writes the response to an earlier grant once more, and carries out the grant that is due only after
+    // it has released the keys.
+    void copyOfAnEarlierResponseIsNoAnswerToAGrant()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        auto &holder = deployment.sharded(0);
+        std::vector<std::uint32_t> keys;
+        for (std::uint32_t key = 0; key < 65536; key += 256) {
+            if (holder.holds(key)) {
+                keys.push_back(key);
+            }
+        }
+        CPPUNIT_ASSERT(!keys.empty());
+        holder.setFault(PlatformServerFault::GrantsLateAfterCopies);
+        CPPUNIT_ASSERT(Deployment::eventually([&holder] {
+            return holder.lateGrantCount() > 0;
+        }));
+        holder.registerEntry("draining");
+        // Longer than any hold lasts.
+        for (const TimePoint end = monotonicNow() + 6s; monotonicNow() < end;) {
+            for (const auto key : keys) {
+                // The new holder is looked at first, as the keys may change hands in between.
+                const bool isHeldTwice = isHeldByAnother(deployment, key) && holder.holds(key);
+                CPPUNIT_ASSERT_MESSAGE("key " + std::to_string(key) + " is held twice", !isHeldTwice);
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        for (const auto key : keys) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("key " + std::to_string(key), 200, deployment.call(0, makeKeyed(key)).status_);
+        }
+        checkNoViolations(deployment);
+    }
+
     void newRunOfAnnouncedServerIsUsed()
     {
         Deployment deployment(1);
@@ -272,6 +307,11 @@
     }
 
 private:
+    static bool isHeldByAnother(Deployment &deployment, std::uint32_t key)
+    {
+        return deployment.sharded(1).holds(key) || deployment.sharded(2).holds(key) || deployment.sharded(3).holds(key);
+    }
+
     // Makes a change after which p-0 is to get no requests, while a coordinator goes on choosing that server.
     static void checkChangeIsHeeded(const std::function<void(Deployment &)> &change)
     {
--- a/Tests/Platform/TestBackendProtocol.cpp
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(callerHeadersAreRead);
     CPPUNIT_TEST(healthIsRead);
     CPPUNIT_TEST(shardCallOutcomesAreRead);
+    CPPUNIT_TEST(shardCallsEndTheirConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -217,6 +218,13 @@
         CPPUNIT_ASSERT(readShardCallOutcome({ExchangeOutcome::Malformed, {}, false}) == ShardCallOutcome::Unanswered);
         CPPUNIT_ASSERT(readShardCallOutcome({ExchangeOutcome::NotSent, {}, false}) == ShardCallOutcome::NotSent);
     }
+
+    // Guards against a copy of the response to one call that is taken for the response to the next.
+    void shardCallsEndTheirConnections()
+    {
+        CPPUNIT_ASSERT(!makeGrantRequest("127.0.0.1:1", {}).keep_alive());
+        CPPUNIT_ASSERT(!makeReleaseRequest("127.0.0.1:1", {}).keep_alive());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBackendProtocol);
