LibGateway: Send each health check over a connection of its own

What was seen: by reading. Health checks carry no request id and shared kept connections, so that a server's late copy of an earlier report could be taken for the next one and keep a server in use that rejects its checks.

The test of the request failed first:

TestBackendProtocol::callsWithoutIdsEndTheirConnections - Expression: !makeHealthRequest("127.0.0.1:1", "/health").keep_alive()

That a copy keeps a server in use was not shown by a run: a test of processes written for it passed without the change too, and was dropped.

Why it works: as for grants, no earlier response can stand where the report is due. As no call of this kind keeps its connection any more, grants, releases and health checks share one client.

With it: TestPlatform 29, TestLibHttp 19, TestLibGateway 53 passed; four tests of TestOnPlatform (among them heldBackServerIsNotProbed and copyOfAnEarlierResponseIsNoAnswerToAGrant) passed.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -40,8 +40,7 @@
     , placement_(placement)
     , announcements_(announcements)
     , log_(log)
-    , shardCallClient_(loop)
-    , healthClient_(loop)
+    , serverCallClient_(loop)
 {
 }
 
@@ -82,7 +81,7 @@
         const auto *description = configuration->service(service);
         if (description->isSharded_ && !shards_.contains(service)) {
             shards_[service] = std::make_shared<ShardService>(
-                loop_, service, grantTimings_, view_, store_, shardCallClient_, placement_, announcements_, storeLink_, self_.name_, log_);
+                loop_, service, grantTimings_, view_, store_, serverCallClient_, placement_, announcements_, storeLink_, self_.name_, log_);
         }
     }
     placement_.setCoordinated(std::move(coordinated), now);
@@ -344,8 +343,10 @@
     const TimePoint sentAt = bootNow();
     ExchangeOptions options;
     options.timeout_ = HealthTimeout;
+    // The response carries no request id. On a reused connection, a duplicate of an earlier report could be mistaken for it.
+    options.needsNewConnection_ = true;
     const auto result =
-        co_await healthClient_.exchange(server.address_, Platform::makeHealthRequest(server.address_, path), options, std::make_shared<ExchangeHandle>());
+        co_await serverCallClient_.exchange(server.address_, Platform::makeHealthRequest(server.address_, path), options, std::make_shared<ExchangeHandle>());
     const TimePoint now = bootNow();
     auto *pool = placement_.pool(service);
     if (pool == nullptr) {
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -73,10 +73,8 @@
     PlacementService &placement_;
     AnnouncementRecorder &announcements_;
     EventLog &log_;
-    // Grants and releases have a connection of their own each. Responses to health checks carry no request id either; a separate client keeps
-    // their connections apart.
-    HttpClient shardCallClient_;
-    HttpClient healthClient_;
+    // Each grant, release and health check has a connection of its own, because their responses carry no request id.
+    HttpClient serverCallClient_;
     std::map<std::string, std::shared_ptr<ShardService>> shards_;
     // Since when each service without a coordinator has had none while this instance could have claimed it.
     std::map<std::string, TimePoint> vacantSince_;
