--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -253,10 +253,12 @@
 {
     ExchangeResult result;
     const TimePoint startedAt = bootNow();
-    const auto idle = takeIdle(address, options, startedAt);
-    Connection connection = idle.value_or(Connection());
-    if (!idle) {
-        result.isNewConnection_ = true;
+    auto idle = takeIdle(address, options, startedAt);
+    result.isNewConnection_ = !idle;
+    Connection connection;
+    if (idle) {
+        connection = std::move(*idle);
+    } else {
         connection = co_await connect(address, std::min(options.connectTimeout_, options.timeout_), handle);
     }
     const auto stream = connection.stream_;
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -131,6 +131,7 @@
         // a connection.
         std::vector<std::size_t> unsuccessfulIds_;
 
+        // Whether a request with these options may be sent on it, if it is open.
         bool mayCarry(const ExchangeOptions &options) const;
         // Records the response to a request that was sent with these options. Returns whether the connection may be kept.
         bool record(const ExchangeOptions &options, const ExchangeResult &result, TimePoint now);
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -273,6 +273,9 @@
         closeConnection();
         return;
     }
+    if (fault == PlatformStoreFault::Fails) {
+        reply.status_ = 500;
+    }
     if (fault == PlatformStoreFault::SendsMalformedBytes) {
         reply.body_ = "{\"items\": [";
     }
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -25,6 +25,8 @@
     Busy,
     // Rejects each call with status 429.
     Limited,
+    // Executes each call, then responds with status 500.
+    Fails,
     // Executes each call, then closes the connection without a response.
     LosesAnswers,
     // Does the same for writes only.
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -116,6 +116,7 @@
             {PlatformStoreFault::Down, StoreOutcome::Unknown},
             {PlatformStoreFault::Busy, StoreOutcome::Refused},
             {PlatformStoreFault::Limited, StoreOutcome::Refused},
+            {PlatformStoreFault::Fails, StoreOutcome::Unknown},
             {PlatformStoreFault::LosesAnswers, StoreOutcome::Unknown},
             {PlatformStoreFault::SendsMalformedBytes, StoreOutcome::Unknown},
             {PlatformStoreFault::Unresponsive, StoreOutcome::Unknown},
