LibGateway: Measure how long messages wait at the own link, and how long store calls took

Pongs carry the sender's clock, so the one-way delays of a ping and its answer are known up to a constant; LinkDelay takes the shortest of the peers' as that of the own link. New: goldcrestwall_peer_queue_seconds by direction, goldcrestwall_body_bytes_received_total by source, the line link-late, tookMs in store-lost, items, bytes and firstByteMs in view-from-peer. No decision changes.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -21,6 +21,9 @@
 constexpr Duration SettingsInterval = 1s;
 // Longer delays of the event loop are logged.
 constexpr Duration ReportedLoopDelay = 200ms;
+// Longer round trips to peers are logged, one in each interval.
+constexpr Duration ReportedRoundTrip = 200ms;
+constexpr Duration RoundTripReportInterval = 500ms;
 constexpr Duration MemoryInterval = 500ms;
 // The platform stops routing new callers to the instance within this time after it reports that it is not ready.
 constexpr Duration ReadinessPropagationTime = 3s;
@@ -228,6 +231,7 @@
     } else if (const auto *rejected = std::get_if<RejectionMessage>(&message)) {
         placement_.handleRejection(*rejected);
     } else if (const auto *pong = std::get_if<PongMessage>(&message)) {
+        recordPeerDelay(*link, *pong, now);
         relay_.handlePong(link, *pong, now);
     } else if (auto *update = std::get_if<ViewUpdateMessage>(&message)) {
         if (relay_.handleUpdate(link, std::move(*update), now)) {
@@ -348,6 +352,33 @@
     }
 }
 
+void Gateway::recordPeerDelay(PeerLink &link, const PongMessage &pong, TimePoint now)
+{
+    if (pong.pingSentAt_ == 0 || pong.sentAt_ == 0) {
+        return;
+    }
+    const auto delay = linkDelay_.record(link.address(), TimePoint(Duration(pong.pingSentAt_)), TimePoint(Duration(pong.sentAt_)), now);
+    metrics_.observe("goldcrestwall_peer_queue_seconds", {{"direction", "outgoing"}}, delay.outgoingQueue_);
+    metrics_.observe("goldcrestwall_peer_queue_seconds", {{"direction", "incoming"}}, delay.incomingQueue_);
+    if (delay.roundTrip_ < ReportedRoundTrip || now - linkDelayReportedAt_ < RoundTripReportInterval) {
+        return;
+    }
+    linkDelayReportedAt_ = now;
+    log_.write(LogLine("link-late")
+                   .add("peer", link.address())
+                   .addDuration("roundTripMs", delay.roundTrip_)
+                   .addDuration("outgoingQueueMs", delay.outgoingQueue_)
+                   .addDuration("incomingQueueMs", delay.incomingQueue_)
+                   .addDuration("ownLinkMs", linkDelay_.incomingQueue(now))
+                   .add("unsent", link.queuedTotal() - link.deliveredTotal())
+                   .add("unread", link.unreadBytes())
+                   .addDuration("loopDelayMs", loopDelay_.delay(now))
+                   .add("requests", front_.inFlightRequests())
+                   .add("callerConnections", front_.connectionCount()),
+               LogImportance::State,
+               now);
+}
+
 Task<void> Gateway::tick()
 {
     for (;;) {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -51,6 +51,8 @@
     void runLoop();
     Task<void> tick();
     void reportLoopDelay(TimePoint now);
+    // Measures the delays of a ping and its answer.
+    void recordPeerDelay(PeerLink &link, const PongMessage &pong, TimePoint now);
     void checkForSuspension(TimePoint now);
     MemoryUse memoryUse() const;
     // Logs the memory by holder when it has grown.
@@ -84,6 +86,8 @@
     CoordinationManager coordination_;
     RequestFlow flow_;
     LoopDelayMeter loopDelay_;
+    LinkDelay linkDelay_;
+    TimePoint linkDelayReportedAt_;
     FrontServer front_;
     StatusServer readyServer_;
     StatusServer metricsServer_;
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -109,6 +109,12 @@
     return writtenTotal_ - std::min(writtenTotal_, static_cast<std::uint64_t>(unacknowledged));
 }
 
+std::size_t PeerLink::unreadBytes() const
+{
+    ErrorCode error;
+    return isOpen_ ? socket_.available(error) : 0;
+}
+
 Duration PeerLink::stalledFor(TimePoint now)
 {
     const auto delivered = deliveredTotal();
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -93,6 +93,8 @@
     {
         return incoming_.size();
     }
+    // Bytes that the system has received and this link has not read.
+    std::size_t unreadBytes() const;
     // When data was last received.
     TimePoint lastReceivedAt() const
     {
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -171,8 +171,10 @@
     std::vector<LeavingServer> leavingServers_;
     // Microseconds for which the sender, which has no lease, will claim no service; 0 if it may claim at any time.
     std::int64_t claimsWithheldFor_ = 0;
+    // The sender's boot clock in microseconds; 0 from earlier versions.
+    std::int64_t sentAt_ = 0;
 
-    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_)
+    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_, sentAt_)
 };
 
 // Requests the changes of the store's content since a revision.
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr Duration PingInterval = 400ms;
 // An outgoing connection without a message for the first time span is not used; after the second it is closed.
 constexpr Duration ReceiveTimeout = 1s;
 constexpr Duration CloseTimeout = 1500ms;
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibGateway/EventLog.h>
+#include <LibGateway/LinkDelay.h>
 #include <LibGateway/PeerLink.h>
 
 #include <map>
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -205,6 +205,7 @@
         co_return response;
     }
     metrics_.increment("goldcrestwall_requests_total", {{"service", progress.service_}});
+    metrics_.increment("goldcrestwall_body_bytes_received_total", {{"from", "callers"}}, request.body().size());
     for (;;) {
         const bool hasReachedLimit = progress.withheldFrom_.size() >= MaxWithheldByCoordinator;
         const auto decider = hasReachedLimit ? PlacementDecider::Self : PlacementDecider::Coordinator;
@@ -337,6 +338,7 @@
     report.duration_ = now - startedAt;
     if (result.outcome_ == ExchangeOutcome::Answered) {
         countResponse(result, kind);
+        metrics_.increment("goldcrestwall_body_bytes_received_total", {{"from", "servers"}}, result.response_.body().size());
         report.load_ = Platform::readLoad(result.response_);
         const auto announcement = announcements_.record(place.server(), result.response_, startedAt, now);
         if (report.outcome_ == PlacementOutcome::Answered && !announcement.hasLimitHeader_) {
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -139,14 +139,16 @@
     contactAt_ = now;
 }
 
-void StoreLink::recordFailure(const char *call, StoreOutcome outcome, TimePoint now)
+void StoreLink::recordFailure(const char *call, StoreOutcome outcome, TimePoint sentAt, TimePoint now)
 {
     if (failingSince_ == TimePoint()) {
         failingSince_ = now;
     }
     if (isReachable_) {
         isReachable_ = false;
-        log_.write(LogLine("store-lost").add("call", call).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, now);
+        log_.write(LogLine("store-lost").add("call", call).add("outcome", Platform::storeOutcomeName(outcome)).addDuration("tookMs", now - sentAt),
+                   LogImportance::State,
+                   now);
     }
 }
 
@@ -170,6 +172,7 @@
             failures = 0;
         }
         watchHandle_ = std::make_shared<ExchangeHandle>();
+        const TimePoint watchSentAt = bootNow();
         const auto changes = co_await store_.watch("", view_.at(), WatchWait, watchHandle_);
         const TimePoint now = bootNow();
         if (changes.outcome_ == StoreOutcome::Done) {
@@ -205,7 +208,7 @@
             continue;
         }
         isWatchFailing_ = true;
-        recordFailure("watch", changes.outcome_, now);
+        recordFailure("watch", changes.outcome_, watchSentAt, now);
         co_await awaitRetry(backoff(failures++));
     }
 }
@@ -250,9 +253,10 @@
     std::string after;
     const TimePoint sentAt = bootNow();
     for (bool hasMore = true; hasMore;) {
+        const TimePoint pageSentAt = bootNow();
         auto page = co_await store_.readRange("", after);
         if (page.outcome_ != StoreOutcome::Done) {
-            recordFailure("range", page.outcome_, bootNow());
+            recordFailure("range", page.outcome_, pageSentAt, bootNow());
             co_return false;
         }
         // Pages are read at different revisions. The watch starts at the first page's revision and reports later changes again.
@@ -309,7 +313,7 @@
             handlers_.leaseLost_();
             continue;
         }
-        recordFailure("keep", renewal.outcome_, now);
+        recordFailure("keep", renewal.outcome_, sentAt, now);
     }
 }
 
@@ -318,7 +322,7 @@
     const TimePoint sentAt = bootNow();
     const auto lease = co_await store_.grantLease(LeaseLifetime);
     if (lease.outcome_ != StoreOutcome::Done) {
-        recordFailure("lease", lease.outcome_, bootNow());
+        recordFailure("lease", lease.outcome_, sentAt, bootNow());
         co_return false;
     }
     Platform::StoreWrite write;
@@ -326,7 +330,7 @@
     const auto commit = co_await store_.commit(std::move(write));
     const TimePoint now = bootNow();
     if (commit.outcome_ != StoreOutcome::Done) {
-        recordFailure("register", commit.outcome_, now);
+        recordFailure("register", commit.outcome_, sentAt, now);
         co_return false;
     }
     recordContact(now);
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -88,7 +88,8 @@
     Task<void> maintainLease();
     Task<bool> registerMember();
     void recordContact(TimePoint now);
-    void recordFailure(const char *call, Platform::StoreOutcome outcome, TimePoint now);
+    // `sentAt` is when the call that failed was made.
+    void recordFailure(const char *call, Platform::StoreOutcome outcome, TimePoint sentAt, TimePoint now);
     Duration backoff(std::uint32_t failures);
     // Waits for a retry; ends early when the store can be reached again.
     Task<void> awaitRetry(Duration duration);
--- a/Libraries/LibGateway/ViewAsker.cpp
+++ b/Libraries/LibGateway/ViewAsker.cpp
@@ -36,7 +36,7 @@
     }
     const auto address = pick(chosen);
     const auto source = std::ranges::find(sources, address, &ViewSource::address_);
-    pending_ = Pending{address, now, source->receivedBytes_};
+    pending_ = Pending{address, now, now, source->receivedBytes_};
     return address;
 }
 
@@ -44,7 +44,10 @@
 {
     AskerTiming timing;
     timing.behindFor_ = behindSince_ == TimePoint() ? Duration::zero() : now - behindSince_;
-    timing.askedFor_ = pending_ ? now - pending_->progressAt_ : Duration::zero();
+    if (pending_) {
+        timing.askedFor_ = now - pending_->askedAt_;
+        timing.firstByteAfter_ = pending_->firstByteAt_ ? std::make_optional(*pending_->firstByteAt_ - pending_->askedAt_) : std::nullopt;
+    }
     return timing;
 }
 
@@ -80,6 +83,7 @@
     if (source != sources.end()) {
         if (source->receivedBytes_ > pending_->receivedBytes_) {
             pending_->progressAt_ = now;
+            pending_->firstByteAt_ = pending_->firstByteAt_.value_or(now);
         }
         pending_->receivedBytes_ = source->receivedBytes_;
         if (now - pending_->progressAt_ <= ViewAnswerTimeout) {
--- a/Libraries/LibGateway/ViewAsker.h
+++ b/Libraries/LibGateway/ViewAsker.h
@@ -42,8 +42,10 @@
 {
     // Since a peer was found to have a newer view; zero if none has.
     Duration behindFor_ = Duration::zero();
-    // Since the present request, or since its answer last progressed; zero without one.
+    // Since the present request was sent; zero without one.
     Duration askedFor_ = Duration::zero();
+    // From the request to when bytes of an answer were first seen; nothing if they have not been.
+    std::optional<Duration> firstByteAfter_;
 
     auto operator<=>(const AskerTiming &) const = default;
 };
@@ -68,9 +70,11 @@
     struct Pending
     {
         std::string address_;
+        TimePoint askedAt_;
         // When it was asked, or when the answer last progressed.
         TimePoint progressAt_;
         std::size_t receivedBytes_ = 0;
+        std::optional<TimePoint> firstByteAt_ = std::nullopt;
     };
 
     void recordOwnView(const OwnView &own, bool isBehind, TimePoint now);
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -12,6 +12,14 @@
 // Minimum number of instances watching the store that each instance is connected to.
 constexpr std::size_t MinWatchers = 2;
 
+// Size of the keys and values.
+std::size_t contentBytes(const ViewUpdateMessage &message)
+{
+    return std::transform_reduce(message.items_.begin(), message.items_.end(), std::size_t(0), std::plus<>(), [](const ViewItem &item) {
+        return item.key_.size() + item.value_.size();
+    });
+}
+
 } // namespace
 
 ViewRelay::ViewRelay(std::string instance,
@@ -139,7 +147,12 @@
 
 PongMessage ViewRelay::makePong(std::int64_t pingSentAt, TimePoint now) const
 {
-    PongMessage pong{view_.at(), storeLink_.isCurrent(now), pingSentAt, (now - storeLink_.confirmedAt()).count(), {}, 0};
+    PongMessage pong;
+    pong.revision_ = view_.at();
+    pong.isViewCurrent_ = storeLink_.isCurrent(now);
+    pong.pingSentAt_ = pingSentAt;
+    pong.viewAge_ = (now - storeLink_.confirmedAt()).count();
+    pong.sentAt_ = now.time_since_epoch().count();
     for (const auto &server : notices_->announcedOnly()) {
         pong.leavingServers_.push_back({server.id_, server.startTime_});
     }
@@ -253,8 +266,11 @@
                    .add("peer", link->address())
                    .add("revision", message.at_)
                    .add("known", view_.at())
+                   .add("items", message.items_.size())
+                   .add("bytes", contentBytes(message))
                    .addDuration("behindForMs", timing.behindFor_)
-                   .addDuration("askedForMs", timing.askedFor_),
+                   .addDuration("askedForMs", timing.askedFor_)
+                   .addDuration("firstByteMs", timing.firstByteAfter_),
                LogImportance::Sampled,
                now);
     view_.apply(toViewUpdate(std::move(message)), now);
