--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -162,6 +162,12 @@
     return startTime_;
 }
 
+void PlatformServerStandIn::setRegisteredAddress(std::string address)
+{
+    const std::lock_guard lock(mutex_);
+    registeredAddress_ = std::move(address);
+}
+
 void PlatformServerStandIn::registerEntry(const std::string &state)
 {
     Json entry;
@@ -169,7 +175,7 @@
         const std::lock_guard lock(mutex_);
         const auto left = std::max(0.0, std::chrono::duration<double>(coldUntil_ - monotonicNow()).count());
         entry = {{"service", behaviour_.service_},
-                 {"address", address()},
+                 {"address", registeredAddress_.empty() ? address() : registeredAddress_},
                  {"zone", behaviour_.domain_},
                  {"version", "v1"},
                  {"capacity", behaviour_.slots_},
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -127,6 +127,8 @@
     std::string address() const;
     // Start of the current run in Unix milliseconds, as in the server's entry.
     std::int64_t startTime() const;
+    // From now on the server's entry names this address, at which something passes requests on to the server.
+    void setRegisteredAddress(std::string address);
     // Writes the server's entry to the store.
     void registerEntry(const std::string &state = "ready");
     void removeEntry();
@@ -227,6 +229,8 @@
     std::uint32_t waiting_ = 0;
     std::int64_t startTime_ = 0;
     std::uint64_t sequence_ = 0;
+    // The address in the entry if it is not the server's own.
+    std::string registeredAddress_;
     TimePoint coldUntil_;
     std::deque<TimePoint> recentColdArrivals_;
     std::vector<Hold> holds_;
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -70,6 +70,17 @@
     }
 }
 
+// Puts a proxy before each server; the servers' entries name the proxies from now on.
+std::vector<std::unique_ptr<LoopbackProxy>> placeProxies(const std::vector<std::unique_ptr<PlatformServerStandIn>> &servers)
+{
+    std::vector<std::unique_ptr<LoopbackProxy>> proxies;
+    for (const auto &server : servers) {
+        proxies.push_back(std::make_unique<LoopbackProxy>(server->address()));
+        server->setRegisteredAddress(proxies.back()->address());
+    }
+    return proxies;
+}
+
 } // namespace
 
 RouterProcess::RouterProcess(std::string name,
@@ -186,7 +197,7 @@
     return lines;
 }
 
-Deployment::Deployment(std::size_t instances, Duration maxHoldTime, double memoryMegabytes)
+Deployment::Deployment(std::size_t instances, Duration maxHoldTime, double memoryMegabytes, DeploymentNetwork network)
 {
     std::string name = (std::filesystem::temp_directory_path() / "goldcrestwall-XXXXXX").string();
     folder_ = ::mkdtemp(name.data());
@@ -209,14 +220,22 @@
         server->setSiblings(siblings);
     }
     putConfiguration();
+    if (network == DeploymentNetwork::Proxies) {
+        plainProxies_ = placeProxies(plain_);
+        shardedProxies_ = placeProxies(sharded_);
+        for (std::size_t i = 0; i < instances; ++i) {
+            storeProxies_.push_back(std::make_unique<LoopbackProxy>(store_.address()));
+        }
+    }
     for (std::size_t i = 0; i < plain_.size(); ++i) {
         plain_[i]->registerEntry();
         sharded_[i]->registerEntry();
     }
     std::vector<std::string> seeds;
     for (std::size_t i = 0; i < instances; ++i) {
+        const std::string storeAddress = network == DeploymentNetwork::Proxies ? storeProxies_[i]->address() : store_.address();
         instances_.push_back(
-            std::make_unique<RouterProcess>("edge-" + std::to_string(i), domains[i % 2], store_.address(), folder_, seeds, maxHoldTime, memoryMegabytes));
+            std::make_unique<RouterProcess>("edge-" + std::to_string(i), domains[i % 2], storeAddress, folder_, seeds, maxHoldTime, memoryMegabytes));
         seeds.push_back(instances_.back()->peerAddress());
     }
     for (const auto &instance : instances_) {
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -1,6 +1,7 @@
 // Runs router processes on loopback, with stand-ins for the platform's store and servers.
 #pragma once
 
+#include <StandIns/LoopbackProxy.h>
 #include <StandIns/PlatformServerStandIn.h>
 
 #include <atomic>
@@ -112,13 +113,27 @@
     int pid_ = -1;
 };
 
+// How the processes of a deployment reach the store and the servers.
+enum class DeploymentNetwork {
+    Direct,
+    // Each instance reaches the store by a proxy of its own, and all instances reach each server by one proxy.
+    Proxies,
+};
+
 // A store, four servers of a plain and four of a sharded service, and router instances.
 class Deployment
 {
 public:
     // `maxHoldTime` is the longest hold that servers grant; the settings of the instances have it too. `memoryMegabytes` is the memory
     // setting of each instance.
-    explicit Deployment(std::size_t instances, Duration maxHoldTime = 10s, double memoryMegabytes = DefaultMemoryMegabytes);
+    explicit Deployment(std::size_t instances,
+                        Duration maxHoldTime = 10s,
+                        double memoryMegabytes = DefaultMemoryMegabytes,
+                        DeploymentNetwork network = DeploymentNetwork::Direct);
+    Deployment(std::size_t instances, DeploymentNetwork network)
+        : Deployment(instances, 10s, DefaultMemoryMegabytes, network)
+    {
+    }
     ~Deployment();
 
     PlatformStoreStandIn &store()
@@ -137,6 +152,20 @@
     {
         return *sharded_.at(index);
     }
+    // The proxy between an instance and the store. Only with `DeploymentNetwork::Proxies`, like the next two.
+    LoopbackProxy &storeProxy(std::size_t instance)
+    {
+        return *storeProxies_.at(instance);
+    }
+    // The proxies between the instances and a server.
+    LoopbackProxy &plainProxy(std::size_t index)
+    {
+        return *plainProxies_.at(index);
+    }
+    LoopbackProxy &shardedProxy(std::size_t index)
+    {
+        return *shardedProxies_.at(index);
+    }
     RouterProcess &instance(std::size_t index)
     {
         return *instances_.at(index);
@@ -167,6 +196,9 @@
     PlatformRunRecorder recorder_;
     std::vector<std::unique_ptr<PlatformServerStandIn>> plain_;
     std::vector<std::unique_ptr<PlatformServerStandIn>> sharded_;
+    std::vector<std::unique_ptr<LoopbackProxy>> storeProxies_;
+    std::vector<std::unique_ptr<LoopbackProxy>> plainProxies_;
+    std::vector<std::unique_ptr<LoopbackProxy>> shardedProxies_;
     std::vector<std::unique_ptr<RouterProcess>> instances_;
     int version_ = 0;
     std::atomic<std::uint64_t> nextRequest_ = 1;
