--- a/Libraries/LibGateway/FrontSession.h
+++ b/Libraries/LibGateway/FrontSession.h
@@ -25,6 +25,9 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
+    // The longest time for writing one response.
+    static constexpr Duration WriteTimeout = 10s;
+
     // A request, from reading it to writing its response.
     struct Exchange
     {
@@ -46,6 +49,7 @@
         std::optional<HttpResponse> response_;
     };
 
+    static HttpResponse makeErrorResponse(unsigned status);
     // The operator's limits at present; the program's own until a configuration is known.
     RequestLimits limitsInForce() const;
     Task<void> serve();
