Tests: Let router processes inherit no connections of the stand-ins

A process that a test starts again in the middle of a run is forked from the test program and kept copies of all its sockets: those that the stand-ins and proxies had accepted from other instances too. When a stand-in closed or reset such a connection, the other instance heard nothing.

--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -136,6 +136,8 @@
     if (pid_ == 0) {
         const int log = ::open(logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(log, STDOUT_FILENO);
+        // Connections of the stand-ins would stay open in this process after they have closed them.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::execl(ROUTER_PROGRAM, ROUTER_PROGRAM, "route", settingsFlag.c_str(), portFlag.c_str(), nullptr);
         ::_exit(127);
     }
