Tests: Share what runs router processes, and keep a caller's connection open

The deployment, its callers and the runner of registered tests are used by more than one program now. CallerConnection sends requests one after another over an open connection. The stand-ins record when requests reached a server and ran, and what keys each server held.

--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr int MaxThreads = 300;
+constexpr int MaxThreads = 2000;
 constexpr auto PairPollInterval = std::chrono::milliseconds(1);
 // How long after a rejection its copy follows, or after the first part of a copy the second.
 constexpr auto CopyDelay = std::chrono::milliseconds(5);
@@ -129,6 +129,30 @@
     return violations_;
 }
 
+void PlatformRunRecorder::recordArrival(PlatformArrival arrival)
+{
+    const std::lock_guard lock(mutex_);
+    arrivals_.push_back(std::move(arrival));
+}
+
+std::vector<PlatformArrival> PlatformRunRecorder::arrivals() const
+{
+    const std::lock_guard lock(mutex_);
+    return arrivals_;
+}
+
+void PlatformRunRecorder::recordHoldings(PlatformHoldings holdings)
+{
+    const std::lock_guard lock(mutex_);
+    holdings_.push_back(std::move(holdings));
+}
+
+std::vector<PlatformHoldings> PlatformRunRecorder::holdings() const
+{
+    const std::lock_guard lock(mutex_);
+    return holdings_;
+}
+
 PlatformServerStandIn::PlatformServerStandIn(std::string id, PlatformServerBehaviour behaviour, PlatformStoreStandIn &store, PlatformRunRecorder &recorder)
     : id_(std::move(id))
     , behaviour_(std::move(behaviour))
@@ -261,6 +285,7 @@
 {
     const std::lock_guard lock(mutex_);
     holds_.clear();
+    recorder_.recordHoldings({id_, monotonicNow(), holds_});
     highestToken_ = 0;
     startTime_ = unixNow() + 1;
     sequence_ = 0;
@@ -376,6 +401,7 @@
             return held.first_ == hold.first_ && held.last_ == hold.last_;
         });
         holds_.push_back(hold);
+        recorder_.recordHoldings({id_, monotonicNow(), holds_});
     }
     response.setStatus(isOld ? Poco::Net::HTTPResponse::HTTP_CONFLICT : Poco::Net::HTTPResponse::HTTP_OK);
     respondToShardCall(request, response);
@@ -401,6 +427,7 @@
         }
     }
     holds_ = std::move(remaining);
+    recorder_.recordHoldings({id_, monotonicNow(), holds_});
     stateChanged_.wait(lock, [this] {
         return running_ == 0 || fault_ == PlatformServerFault::Unresponsive;
     });
@@ -420,8 +447,10 @@
 
 bool PlatformServerStandIn::isRejected(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
 {
+    const TimePoint arrivedAt = monotonicNow();
     std::unique_lock lock(mutex_);
-    if (request.get("Goldcrestwall-Request-Id", "").empty()) {
+    const std::string requestId = request.get("Goldcrestwall-Request-Id", "");
+    if (requestId.empty()) {
         reject(request, response, 400);
         return true;
     }
@@ -434,6 +463,7 @@
         lock.lock();
     }
     if (fault_ == PlatformServerFault::Sheds || isLeftAlone() || (running_ >= behaviour_.slots_ && waiting_ >= behaviour_.queue_)) {
+        recorder_.recordArrival({requestId, id_, arrivedAt});
         reject(request, response, 503);
         return true;
     }
@@ -450,6 +480,7 @@
             }
         }
     }
+    recorder_.recordArrival({requestId, id_, arrivedAt});
     return false;
 }
 
@@ -477,7 +508,7 @@
         ++running_;
         fault = fault_;
     }
-    const std::size_t number = recorder_.recordRun({requestId, id_, request.getMethod(), request.getURI(), body});
+    const std::size_t number = recorder_.recordRun({requestId, id_, request.getMethod(), request.getURI(), body, monotonicNow()});
     std::this_thread::sleep_for(std::chrono::microseconds(behaviour_.serviceTime_));
     {
         std::unique_lock lock(mutex_);
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -86,10 +86,42 @@
     std::string method_;
     std::string path_;
     std::string body_;
+    TimePoint at_ = {};
 
     auto operator<=>(const PlatformRun &) const = default;
 };
 
+// A request that reached a server, whether it ran or not, unless the server rejected it as misdirected.
+struct PlatformArrival
+{
+    std::string requestId_;
+    std::string server_;
+    TimePoint at_;
+
+    auto operator<=>(const PlatformArrival &) const = default;
+};
+
+// A range of keys that a server holds, both ends included.
+struct PlatformHold
+{
+    std::uint32_t first_ = 0;
+    std::uint32_t last_ = 0;
+    std::uint64_t token_ = 0;
+    TimePoint until_;
+
+    auto operator<=>(const PlatformHold &) const = default;
+};
+
+// What a server holds from a time on, after a grant, a release or a restart.
+struct PlatformHoldings
+{
+    std::string server_;
+    TimePoint at_;
+    std::vector<PlatformHold> holds_;
+
+    auto operator<=>(const PlatformHoldings &) const = default;
+};
+
 // Records the requests that all servers of a deployment have run, and violations of the guarantees. Thread-safe.
 class PlatformRunRecorder
 {
@@ -103,10 +135,16 @@
     bool recordRejection(const std::string &requestId);
     std::size_t runsOf(const std::string &requestId) const;
     std::vector<std::string> violations() const;
+    void recordArrival(PlatformArrival arrival);
+    std::vector<PlatformArrival> arrivals() const;
+    void recordHoldings(PlatformHoldings holdings);
+    std::vector<PlatformHoldings> holdings() const;
 
 private:
     mutable std::mutex mutex_;
     std::vector<PlatformRun> runs_;
+    std::vector<PlatformArrival> arrivals_;
+    std::vector<PlatformHoldings> holdings_;
     std::set<std::string> rejectedOnce_;
     std::vector<std::string> violations_;
 };
@@ -124,6 +162,10 @@
     {
         return id_;
     }
+    const std::string &domain() const
+    {
+        return behaviour_.domain_;
+    }
     std::string address() const;
     // Start of the current run in Unix milliseconds, as in the server's entry.
     std::int64_t startTime() const;
@@ -172,13 +214,7 @@
     void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
 
 private:
-    struct Hold
-    {
-        std::uint32_t first_ = 0;
-        std::uint32_t last_ = 0;
-        std::uint64_t token_ = 0;
-        TimePoint until_;
-    };
+    using Hold = PlatformHold;
 
     void grant(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response);
     void release(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response);
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 constexpr std::size_t PageSize = 500;
-constexpr int MaxThreads = 200;
+constexpr int MaxThreads = 2000;
 
 std::string encode(const std::string &bytes)
 {
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -279,62 +279,43 @@
     return nullptr;
 }
 
-bool Deployment::awaitServing()
+bool Deployment::awaitServing(Duration timeout)
 {
-    return eventually([this] {
-        for (std::size_t i = 0; i < instances_.size(); ++i) {
-            if (!instances_[i]->isRunning()) {
-                continue;
-            }
-            CallerRequest keyed;
-            keyed.host_ = "keyed.example";
-            keyed.path_ = "/keyed/x";
-            for (std::uint32_t key = 0; key < 65536; key += 8192) {
-                keyed.key_ = key;
-                if (call(i, keyed).status_ != 200) {
+    return eventually(
+        [this] {
+            for (std::size_t i = 0; i < instances_.size(); ++i) {
+                if (!instances_[i]->isRunning()) {
+                    continue;
+                }
+                CallerRequest keyed;
+                keyed.host_ = "keyed.example";
+                keyed.path_ = "/keyed/x";
+                for (std::uint32_t key = 0; key < 65536; key += 8192) {
+                    keyed.key_ = key;
+                    if (call(i, keyed).status_ != 200) {
+                        return false;
+                    }
+                }
+                if (!instances_[i]->isReady() || call(i, CallerRequest()).status_ != 200) {
                     return false;
                 }
             }
-            if (!instances_[i]->isReady() || call(i, CallerRequest()).status_ != 200) {
-                return false;
-            }
-        }
-        return true;
-    });
+            return true;
+        },
+        timeout);
 }
 
 CallerAnswer Deployment::call(std::size_t instance, const CallerRequest &request)
 {
-    CallerAnswer answer;
-    answer.requestId_ = request.requestId_.empty() ? "q" + std::to_string(nextRequest_++) : request.requestId_;
-    try {
-        Poco::Net::HTTPClientSession session("127.0.0.1", instances_.at(instance)->callerPort());
-        session.setTimeout(Poco::Timespan(5, 0));
-        session.setKeepAlive(true);
-        Poco::Net::HTTPRequest message(request.method_, request.path_, "HTTP/1.1");
-        message.setHost(request.host_);
-        message.set("Goldcrestwall-Request-Id", answer.requestId_);
-        message.set("Goldcrestwall-Request-Deadline", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(request.callerTimeout_).count()));
-        if (request.key_) {
-            message.set("Goldcrestwall-Shard-Key", std::to_string(*request.key_));
-        }
-        if (!request.body_.empty()) {
-            message.setContentLength64(static_cast<Poco::Int64>(request.body_.size()));
-        }
-        session.sendRequest(message) << request.body_;
-        Poco::Net::HTTPResponse response;
-        auto &stream = session.receiveResponse(response);
-        Poco::StreamCopier::copyToString(stream, answer.body_);
-        answer.status_ = response.getStatus();
-        answer.isSigned_ = response.has("Goldcrestwall-Server-Signature");
-        answer.hasRetryAfter_ = response.has("Retry-After");
-        answer.retryAfterSeconds_ = std::stod(response.get("Retry-After", "0"));
-        answer.isConnectionClosed_ = !response.getKeepAlive();
-        if (response.get("Goldcrestwall-Request-Id", answer.requestId_) != answer.requestId_) {
-            recorder_.recordViolation("response has another request id than " + answer.requestId_);
-        }
-    } catch (const Poco::Exception &) {
-        answer.status_ = 0;
+    CallerConnection connection(instances_.at(instance)->callerPort());
+    return call(connection, request);
+}
+
+CallerAnswer Deployment::call(CallerConnection &connection, const CallerRequest &request)
+{
+    auto answer = connection.send(request, request.requestId_.empty() ? "q" + std::to_string(nextRequest_++) : request.requestId_);
+    if (answer.status_ != 0 && answer.namedRequestId_ != answer.requestId_) {
+        recorder_.recordViolation("response has another request id than " + answer.requestId_);
     }
     return answer;
 }
@@ -369,4 +350,12 @@
     return found;
 }
 
+void Deployment::copyLogs(const std::filesystem::path &folder) const
+{
+    std::filesystem::create_directories(folder);
+    for (const auto &entry : std::filesystem::directory_iterator(folder_)) {
+        std::filesystem::copy(entry.path(), folder, std::filesystem::copy_options::overwrite_existing);
+    }
+}
+
 } // namespace Goldcrestwall::OnPlatform
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -1,6 +1,8 @@
 // Runs router processes on loopback, with stand-ins for the platform's store and servers.
 #pragma once
 
+#include "CallerConnection.h"
+
 #include <StandIns/LoopbackProxy.h>
 #include <StandIns/PlatformServerStandIn.h>
 
@@ -15,32 +17,6 @@
 
 namespace Goldcrestwall::OnPlatform {
 
-// A caller's request.
-struct CallerRequest
-{
-    std::string method_ = "GET";
-    std::string host_ = "plain.example";
-    std::string path_ = "/plain/x";
-    std::string body_;
-    std::optional<std::uint32_t> key_;
-    Duration callerTimeout_ = 2s;
-    // Empty: each call gets an id of its own.
-    std::string requestId_ = {};
-};
-
-// The response that a caller receives.
-struct CallerAnswer
-{
-    // 0 if the connection closed without a response.
-    int status_ = 0;
-    std::string requestId_;
-    std::string body_;
-    bool isSigned_ = false;
-    bool hasRetryAfter_ = false;
-    double retryAfterSeconds_ = 0;
-    bool isConnectionClosed_ = false;
-};
-
 // The memory setting of an instance unless a test chooses its own.
 constexpr double DefaultMemoryMegabytes = 160;
 // A memory setting that leaves just under 150,000 bytes for the requests that are read or handled, so that few bytes reach the limits.
@@ -180,8 +156,11 @@
     // Writes the next version of the configuration. `extraRoutes` is JSON text in the platform's format, each route followed by a comma.
     void putConfiguration(const std::string &extraRoutes = "");
     // Waits until all running instances are ready and serve both services, the sharded one for sample keys of the whole key space.
-    bool awaitServing();
+    bool awaitServing(Duration timeout = 20s);
+    // Sends a request over a new connection.
     CallerAnswer call(std::size_t instance, const CallerRequest &request);
+    // Sends a request over a connection that may have carried others before.
+    CallerAnswer call(CallerConnection &connection, const CallerRequest &request);
     // Repeats a check until it holds; returns false on timeout.
     static bool eventually(const std::function<bool()> &check, Duration timeout = 20s);
 
@@ -189,6 +168,8 @@
     std::vector<std::string> linesForRequest(const std::string &requestId) const;
     // All log lines of all instances that contain the text.
     std::vector<std::string> linesContaining(const std::string &text) const;
+    // Copies the logs of all instances to a folder, which is made if it does not exist.
+    void copyLogs(const std::filesystem::path &folder) const;
 
 private:
     std::filesystem::path folder_;
