StoreLink: Ask the store for its revision, so that a silent watch hides no change

All open connections to the store fell silent, new ones worked, and a change was seen only when the watch ended after 5 s + 0.8 s of silence: nothing had to come in time on its connection.

An instance that watches the store now reads the store's revision (a range without items) when its view was not confirmed for 600 ms. A revision that the watch does not report within 600 ms makes the watch stale, as a peer's word did before; a watch sent later gets its own 600 ms, so a store that responds late is not read completely in a loop. A small read keeps the age of the view at 600 ms plus one response, where a watch that waits as long would make it twice the wait and two responses, for as many calls; the watch itself may wait 5 s as before.

Its age replaces the one that was counted for the logs.

--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -24,8 +24,8 @@
 // Relayed changes replace an own watch while a peer has confirmed the view within this time. Even if all peers stop, a change takes effect
 // within this time plus one complete read.
 constexpr Duration RelayTimeout = 1300ms;
-// A watch that does not report a revision known to peers within this time is cancelled as stale.
-constexpr Duration StaleWatchTimeout = 600ms;
+// How often it is looked at whether the watch is stale, or the store is to be asked for its revision.
+constexpr Duration SupervisionInterval = 50ms;
 constexpr Duration MinBackoff = 60ms;
 constexpr Duration MaxBackoff = 700ms;
 constexpr std::uint32_t MaxBackoffDoublings = 4;
@@ -50,6 +50,12 @@
     spawnSupervised(loop_, log_, "watch", [this] {
         return watch();
     });
+    spawnSupervised(loop_, log_, "revision", [this] {
+        return checkRevision();
+    });
+    spawnSupervised(loop_, log_, "watch-supervision", [this] {
+        return superviseWatch();
+    });
     spawnSupervised(loop_, log_, "lease", [this] {
         return maintainLease();
     });
@@ -60,12 +66,6 @@
     return isLoaded_ && (isFollowing_ || !isWatchFailing_) && now - confirmedAt() < ContactTimeout;
 }
 
-std::optional<Duration> StoreLink::viewAge(TimePoint now) const
-{
-    const TimePoint completeAt = isFollowing_ ? relayedAt_ : watchedAt_;
-    return completeAt == TimePoint() ? std::nullopt : std::make_optional(now - completeAt);
-}
-
 bool StoreLink::mayFollow(TimePoint now) const
 {
     return isLoaded_ && isRelayed_ && now - relayedAt_ < RelayTimeout;
@@ -74,6 +74,9 @@
 void StoreLink::recordRelayed(TimePoint confirmedAt)
 {
     relayedAt_ = std::max(relayedAt_, confirmedAt);
+    if (confirmedAt != TimePoint()) {
+        freshness_.recordProof(view_.at(), confirmedAt, view_.at());
+    }
 }
 
 bool StoreLink::isLeaseValid(TimePoint now) const
@@ -94,7 +97,7 @@
 {
     leaseValidUntil_ = TimePoint();
     contactAt_ = TimePoint();
-    watchedAt_ = TimePoint();
+    freshness_.reset();
     relayedAt_ = TimePoint();
 }
 
@@ -172,22 +175,21 @@
             failures = 0;
         }
         watchHandle_ = std::make_shared<ExchangeHandle>();
-        const TimePoint watchSentAt = bootNow();
-        const auto changes = co_await store_.watch("", view_.at(), WatchWait, watchHandle_);
+        watchSentAt_ = bootNow();
+        auto changes = co_await store_.watch("", view_.at(), WatchWait, watchHandle_);
         const TimePoint now = bootNow();
+        watchHandle_.reset();
         if (changes.outcome_ == StoreOutcome::Done) {
             failures = 0;
             vainReads = 0;
             isWatchFailing_ = false;
             recordContact(now);
-            view_.apply(changes.events_, changes.at_, now);
-            if (!changes.events_.empty()) {
-                handlers_.changed_();
-            }
-            watchedAt_ = now;
-            if (!changes.events_.empty()) {
-                co_await sleepFor(loop_, WatchCoalescingDelay);
-            }
+            co_await applyChanges(std::move(changes), watchSentAt_);
+            continue;
+        }
+        if (changes.outcome_ == StoreOutcome::Interrupted && !isWatchStale_) {
+            // Its connection may be dead. If the next watch misses a change, the store's revision will show it.
+            log_.write(LogLine("store-watch-renewed").add("revision", view_.at()).addDuration("waitedMs", now - watchSentAt_), LogImportance::State, now);
             continue;
         }
         // An interrupted watch may have missed changes, and a new watch may not report them either if the store is discarding its history.
@@ -195,7 +197,12 @@
         isLoaded_ = false;
         if (isWatchStale_) {
             isWatchStale_ = false;
-            log_.write(LogLine("store-watch-outdated").add("revision", view_.at()).add("expected", expectedRevision_), LogImportance::State, now);
+            log_.write(LogLine("store-watch-outdated")
+                           .add("revision", view_.at())
+                           .add("expected", freshness_.expectedRevision())
+                           .addDuration("waitedMs", now - watchSentAt_),
+                       LogImportance::State,
+                       now);
             continue;
         }
         if (changes.outcome_ == StoreOutcome::HistoryCompacted) {
@@ -208,7 +215,45 @@
             continue;
         }
         isWatchFailing_ = true;
-        recordFailure("watch", changes.outcome_, watchSentAt, now);
+        recordFailure("watch", changes.outcome_, watchSentAt_, now);
+        co_await awaitRetry(backoff(failures++));
+    }
+}
+
+Task<void> StoreLink::applyChanges(Platform::StoreChanges changes, TimePoint sentAt)
+{
+    view_.apply(changes.events_, changes.at_, bootNow());
+    if (!changes.events_.empty()) {
+        handlers_.changed_();
+    }
+    freshness_.recordProof(changes.at_, sentAt, view_.at());
+    freshness_.recordView(view_.at());
+    if (!changes.events_.empty()) {
+        co_await sleepFor(loop_, WatchCoalescingDelay);
+    }
+}
+
+Task<void> StoreLink::checkRevision()
+{
+    std::uint32_t failures = 0;
+    TimePoint askedAt;
+    for (;;) {
+        const TimePoint sentAt = bootNow();
+        if (!isWatching() || sentAt < freshness_.checkDueAt(askedAt)) {
+            co_await sleepFor(loop_, SupervisionInterval);
+            continue;
+        }
+        const auto answer = co_await store_.readRevision();
+        const TimePoint now = bootNow();
+        if (answer.outcome_ == StoreOutcome::Done) {
+            failures = 0;
+            askedAt = sentAt;
+            recordContact(now);
+            freshness_.recordProof(answer.at_, sentAt, view_.at());
+            freshness_.expect(answer.at_, view_.at(), now);
+            continue;
+        }
+        recordFailure("revision", answer.outcome_, sentAt, now);
         co_await awaitRetry(backoff(failures++));
     }
 }
@@ -229,16 +274,21 @@
 
 void StoreLink::expectRevision(Platform::Revision revision, TimePoint now)
 {
-    if (revision <= view_.at()) {
-        return;
-    }
-    if (expectedRevision_ <= view_.at()) {
-        expectedRevision_ = revision;
-        expectedSince_ = now;
-        return;
+    freshness_.expect(revision, view_.at(), now);
+}
+
+Task<void> StoreLink::superviseWatch()
+{
+    for (;;) {
+        co_await sleepFor(loop_, SupervisionInterval);
+        checkWatch(bootNow());
     }
-    if (now - expectedSince_ >= StaleWatchTimeout && isWatching() && watchHandle_) {
-        expectedSince_ = now;
+}
+
+void StoreLink::checkWatch(TimePoint now)
+{
+    freshness_.recordView(view_.at());
+    if (isWatching() && watchHandle_ && !watchHandle_->isCancelled() && freshness_.isWatchStale(watchSentAt_, view_.at(), now)) {
         isWatchStale_ = true;
         watchHandle_->cancel();
     }
@@ -275,7 +325,7 @@
     log_.write(
         LogLine("store-loaded").add("revision", at).add("items", items.size()).add("lateItems", view_.lateItemCount() - lateItems), LogImportance::State, now);
     handlers_.changed_();
-    watchedAt_ = sentAt;
+    freshness_.recordProof(at, sentAt, view_.at());
     co_return true;
 }
 
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -3,13 +3,15 @@
 
 #include <LibGateway/EventLog.h>
 #include <LibGateway/StoreView.h>
+#include <LibGateway/ViewFreshness.h>
 
 #include <random>
 
 namespace Goldcrestwall::Gateway {
 
-// Watches the store, renews this instance's lease and writes its member entry. While another instance of the failure domain watches the
-// store and relays its changes, this instance does not watch, so that store calls do not grow with the number of instances.
+// Watches the store, renews this instance's lease and writes its member entry. A watch may be silent for long, so the store is also asked for its revision
+// while this instance watches it: that confirms the view, and shows a change that the watch has not reported. While another instance of the failure domain
+// watches the store and relays its changes, this instance does not watch, so that store calls do not grow with the number of instances.
 class StoreLink
 {
 public:
@@ -34,9 +36,12 @@
     {
         return isFollowing_ ? relayedAt_ : contactAt_;
     }
-    // How long ago the watch, a complete read or a peer last showed the view to be complete; nothing if none has since the start or a
+    // How old the view may be, by the store's responses to this instance or to its peers; nothing if none has confirmed it since the start or a
     // suspension. Unlike in `confirmedAt`, a renewal of the lease does not count. A change that is being applied is not older.
-    std::optional<Duration> viewAge(TimePoint now) const;
+    std::optional<Duration> viewAge(TimePoint now) const
+    {
+        return freshness_.age(now);
+    }
     // Whether this instance watches the store itself.
     bool isWatching() const
     {
@@ -73,7 +78,7 @@
     {
         return claimsWithheldUntil_;
     }
-    // A peer knows this revision: if the watch does not report it soon, the watch is stale and is cancelled.
+    // A peer knows this revision: if the watch does not report it soon, the watch is stale.
     void expectRevision(Platform::Revision revision, TimePoint now);
     // The store can be reached again, by what a peer says: retries at once what has failed.
     void retryNow();
@@ -83,6 +88,13 @@
 private:
     Task<void> watch();
     Task<bool> load();
+    // Applies the changes that a watch has reported.
+    Task<void> applyChanges(Platform::StoreChanges changes, TimePoint sentAt);
+    // Asks the store for its revision while this instance watches it.
+    Task<void> checkRevision();
+    Task<void> superviseWatch();
+    // Cancels the watch if it is stale.
+    void checkWatch(TimePoint now);
     Task<void> follow();
     bool mayFollow(TimePoint now) const;
     Task<void> maintainLease();
@@ -105,10 +117,11 @@
     bool isRelayed_ = false;
     bool isFollowing_ = false;
     TimePoint relayedAt_;
+    // Null unless a watch is in progress.
     std::shared_ptr<ExchangeHandle> watchHandle_;
     bool isWatchStale_ = false;
-    Platform::Revision expectedRevision_ = 0;
-    TimePoint expectedSince_;
+    TimePoint watchSentAt_;
+    ViewFreshness freshness_;
     bool isWatchFailing_ = true;
     bool isReachable_ = false;
     // The waits for retries in progress.
@@ -116,7 +129,6 @@
     bool isStopping_ = false;
     bool isRegistered_ = false;
     TimePoint contactAt_;
-    TimePoint watchedAt_;
     TimePoint failingSince_;
     Platform::LeaseId lease_ = 0;
     TimePoint leaseValidUntil_;
--- /dev/null
+++ b/Libraries/LibGateway/ViewFreshness.cpp
@@ -0,0 +1,71 @@
+// Proofs of the view's age.
+#include "ViewFreshness.h"
+
+#include <algorithm>
+
+namespace Goldcrestwall::Gateway {
+
+namespace {
+
+// Proofs that wait for the view; more are not needed while it advances at all.
+constexpr std::size_t MaxPendingProofs = 16;
+
+} // namespace
+
+void ViewFreshness::recordProof(Platform::Revision revision, TimePoint provedAt, Platform::Revision known)
+{
+    if (revision <= known) {
+        confirmedAt_ = std::max(confirmedAt_, provedAt);
+    } else if (pending_.size() < MaxPendingProofs || pending_.contains(revision)) {
+        auto &pending = pending_[revision];
+        pending = std::max(pending, provedAt);
+    }
+}
+
+void ViewFreshness::recordView(Platform::Revision known)
+{
+    while (!pending_.empty() && pending_.begin()->first <= known) {
+        confirmedAt_ = std::max(confirmedAt_, pending_.begin()->second);
+        pending_.erase(pending_.begin());
+    }
+}
+
+void ViewFreshness::expect(Platform::Revision revision, Platform::Revision known, TimePoint now)
+{
+    if (revision <= known) {
+        return;
+    }
+    if (expectedRevision_ <= known) {
+        expectedRevision_ = revision;
+        expectedSince_ = now;
+    }
+}
+
+void ViewFreshness::reset()
+{
+    confirmedAt_ = TimePoint();
+    pending_.clear();
+}
+
+std::optional<Duration> ViewFreshness::age(TimePoint now) const
+{
+    return confirmedAt_ == TimePoint() ? std::nullopt : std::make_optional(now - confirmedAt_);
+}
+
+bool ViewFreshness::isConfirmed(TimePoint now) const
+{
+    return confirmedAt_ != TimePoint() && now - confirmedAt_ < MaxViewAge;
+}
+
+bool ViewFreshness::isWatchStale(TimePoint watchSentAt, Platform::Revision known, TimePoint now) const
+{
+    // A watch sent later has had less time. One that reports some changes and not this one is followed by another.
+    return expectedRevision_ > known && now - std::max(expectedSince_, watchSentAt) >= StaleWatchTimeout;
+}
+
+TimePoint ViewFreshness::checkDueAt(TimePoint askedAt) const
+{
+    return std::max(confirmedAt_, askedAt) + RevisionCheckInterval;
+}
+
+} // namespace Goldcrestwall::Gateway
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -164,6 +164,21 @@
     });
 }
 
+void HttpClient::closeIdleSince(const std::string &address, TimePoint time)
+{
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return;
+    }
+    std::erase_if(found->second, [time](Connection &idle) {
+        const bool isOlder = idle.idleSince_ < time;
+        if (isOlder) {
+            resetStream(*idle.stream_);
+        }
+        return isOlder;
+    });
+}
+
 Task<HttpClient::Connection> HttpClient::connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle)
 {
     const auto endpoint = parseEndpoint(address);
@@ -184,6 +199,7 @@
     Connection connection;
     connection.stream_ = std::move(stream);
     connection.number_ = ++connectionCount_;
+    connection.idleSince_ = bootNow();
     co_return connection;
 }
 
@@ -276,6 +292,7 @@
     }
     handle->stream_ = stream;
     handle->isSent_ = true;
+    handle->connectionProvedAt_ = connection.idleSince_;
     result.connection_ = connection.number_;
     result.exchangesOnConnection_ = ++connection.exchanges_;
     stream->expires_after(std::chrono::microseconds(timeLeft));
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -63,12 +63,18 @@
     {
         return isSent_;
     }
+    // When the connection was made, or last brought a complete response before this exchange. Valid once the request may have been sent.
+    TimePoint connectionProvedAt() const
+    {
+        return connectionProvedAt_;
+    }
 
 private:
     friend class HttpClient;
 
     bool isCancelled_ = false;
     bool isSent_ = false;
+    TimePoint connectionProvedAt_;
     std::shared_ptr<beast::tcp_stream> stream_;
 };
 
@@ -109,6 +115,8 @@
 
     // Closes connections whose keep-alive time has passed.
     void closeIdle(TimePoint now);
+    // Closes the idle connections to an address that have brought no response since that time.
+    void closeIdleSince(const std::string &address, TimePoint time);
 
     std::uint64_t connectionCount() const
     {
@@ -124,7 +132,7 @@
         std::shared_ptr<beast::tcp_stream> stream_;
         std::uint64_t number_ = 0;
         std::uint32_t exchanges_ = 0;
-        // Since when it has been idle, and for how long it may be.
+        // When it was made or last became idle, and for how long it may be.
         TimePoint idleSince_;
         Duration keepAlive_ = Duration::zero();
         // Hashes of the correlation ids of the requests that had another response than a success. Ids may be long; two with the same hash cost
--- a/Tests/LibGateway/TestStoreLink.cpp
+++ b/Tests/LibGateway/TestStoreLink.cpp
@@ -1,6 +1,7 @@
 // Tests of the calls that an instance makes to the store.
 #include <LibGateway/LibGateway.h>
 
+#include <StandIns/LoopbackProxy.h>
 #include <StandIns/PlatformStoreStandIn.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,15 +13,19 @@
 
 constexpr std::uint64_t Capacity = 1U << 20U;
 
+// Within this time after the store has acknowledged a change it has to be in force.
+constexpr auto ChangeBound = std::chrono::milliseconds(2000);
+
 // An instance that only keeps its view up to date.
 struct Link
 {
     PlatformStoreStandIn standIn_{0};
+    LoopbackProxy proxy_{standIn_.address()};
     MemoryAccount memory_{Capacity};
     asio::io_context loop_;
     EventLog log_{"edge-1"};
     StoreView view_{[](const std::string &, const std::string &) {}};
-    Platform::PlatformStore store_{loop_, standIn_.address(), memory_};
+    Platform::PlatformStore store_{loop_, proxy_.address(), memory_};
     StoreLink link_{loop_, store_, view_, {"edge-1", "1", "127.0.0.1:1", "north", 200}, log_, {[] {}, [] {}}};
 
     void runFor(std::chrono::milliseconds duration)
@@ -28,6 +33,14 @@
         loop_.restart();
         loop_.run_for(duration);
     }
+    // Runs until the view has a revision, for this time at most. Returns whether it has.
+    bool awaitRevision(Platform::Revision revision, std::chrono::milliseconds longest)
+    {
+        for (const TimePoint until = bootNow() + longest; view_.at() < revision && bootNow() < until;) {
+            runFor(10ms);
+        }
+        return view_.at() >= revision;
+    }
 };
 
 } // namespace
@@ -37,6 +50,10 @@
     CPPUNIT_TEST_SUITE(TestStoreLink);
     CPPUNIT_TEST(storeThatKeepsNoHistoryIsNotReadWithoutPause);
     CPPUNIT_TEST(discardedHistoryDelaysNoChange);
+    CPPUNIT_TEST(changeBehindSilentConnectionsIsSeen);
+    CPPUNIT_TEST(changeThatTheWatchDoesNotReportIsSeen);
+    CPPUNIT_TEST(slowStoreIsNotReadCompletelyAgain);
+    CPPUNIT_TEST(quietStoreIsAskedSeldom);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +86,64 @@
             CPPUNIT_ASSERT(link.view_.at() >= revision);
         }
     }
+
+    // Guards against a view that is late because a watch is relied on that can bring nothing any more.
+    void changeBehindSilentConnectionsIsSeen()
+    {
+        for (const auto direction : {ProxyDirection::ToTarget, ProxyDirection::FromTarget, ProxyDirection::Both}) {
+            Link link;
+            link.link_.start();
+            link.runFor(1s);
+            // The second time follows soon after the first has been noticed.
+            for (int i = 0; i < 2; ++i) {
+                link.proxy_.silenceOpenConnections(direction);
+                link.standIn_.put("servers/i-1", "{}");
+                CPPUNIT_ASSERT(link.awaitRevision(link.standIn_.revision(), ChangeBound));
+            }
+        }
+    }
+
+    // Guards against a watch that is taken for proof of its own silence.
+    void changeThatTheWatchDoesNotReportIsSeen()
+    {
+        Link link;
+        link.link_.start();
+        link.runFor(1s);
+        link.standIn_.suppressWatchEvents();
+        link.standIn_.put("servers/i-1", "{}");
+        CPPUNIT_ASSERT(link.awaitRevision(link.standIn_.revision(), ChangeBound));
+    }
+
+    // Guards against complete reads of a store that only responds late.
+    void slowStoreIsNotReadCompletelyAgain()
+    {
+        Link link;
+        link.link_.start();
+        link.runFor(1s);
+        const TimePoint readAt = link.link_.readAt();
+        for (const auto delay : {150ms, 250ms}) {
+            link.proxy_.setDelay(delay);
+            for (int i = 0; i < 30; ++i) {
+                link.standIn_.put("servers/i-1", "{}");
+                link.runFor(100ms);
+            }
+            link.runFor(1s);
+            CPPUNIT_ASSERT_EQUAL(link.standIn_.revision(), link.view_.at());
+        }
+        CPPUNIT_ASSERT(link.link_.readAt() == readAt);
+    }
+
+    void quietStoreIsAskedSeldom()
+    {
+        Link link;
+        link.link_.start();
+        link.runFor(1s);
+        const auto before = link.standIn_.callCount();
+        link.runFor(6s);
+        // 12 renewals of the lease, 10 reads of the revision, 2 watches and one more of each.
+        CPPUNIT_ASSERT_LESSEQUAL(before + 27, link.standIn_.callCount());
+        CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreLink);
