StoreLink: Count the age of the view from proofs of the view alone

A renewal of the lease, which says nothing about the view, counted as its confirmation: an instance whose reads went unanswered called its view current, answered 404 for routes that it did not know, took part in elections, and told its followers so in its pongs.

`isCurrent` and `confirmedAt`, and with them the pongs, the elections, the granters' writes, readiness and 404 or 503, now rest on ViewFreshness: the sending of the last read or watch that the store answered for a revision that the view has, or a peer's proof of the same with its age. Whether the store can be reached is another question (`isStoreReachable`), which a stopping instance asks before it gives its services away.

Before: TestStoreLink::renewalOfTheLeaseDoesNotConfirmTheView failed (the view said to be confirmed less than 1.9 s after 2 s without a response to any read).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -507,7 +507,7 @@
 Task<void> Gateway::unregister()
 {
     // While the store is unreachable no other instance can take over, so this instance continues to coordinate its services.
-    while (!storeLink_.isCurrent(bootNow())) {
+    while (!storeLink_.isStoreReachable(bootNow())) {
         co_await sleepFor(loop_, TickInterval);
     }
     coordination_.stepDown(bootNow());
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -15,7 +15,7 @@
 constexpr Duration WatchCoalescingDelay = 150ms;
 constexpr Duration LeaseLifetime = 1500ms;
 constexpr Duration LeaseRenewInterval = 500ms;
-// The view is current while the last confirmation by the store is more recent than this.
+// The store is reachable while its last response is more recent than this.
 constexpr Duration ContactTimeout = 1500ms;
 // Entries that expired during a store outage are registered again within this time after it.
 constexpr Duration ExpiryGrace = 2200ms;
@@ -23,7 +23,7 @@
 constexpr Duration MinOutage = 500ms;
 // Relayed changes replace an own watch while a peer has confirmed the view within this time. Even if all peers stop, a change takes effect
 // within this time plus one complete read.
-constexpr Duration RelayTimeout = 1300ms;
+constexpr Duration RelayTimeout = MaxViewAge;
 // How often it is looked at whether the watch is stale, or the store is to be asked for its revision.
 constexpr Duration SupervisionInterval = 50ms;
 constexpr Duration MinBackoff = 60ms;
@@ -61,9 +61,14 @@
     });
 }
 
+bool StoreLink::isStoreReachable(TimePoint now) const
+{
+    return isReachable_ && now - contactAt_ < ContactTimeout;
+}
+
 bool StoreLink::isCurrent(TimePoint now) const
 {
-    return isLoaded_ && (isFollowing_ || !isWatchFailing_) && now - confirmedAt() < ContactTimeout;
+    return isLoaded_ && (isFollowing_ || !isWatchFailing_) && freshness_.isConfirmed(now);
 }
 
 bool StoreLink::mayFollow(TimePoint now) const
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -29,15 +29,17 @@
     // Ends the lease, so that other instances can take over its services at once.
     Task<void> unregister();
 
+    // Whether the store has responded to this instance lately, which says nothing about the view.
+    bool isStoreReachable(TimePoint now) const;
     // Whether the view was recently confirmed as complete, by the store's responses to this instance or to its peers.
     bool isCurrent(TimePoint now) const;
     // When the view was last confirmed as complete.
     TimePoint confirmedAt() const
     {
-        return isFollowing_ ? relayedAt_ : contactAt_;
+        return freshness_.confirmedAt();
     }
     // How old the view may be, by the store's responses to this instance or to its peers; nothing if none has confirmed it since the start or a
-    // suspension. Unlike in `confirmedAt`, a renewal of the lease does not count. A change that is being applied is not older.
+    // suspension. A change that is being applied is not older.
     std::optional<Duration> viewAge(TimePoint now) const
     {
         return freshness_.age(now);
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -248,10 +248,11 @@
         closeConnection();
         return;
     }
-    if (fault == PlatformStoreFault::Unresponsive) {
+    const bool isRead = request.getMethod() == "GET";
+    if (fault == PlatformStoreFault::Unresponsive || (fault == PlatformStoreFault::IgnoresReads && isRead)) {
         std::unique_lock lock(mutex_);
-        changed_.wait_for(lock, std::chrono::seconds(5), [this] {
-            return isStopping_ || fault_ != PlatformStoreFault::Unresponsive;
+        changed_.wait_for(lock, std::chrono::seconds(5), [this, fault] {
+            return isStopping_ || fault_ != fault;
         });
         closeConnection();
         return;
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -35,6 +35,8 @@
     SendsMalformedBytes,
     // Does not respond to any call.
     Unresponsive,
+    // Responds to no read and no watch, but to all other calls.
+    IgnoresReads,
     // Lists an item without a key and a revision before all others.
     AddsUnreadableItem,
     // Rejects each watch, because its changes have been discarded.
--- a/Tests/LibGateway/TestStoreLink.cpp
+++ b/Tests/LibGateway/TestStoreLink.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(changeThatTheWatchDoesNotReportIsSeen);
     CPPUNIT_TEST(slowStoreIsNotReadCompletelyAgain);
     CPPUNIT_TEST(quietStoreIsAskedSeldom);
+    CPPUNIT_TEST(renewalOfTheLeaseDoesNotConfirmTheView);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,6 +145,24 @@
         CPPUNIT_ASSERT_LESSEQUAL(before + 27, link.standIn_.callCount());
         CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
     }
+
+    // Guards against a view that is said to be current because the store can be reached.
+    void renewalOfTheLeaseDoesNotConfirmTheView()
+    {
+        Link link;
+        link.link_.start();
+        link.runFor(1s);
+        CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
+        link.standIn_.setFault(PlatformStoreFault::IgnoresReads);
+        link.runFor(2s);
+        CPPUNIT_ASSERT(!link.link_.isCurrent(bootNow()));
+        CPPUNIT_ASSERT(bootNow() - link.link_.confirmedAt() > Duration(1900ms));
+        CPPUNIT_ASSERT(link.link_.isLeaseValid(bootNow()));
+        CPPUNIT_ASSERT(link.link_.isStoreReachable(bootNow()));
+        link.standIn_.setFault(PlatformStoreFault::None);
+        link.runFor(1500ms);
+        CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreLink);
--- a/Tests/OnPlatform/TestSilentConnections.cpp
+++ b/Tests/OnPlatform/TestSilentConnections.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST_SUITE(TestSilentConnections);
     CPPUNIT_TEST(configurationIsInForceDespiteASilentWatch);
     CPPUNIT_TEST(configurationIsInForceDespiteSilentWatchesEverywhere);
+    CPPUNIT_TEST(unknownRouteIsNoVerdictWhileTheViewIsUnconfirmed);
+    CPPUNIT_TEST(slowStoreIsNotReadCompletelyAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +47,47 @@
         checkAddedRoute(4);
     }
 
+    // Guards against 404 for a route that the store has, while renewals of the leases are all that the store responds to.
+    void unknownRouteIsNoVerdictWhileTheViewIsUnconfirmed()
+    {
+        Deployment deployment(3);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        deployment.store().setFault(PlatformStoreFault::IgnoresReads);
+        deployment.putConfiguration(AddedRoute);
+        std::this_thread::sleep_for(ConfigurationBound);
+        for (int i = 0; i < 20; ++i) {
+            for (std::size_t instance = 0; instance < deployment.instanceCount(); ++instance) {
+                CPPUNIT_ASSERT_EQUAL(503, deployment.call(instance, makeRequestForAddedRoute()).status_);
+                CPPUNIT_ASSERT_EQUAL(200, deployment.call(instance, CallerRequest()).status_);
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        deployment.store().setFault(PlatformStoreFault::None);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        checkNoViolations(deployment);
+    }
+
+    // Guards against complete reads by all instances of a store whose responses only come late.
+    void slowStoreIsNotReadCompletelyAgain()
+    {
+        constexpr Duration Delay = 240ms;
+        Deployment deployment(4, DeploymentNetwork::Proxies);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
+            deployment.storeProxy(i).setDelay(Delay);
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+        const auto readsBefore = deployment.linesContaining("store-loaded").size();
+        std::this_thread::sleep_for(std::chrono::seconds(6));
+        const auto reads = deployment.linesContaining("store-loaded");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(reads.back(), readsBefore, reads.size());
+        for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
+            CPPUNIT_ASSERT_EQUAL(404, deployment.call(i, makeRequestForAddedRoute()).status_);
+        }
+        checkNoViolations(deployment);
+    }
+
 private:
     // All open connections to the store fall silent, then a route is added.
     static void checkAddedRoute(std::size_t instances)
