ViewRelay: Tell the revision of the own view in pings

News of a change passed one way: an instance hears revisions in the pongs of those it has connected to, and a watcher connects to none of its followers. So a watcher whose own watch is silent did not hear of a change that its followers knew from another watcher.

A ping states the sender's revision, in a field appended at the end, which earlier versions ignore and leave out. The receiver expects it of its watch as it does a revision in a pong.

--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -144,8 +144,10 @@
 {
     // The sender's boot clock in microseconds.
     std::int64_t sentAt_ = 0;
+    // The revision of the sender's view; 0 from earlier versions.
+    Platform::Revision revision_ = 0;
 
-    MSGPACK_DEFINE(sentAt_)
+    MSGPACK_DEFINE(sentAt_, revision_)
 };
 
 // One run of a server that is leaving.
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -22,11 +22,6 @@
 // An incoming connection without a message for this time is closed.
 constexpr Duration IncomingTimeout = 3s;
 
-PingMessage makePing(TimePoint now)
-{
-    return {now.time_since_epoch().count()};
-}
-
 } // namespace
 
 PeerNetwork::PeerNetwork(asio::io_context &loop, HelloMessage self, EventLog &log, Handlers handlers, PeerLimits limits)
@@ -41,6 +36,11 @@
 {
 }
 
+PingMessage PeerNetwork::makePing(TimePoint now) const
+{
+    return {now.time_since_epoch().count(), revision_};
+}
+
 std::error_code PeerNetwork::listen(const std::string &address)
 {
     return listener_.listen(address);
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -45,6 +45,11 @@
 
     // Sets the addresses to be connected to. Outgoing connections to other addresses are closed.
     void setRequiredAddresses(std::set<std::string> addresses, TimePoint now);
+    // Sets the revision of the own view, which pings state.
+    void setRevision(Platform::Revision revision)
+    {
+        revision_ = revision;
+    }
     // Opens missing connections, sends pings and closes unresponsive connections. To be called a few times a second.
     void maintain(TimePoint now);
     // The open connection to an address, or null if there is none or its peer has not responded lately.
@@ -74,6 +79,7 @@
         TimePoint pingedAt_;
     };
 
+    PingMessage makePing(TimePoint now) const;
     void accept(Tcp::socket socket);
     void recordClosed(const std::shared_ptr<PeerLink> &link);
     // Makes room for one more connection; returns whether there is any.
@@ -84,6 +90,7 @@
 
     asio::io_context &loop_;
     HelloMessage self_;
+    Platform::Revision revision_ = 0;
     EventLog &log_;
     Handlers handlers_;
     PeerLimits limits_;
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -82,6 +82,11 @@
     }
     // A peer knows this revision: if the watch does not report it soon, the watch is stale.
     void expectRevision(Platform::Revision revision, TimePoint now);
+    // The highest revision that the store or a peer is known to have, unless the view has reached it; 0 if there is none.
+    Platform::Revision expectedRevision() const
+    {
+        return freshness_.expectedRevision() > view_.at() ? freshness_.expectedRevision() : 0;
+    }
     // The store can be reached again, by what a peer says: retries at once what has failed.
     void retryNow();
     // The process was suspended: treats the lease and the view as unconfirmed until the store or a peer responds again.
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -103,6 +103,7 @@
     if (const auto self = view_.members().find(instance_); self != view_.members().end()) {
         addresses.erase(self->second.peerAddress_);
     }
+    network_.setRevision(view_.at());
     network_.setRequiredAddresses(std::move(addresses), now);
 }
 
@@ -178,6 +179,8 @@
 
 void ViewRelay::handlePing(const std::shared_ptr<PeerLink> &link, const PingMessage &message, TimePoint now)
 {
+    // An instance that others follow may hear of changes from nobody but them.
+    storeLink_.expectRevision(message.revision_, now);
     link->send(makePong(message.sentAt_, now));
 }
 
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -78,6 +78,8 @@
                 link->setInstance(hello->instance_, hello->domain_);
             } else if (const auto *request = std::get_if<ViewRequestMessage>(&message)) {
                 relay_.handleRequest(link, *request, bootNow());
+            } else if (const auto *ping = std::get_if<PingMessage>(&message)) {
+                relay_.handlePing(link, *ping, bootNow());
             }
         };
         handlers.incomingClosed_ = [this](const std::shared_ptr<PeerLink> &link) {
@@ -151,6 +153,9 @@
     CPPUNIT_TEST(unfinishedMessagesOfAllPeersAreBounded);
     CPPUNIT_TEST(smallMessagesToAllPeersAreBounded);
     CPPUNIT_TEST(queueThatOverflowsInAnAnnouncementEndsOnlyItsConnection);
+    CPPUNIT_TEST(revisionInAPeersPingIsExpected);
+    CPPUNIT_TEST(pingOfAnEarlierVersionIsUnderstood);
+    CPPUNIT_TEST(pingsStateTheRevision);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -298,6 +303,49 @@
         side.loop_.poll();
         side.loop_.restart();
     }
+
+    // Guards against an instance that hears of no change because all who know of it follow this instance.
+    void revisionInAPeersPingIsExpected()
+    {
+        Side side;
+        SilentReader peer(side.loop_, side.address_);
+        peer.send(HelloMessage{"edge-2", "1", "north"});
+        peer.send(PingMessage{1, 5});
+        side.run(50ms);
+        CPPUNIT_ASSERT_EQUAL(Platform::Revision(0), side.storeLink_.expectedRevision());
+        peer.send(PingMessage{2, 6});
+        side.run(50ms);
+        CPPUNIT_ASSERT_EQUAL(Platform::Revision(6), side.storeLink_.expectedRevision());
+    }
+
+    void pingOfAnEarlierVersionIsUnderstood()
+    {
+        msgpack::sbuffer buffer;
+        msgpack::packer<msgpack::sbuffer> packer(buffer);
+        packer.pack_array(2);
+        packer.pack(PeerMessage(PingMessage()).index());
+        packer.pack_array(1);
+        packer.pack(std::int64_t(42));
+        const auto message = decodeFrame(buffer.data(), buffer.size());
+        CPPUNIT_ASSERT(message.has_value());
+        const auto &ping = std::get<PingMessage>(*message);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(42), ping.sentAt_);
+        CPPUNIT_ASSERT_EQUAL(Platform::Revision(0), ping.revision_);
+    }
+
+    void pingsStateTheRevision()
+    {
+        Side follower;
+        Side watcher;
+        watcher.view_.replace(largeContent(4), 4, bootNow());
+        const TimePoint until = bootNow() + 3s;
+        while (watcher.storeLink_.expectedRevision() != 5 && bootNow() < until) {
+            follower.relay_.refresh({watcher.address_}, bootNow());
+            follower.run(10ms);
+            watcher.run(10ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(Platform::Revision(5), watcher.storeLink_.expectedRevision());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestViewRelay);
