LibGateway: Log on which connection a grant or release went, and until when grants count

Both lines now say when the call was sent, on which connection (new or kept, its number, the exchanges on it) and for how long the granter counts what it sent; keys-released has the number of unanswered grants of its keys. The first accepted grant of a range has a line of its own, keys-granted. Accepted renewals have none.

--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -35,13 +35,15 @@
     return "unknown";
 }
 
-// Makes the log line for a completed grant or release.
+// Makes the log line for a completed grant or release that was sent at `sentAt`.
 template<typename Call>
-LogLine describeShardCall(const char *event, const std::string &service, const Call &call, ShardCallOutcome outcome)
+LogLine describeShardCall(
+    const char *event, const std::string &service, const Call &call, ShardCallOutcome outcome, const ExchangeResult &result, TimePoint sentAt, TimePoint now)
 {
     LogLine line(event);
     line.add("service", service).add("server", call.holder_.server_).add("first", call.first_).add("last", call.last_);
-    line.add("token", call.holder_.token_).add("outcome", orderOutcomeName(outcome));
+    line.add("token", call.holder_.token_).add("outcome", orderOutcomeName(outcome)).addDuration("sentBeforeMs", now - sentAt);
+    line.add("newConnection", result.isNewConnection_).add("connection", result.connection_).add("exchangesOnConnection", result.exchangesOnConnection_);
     return line;
 }
 
@@ -330,14 +332,27 @@
         if (auto *pool = placement_.pool(service_); pool != nullptr && outcome != ShardCallOutcome::Refused) {
             pool->recordShardCallFailure(call.holder_.server_, now);
         }
-        log_.write(describeShardCall("grant-failed", service_, call, outcome), LogImportance::Kept, now);
     }
-    if (granter_ && !isStopped_) {
-        granter_->recordGrantResult(call, sentAt, outcome, now);
+    const bool isRecorded = granter_ && !isStopped_;
+    const GrantEffect effect = isRecorded ? granter_->recordGrantResult(call, sentAt, outcome, now) : GrantEffect{now, false};
+    logGrant(call, outcome, result, effect, sentAt, now);
+    if (isRecorded) {
         publishAssignment(now);
     }
 }
 
+void ShardService::logGrant(
+    const GrantCall &call, ShardCallOutcome outcome, const ExchangeResult &result, const GrantEffect &effect, TimePoint sentAt, TimePoint now)
+{
+    const bool isAccepted = outcome == ShardCallOutcome::Accepted;
+    if (isAccepted && !effect.isFirst_) {
+        return;
+    }
+    auto line = describeShardCall(isAccepted ? "keys-granted" : "grant-failed", service_, call, outcome, result, sentAt, now);
+    line.addDuration("countedForMs", effect.expiresAt_ - now);
+    log_.write(line, LogImportance::Kept, now);
+}
+
 Task<void> ShardService::sendRelease(ReleaseCall call)
 {
     const TimePoint sentAt = bootNow();
@@ -350,7 +365,13 @@
     const auto outcome = Platform::readShardCallOutcome(result);
     recordAnnouncement(call.holder_, result, sentAt, now);
     const std::string handover = outcome == ShardCallOutcome::Accepted ? Platform::readHandover(result.response_) : std::string();
-    log_.write(describeShardCall("keys-released", service_, call, outcome), LogImportance::Kept, now);
+    auto line = describeShardCall("keys-released", service_, call, outcome, result, sentAt, now);
+    if (granter_) {
+        const auto remainder = granter_->unansweredGrants(call.holder_, call.first_, call.last_, now);
+        line.add("unansweredGrants", remainder.unanswered_);
+        line.addDuration("countedForMs", remainder.unanswered_ > 0 ? std::make_optional(remainder.expiresAt_ - now) : std::nullopt);
+    }
+    log_.write(line, LogImportance::Kept, now);
     if (granter_ && !isStopped_) {
         granter_->recordReleaseResult(call, outcome, handover, now);
         run(grantsUntil_, false, now);
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -39,6 +39,8 @@
     // Records what the server's response to a call says about further requests.
     void recordAnnouncement(const ShardHolder &holder, const ExchangeResult &result, TimePoint sentAt, TimePoint now);
     Task<void> sendGrant(GrantCall call);
+    // Logs a grant that failed or that gave the server keys. Accepted renewals are not logged.
+    void logGrant(const GrantCall &call, ShardCallOutcome outcome, const ExchangeResult &result, const GrantEffect &effect, TimePoint sentAt, TimePoint now);
     Task<void> sendRelease(ReleaseCall call);
     // Records that the assignment that this instance wrote is stored.
     void recordWritten(ShardAssignment assignment, Platform::Revision revision, TimePoint now);
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -226,8 +226,9 @@
     return found == states_.end() ? nullptr : &*found;
 }
 
-void ShardGranter::recordGrantResult(const GrantCall &call, TimePoint sentAt, ShardCallOutcome outcome, TimePoint now)
+GrantEffect ShardGranter::recordGrantResult(const GrantCall &call, TimePoint sentAt, ShardCallOutcome outcome, TimePoint now)
 {
+    GrantEffect effect{now, false};
     const auto sent = std::ranges::find_if(sent_, [&call](const SentGrant &each) {
         return each.isInProgress_ && each.holder_ == call.holder_ && each.first_ == call.first_ && each.last_ == call.last_;
     });
@@ -236,23 +237,39 @@
         sent->isAnswered_ = outcome == ShardCallOutcome::Accepted;
         const bool hasArrived = outcome == ShardCallOutcome::Accepted || outcome == ShardCallOutcome::Unanswered;
         sent->expiresAt_ = hasArrived ? now + maxGrantLifetime(timings_) : now;
+        effect.expiresAt_ = sent->expiresAt_;
     }
     auto *state = find(call.first_, call.holder_);
     if (state == nullptr || state->range_.last_ != call.last_) {
-        return;
+        return effect;
     }
     state->isGrantInProgress_ = false;
     if (outcome == ShardCallOutcome::Accepted) {
+        effect.isFirst_ = state->heldUntil_ == TimePoint();
         state->heldUntil_ = sentAt + timings_.holdTime_;
         state->nextGrantAt_ = sentAt + timings_.renewInterval_;
         state->handover_.clear();
-        return;
+        return effect;
     }
     state->nextGrantAt_ = now + timings_.retryInterval_;
     if (outcome == ShardCallOutcome::Refused) {
         state->isRefused_ = true;
         isSuperseded_ = true;
     }
+    return effect;
+}
+
+GrantRemainder ShardGranter::unansweredGrants(const ShardHolder &holder, ShardKey first, ShardKey last, TimePoint now) const
+{
+    GrantRemainder remainder;
+    for (const auto &sent : sent_) {
+        const bool isForSameKeys = isSameProcess(sent.holder_, holder) && overlaps(sent.first_, sent.last_, first, last);
+        if (isForSameKeys && !sent.isAnswered_ && (sent.isInProgress_ || sent.expiresAt_ > now)) {
+            ++remainder.unanswered_;
+            remainder.expiresAt_ = std::max(remainder.expiresAt_, sent.expiresAt_);
+        }
+    }
+    return remainder;
 }
 
 void ShardGranter::recordReleaseResult(const ReleaseCall &call, ShardCallOutcome outcome, const std::string &handover, TimePoint now)
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -56,6 +56,28 @@
     NotSent,
 };
 
+// What the result of a grant call means to the granter.
+struct GrantEffect
+{
+    // Time at which the grant has certainly expired.
+    TimePoint expiresAt_;
+    // The server has accepted these keys with this fencing token for the first time.
+    bool isFirst_ = false;
+
+    auto operator<=>(const GrantEffect &) const = default;
+};
+
+// What is left of the grants that a server may have received.
+struct GrantRemainder
+{
+    // Grants that were not answered, or whose call is still in progress, and that may be valid.
+    std::size_t unanswered_ = 0;
+    // Time at which the last of them has certainly expired, as far as their calls have ended; not meaningful without any.
+    TimePoint expiresAt_;
+
+    auto operator<=>(const GrantRemainder &) const = default;
+};
+
 // Manages the assignment of a sharded service on the one instance that grants its keys.
 //
 // A new fencing token is written to the store before a server sees it. Keys are granted to another server only after the former
@@ -78,9 +100,11 @@
     // Return the calls that are due. Each counts as in progress until its result is recorded.
     std::vector<GrantCall> takeGrants(TimePoint now);
     std::vector<ReleaseCall> takeReleases(TimePoint now);
-    void recordGrantResult(const GrantCall &call, TimePoint sentAt, ShardCallOutcome outcome, TimePoint now);
+    GrantEffect recordGrantResult(const GrantCall &call, TimePoint sentAt, ShardCallOutcome outcome, TimePoint now);
     void recordReleaseResult(const ReleaseCall &call, ShardCallOutcome outcome, const std::string &handover, TimePoint now);
 
+    // Returns the unanswered grants of these keys to that run of a server.
+    GrantRemainder unansweredGrants(const ShardHolder &holder, ShardKey first, ShardKey last, TimePoint now) const;
     // Returns the ranges whose grants are not certainly valid now, sorted, with the time from which they are expected to be.
     std::vector<PendingRange> pendingRanges(TimePoint now) const;
     const ShardAssignment &assignment() const
--- a/StandIns/LoopbackProxy.cpp
+++ b/StandIns/LoopbackProxy.cpp
@@ -31,6 +31,8 @@
 
 // How often a direction that is held back looks whether it may go on.
 constexpr auto HoldCheckInterval = std::chrono::milliseconds(2);
+// The end of a connection that has been held back is passed on this long after its last bytes, so that a reset does not take them away.
+constexpr auto EndDelayAfterHold = std::chrono::milliseconds(50);
 constexpr std::size_t ReadSize = 16384;
 
 Tcp::endpoint parseAddress(const std::string &address)
@@ -117,6 +119,8 @@
         Tcp::socket caller_;
         Tcp::socket target_;
         std::array<bool, DirectionCount> isSilent_{};
+        std::array<bool, DirectionCount> isHeld_{};
+        std::array<bool, DirectionCount> wasHeld_{};
         bool isEnded_ = false;
     };
 
@@ -129,10 +133,27 @@
         }
     }
 
-    void setHeld(ProxyDirection direction, bool isHeld)
+    void holdOpenConnections(ProxyDirection direction)
+    {
+        for (const auto &connection : connections_) {
+            for (std::size_t index = 0; index < DirectionCount; ++index) {
+                connection->isHeld_[index] = connection->isHeld_[index] || covers(direction, index);
+            }
+        }
+    }
+
+    void resume()
+    {
+        isHeld_ = {};
+        for (const auto &connection : connections_) {
+            connection->isHeld_ = {};
+        }
+    }
+
+    void hold(ProxyDirection direction)
     {
         for (std::size_t index = 0; index < DirectionCount; ++index) {
-            isHeld_[index] = covers(direction, index) ? isHeld : isHeld_[index];
+            isHeld_[index] = isHeld_[index] || covers(direction, index);
         }
     }
 
@@ -215,6 +236,7 @@
                 continue;
             }
             if (error) {
+                co_await awaitEndAfterHold(*connection, direction);
                 end(*connection, error);
                 break;
             }
@@ -230,7 +252,7 @@
     }
 
     // Waits out the delay and, while this direction is held back, until it is not.
-    asio::awaitable<void> awaitTurn(const Connection &connection, std::size_t direction)
+    asio::awaitable<void> awaitTurn(Connection &connection, std::size_t direction)
     {
         asio::steady_timer timer(loop_);
         ErrorCode ignored;
@@ -238,12 +260,22 @@
             timer.expires_after(std::chrono::microseconds(delay_));
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
-        while (isHeld_[direction] && !connection.isEnded_) {
+        while ((isHeld_[direction] || connection.isHeld_[direction]) && !connection.isEnded_) {
+            connection.wasHeld_[direction] = true;
             timer.expires_after(HoldCheckInterval);
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
     }
 
+    asio::awaitable<void> awaitEndAfterHold(const Connection &connection, std::size_t direction)
+    {
+        if (connection.wasHeld_[direction]) {
+            asio::steady_timer timer(loop_, EndDelayAfterHold);
+            ErrorCode ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+    }
+
     // Ends both sides as the one that has ended did: an orderly end is passed on as such, anything else as a reset.
     static void end(Connection &connection, const ErrorCode &error)
     {
@@ -290,17 +322,24 @@
     });
 }
 
+void LoopbackProxy::holdOpenConnections(ProxyDirection direction)
+{
+    implementation_->runInLoop([&] {
+        implementation_->holdOpenConnections(direction);
+    });
+}
+
 void LoopbackProxy::hold(ProxyDirection direction)
 {
     implementation_->runInLoop([&] {
-        implementation_->setHeld(direction, true);
+        implementation_->hold(direction);
     });
 }
 
 void LoopbackProxy::resume()
 {
     implementation_->runInLoop([&] {
-        implementation_->setHeld(ProxyDirection::Both, false);
+        implementation_->resume();
     });
 }
 
--- a/StandIns/LoopbackProxy.h
+++ b/StandIns/LoopbackProxy.h
@@ -32,6 +32,8 @@
     std::string address() const;
     // The connections that are open now stay open, but from now on nothing passes on them in this direction, for good. New ones work.
     void silenceOpenConnections(ProxyDirection direction = ProxyDirection::Both);
+    // As `hold`, but for the connections that are open now; new ones work.
+    void holdOpenConnections(ProxyDirection direction = ProxyDirection::Both);
     // Holds back all bytes of all connections, also new ones, in this direction until `resume` passes them on.
     void hold(ProxyDirection direction = ProxyDirection::Both);
     void resume();
