StandIns: Remember the fencing tokens that a server has seen on its keys

The published protocol says that a server refuses a grant if it has seen a higher fencing token on one of its keys, and never refuses a release. The stand-in compared only with the holds that it had at the moment, so a grant with an old token was accepted again after a release. It now remembers the highest token of grants and releases for each key range, until it is started anew.

standInRefusesGrantsBelowTheTokensThatItHasSeen failed without the change (200 instead of 409).

--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -286,7 +286,7 @@
     const std::lock_guard lock(mutex_);
     holds_.clear();
     recorder_.recordHoldings({id_, monotonicNow(), holds_});
-    highestToken_ = 0;
+    seenTokens_ = {};
     startTime_ = unixNow() + 1;
     sequence_ = 0;
     coldUntil_ = monotonicNow() + behaviour_.warmupTime_;
@@ -367,9 +367,29 @@
     }
 }
 
+void PlatformServerStandIn::SeenTokens::record(std::uint32_t first, std::uint32_t last, std::uint64_t token)
+{
+    // Ranges begin at `first` and right after `last`, each with the token that applied there.
+    const auto begin = ranges_.emplace(first, std::prev(ranges_.upper_bound(first))->second).first;
+    const auto end = ranges_.emplace(last + 1, std::prev(ranges_.upper_bound(last + 1))->second).first;
+    for (auto range = begin; range != end; ++range) {
+        range->second = std::max(range->second, token);
+    }
+}
+
+std::uint64_t PlatformServerStandIn::SeenTokens::highest(std::uint32_t first, std::uint32_t last) const
+{
+    std::uint64_t token = 0;
+    for (auto range = std::prev(ranges_.upper_bound(first)); range != ranges_.end() && range->first <= last; ++range) {
+        token = std::max(token, range->second);
+    }
+    return token;
+}
+
 void PlatformServerStandIn::grant(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response)
 {
     const TimePoint arrivedAt = monotonicNow();
+    ++grantCount_;
     const auto order = Json::parse(body);
     Hold hold;
     hold.first_ = order.at("from").get<std::uint32_t>();
@@ -393,10 +413,9 @@
             return fault_ == PlatformServerFault::None;
         });
     }
-    const bool isOld = std::ranges::any_of(holds_, [&hold](const Hold &held) {
-        return held.first_ <= hold.last_ && hold.first_ <= held.last_ && held.token_ > hold.token_;
-    });
+    const bool isOld = seenTokens_.highest(hold.first_, hold.last_) > hold.token_;
     if (!isOld) {
+        seenTokens_.record(hold.first_, hold.last_, hold.token_);
         std::erase_if(holds_, [&hold](const Hold &held) {
             return held.first_ == hold.first_ && held.last_ == hold.last_;
         });
@@ -413,6 +432,7 @@
     const auto first = order.at("from").get<std::uint32_t>();
     const auto last = order.at("to").get<std::uint32_t>();
     std::unique_lock lock(mutex_);
+    seenTokens_.record(first, last, order.at("fence").get<std::uint64_t>());
     std::vector<Hold> remaining;
     for (const auto &hold : holds_) {
         if (hold.last_ < first || hold.first_ > last) {
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -196,6 +196,11 @@
         return arrivalCount_;
     }
 
+    // Number of grants that have reached the server.
+    std::size_t grantCount() const
+    {
+        return grantCount_;
+    }
     // Number of grants that were applied late or are going to be.
     std::size_t lateGrantCount() const
     {
@@ -216,6 +221,19 @@
 private:
     using Hold = PlatformHold;
 
+    // The highest fencing token of any grant or release of each key that this run of the server has seen; 0 if there was none.
+    class SeenTokens
+    {
+    public:
+        void record(std::uint32_t first, std::uint32_t last, std::uint64_t token);
+        // The highest token of these keys.
+        std::uint64_t highest(std::uint32_t first, std::uint32_t last) const;
+
+    private:
+        // By the first key of each range; a range ends where the next begins.
+        std::map<std::uint32_t, std::uint64_t> ranges_ = {{0, 0}};
+    };
+
     void grant(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response);
     void release(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response);
     bool isRejected(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
@@ -270,9 +288,10 @@
     TimePoint coldUntil_;
     std::deque<TimePoint> recentColdArrivals_;
     std::vector<Hold> holds_;
-    std::uint64_t highestToken_ = 0;
+    SeenTokens seenTokens_;
     std::atomic<std::size_t> healthCount_ = 0;
     std::atomic<std::size_t> arrivalCount_ = 0;
+    std::atomic<std::size_t> grantCount_ = 0;
     std::atomic<std::size_t> lateGrantCount_ = 0;
     std::atomic<std::size_t> closedEndlessCount_ = 0;
     std::unique_ptr<Poco::Net::HTTPServer> server_;
--- a/Tests/OnPlatform/TestKeyOwners.cpp
+++ b/Tests/OnPlatform/TestKeyOwners.cpp
@@ -25,15 +25,61 @@
     });
 }
 
+// Sends a grant or a release to a server and returns the status of its response.
+std::string sendShardCall(const PlatformServerStandIn &server, const std::string &name, int first, int last, int token)
+{
+    const std::string body = R"({"from":)" + std::to_string(first) + R"(,"to":)" + std::to_string(last) + R"(,"fence":)" + std::to_string(token)
+        + (name == "grant" ? R"(,"holdS":4})" : "}");
+    const std::string address = server.address();
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    const auto response = sendAndReceiveAll(port,
+                                            "POST /-/" + name + " HTTP/1.1\r\nHost: " + address
+                                                + "\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    return response.substr(0, response.find("\r\n")).substr(9, 3);
+}
+
 } // namespace
 
 class TestKeyOwners : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestKeyOwners);
+    CPPUNIT_TEST(standInRefusesGrantsBelowTheTokensThatItHasSeen);
     CPPUNIT_TEST(linesTellOfUnansweredGrants);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // The published protocol: a server refuses a grant if it has seen a higher fencing token on one of its keys, and never refuses a release.
+    void standInRefusesGrantsBelowTheTokensThatItHasSeen()
+    {
+        PlatformStoreStandIn store(0);
+        PlatformRunRecorder recorder;
+        PlatformServerStandIn server("s-0", PlatformServerBehaviour(), store, recorder);
+        const auto grant = [&server](int first, int last, int token) {
+            return sendShardCall(server, "grant", first, last, token);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), grant(100, 199, 5));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), grant(100, 199, 5));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), sendShardCall(server, "release", 150, 159, 8));
+        CPPUNIT_ASSERT(server.holds(149) && !server.holds(150) && !server.holds(159) && server.holds(160));
+        // One of the keys is enough.
+        CPPUNIT_ASSERT_EQUAL(std::string("409"), grant(100, 199, 5));
+        CPPUNIT_ASSERT_EQUAL(std::string("409"), grant(159, 160, 7));
+        CPPUNIT_ASSERT(!server.holds(155) && !server.holds(159));
+        // Keys beside them have seen a lower token.
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), grant(100, 149, 5));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), grant(160, 199, 5));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), grant(0, 99, 1));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), grant(150, 159, 8));
+        CPPUNIT_ASSERT(server.holds(155));
+        // A release with a lower token is not refused and lowers nothing.
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), sendShardCall(server, "release", 0, 65535, 2));
+        CPPUNIT_ASSERT(!server.holds(155));
+        CPPUNIT_ASSERT_EQUAL(std::string("409"), grant(155, 155, 7));
+        CPPUNIT_ASSERT_EQUAL(std::string("409"), grant(65535, 65535, 1));
+        server.restart();
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), grant(155, 155, 1));
+    }
+
     void linesTellOfUnansweredGrants()
     {
         Deployment deployment(1, DeploymentNetwork::Proxies);
