LibPlacement: Release keys with the fencing token of their new range

A renewal that was held on its way for seconds timed out at the granter, which counted its end from that time-out. It arrived later, even after the server had released the keys, and began a hold anew, while another server had been given the keys. The release named the token of the old grant, so the server had no reason to refuse that grant.

The release now names the token of the keys' new range, which is in the store before. A server that has accepted it refuses whatever grant of the former holder arrives later.

An answered grant ends with a release that has a higher token. An unanswered one counts until it would have expired, as before: it may have arrived before the release and be carried out after it. A release repeated has the same token, that of keys that have moved on the newest. A range whose other part moved away is renewed as a range of its own, on whose keys no higher token was seen. A refusal of the outdated renewal of the whole range belongs to no range any more and is not taken for another granter.

A server that stays out of reach until its keys have gone elsewhere, and to which a grant is passed on only then, is not covered.

--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -366,6 +366,7 @@
     recordAnnouncement(call.holder_, result, sentAt, now);
     const std::string handover = outcome == ShardCallOutcome::Accepted ? Platform::readHandover(result.response_) : std::string();
     auto line = describeShardCall("keys-released", service_, call, outcome, result, sentAt, now);
+    line.add("releaseToken", call.token_);
     if (granter_) {
         const auto remainder = granter_->unansweredGrants(call.holder_, call.first_, call.last_, now);
         line.add("unansweredGrants", remainder.unanswered_);
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -144,7 +144,7 @@
             state.isGrantInProgress_ = isSame && known->isGrantInProgress_;
         } else {
             for (const auto &previous : range.previous_) {
-                state.previous_.push_back({previous, false, false, false, now});
+                state.previous_.push_back({previous, 0, false, false, now});
             }
             state.nextGrantAt_ = now;
         }
@@ -168,7 +168,7 @@
     return std::ranges::none_of(sent_, [&](const SentGrant &sent) {
         const bool isForSameKeys = isSameProcess(sent.holder_, previous.holder_) && overlaps(sent.first_, sent.last_, state.range_.first_, state.range_.last_);
         const bool isExpired = !sent.isInProgress_ && sent.expiresAt_ <= now;
-        return isForSameKeys && !isExpired && !(previous.isReleased_ && sent.isAnswered_);
+        return isForSameKeys && !isExpired && !previous.hasEnded(sent);
     });
 }
 
@@ -207,12 +207,12 @@
                 return sent.isInProgress_ && sent.holder_.server_ == previous.holder_.server_
                     && overlaps(sent.first_, sent.last_, state.range_.first_, state.range_.last_);
             });
-            if (previous.isReleased_ || previous.isReleaseInProgress_ || now < previous.nextTryAt_ || isRenewing
+            if (previous.isReleased() || previous.isReleaseInProgress_ || now < previous.nextTryAt_ || isRenewing
                 || isSameProcess(previous.holder_, state.range_.holder_)) {
                 continue;
             }
             previous.isReleaseInProgress_ = true;
-            calls.push_back({previous.holder_, state.range_.first_, state.range_.last_});
+            calls.push_back({previous.holder_, state.range_.first_, state.range_.last_, state.range_.holder_.token_});
         }
     }
     return calls;
@@ -283,10 +283,11 @@
                 continue;
             }
             previous.isReleaseInProgress_ = false;
-            previous.isReleased_ = outcome == ShardCallOutcome::Accepted;
-            previous.hasIgnoredRelease_ = previous.hasIgnoredRelease_ || !previous.isReleased_;
+            const bool isAccepted = outcome == ShardCallOutcome::Accepted;
+            previous.releaseToken_ = isAccepted ? std::max(previous.releaseToken_, call.token_) : previous.releaseToken_;
+            previous.hasIgnoredRelease_ = previous.hasIgnoredRelease_ || !isAccepted;
             previous.nextTryAt_ = now + timings_.retryInterval_;
-            if (previous.isReleased_) {
+            if (isAccepted) {
                 state.handover_ = handover;
             }
         }
@@ -298,7 +299,7 @@
     TimePoint expected = std::max(now, earlierGrantsExpireAt_);
     for (const auto &sent : sent_) {
         const bool isForSameKeys = isSameProcess(sent.holder_, previous.holder_) && overlaps(sent.first_, sent.last_, state.range_.first_, state.range_.last_);
-        const bool endsWithRelease = sent.isAnswered_ && (previous.isReleased_ || !previous.hasIgnoredRelease_);
+        const bool endsWithRelease = previous.hasEnded(sent) || (sent.isAnswered_ && !previous.isReleased() && !previous.hasIgnoredRelease_);
         if (isForSameKeys && !endsWithRelease) {
             expected = std::max(expected, sent.isInProgress_ ? now + maxGrantLifetime(timings_) : sent.expiresAt_);
         }
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -41,6 +41,9 @@
     ShardHolder holder_;
     ShardKey first_ = 0;
     ShardKey last_ = 0;
+    // Fencing token of the range to which the keys belong now. A server that has accepted the release refuses grants with a lower one, so
+    // that a grant to `holder_` that arrives later has no effect.
+    FencingToken token_ = 0;
 
     auto operator<=>(const ReleaseCall &) const = default;
 };
@@ -80,9 +83,11 @@
 
 // Manages the assignment of a sharded service on the one instance that grants its keys.
 //
-// A new fencing token is written to the store before a server sees it. Keys are granted to another server only after the former
-// holder has released them, or after every grant that it may have received has expired. An unanswered grant counts until it would
-// have expired, even if the keys have been released since, because the server may execute it late.
+// A new fencing token is written to the store before a server sees it, in a grant or in a release. Keys are granted to another server only
+// after the former holder has released them, or after every grant that it may have received has expired. After a release, a grant that
+// arrives late is refused, however late that is: the release has the fencing token of the keys' new range. A grant that arrived before the
+// release may be executed after it, without its token being compared again, and its time counts from its arrival. So an unanswered grant
+// counts until it would have expired, even if the keys have been released since.
 class ShardGranter
 {
 public:
@@ -137,11 +142,22 @@
     struct PreviousHolderState
     {
         ShardHolder holder_;
-        bool isReleased_ = false;
+        // Token of the release that the server has accepted; 0 if there is none.
+        FencingToken releaseToken_ = 0;
         bool isReleaseInProgress_ = false;
         // Whether a release was refused or not answered.
         bool hasIgnoredRelease_ = false;
         TimePoint nextTryAt_;
+
+        bool isReleased() const
+        {
+            return releaseToken_ > 0;
+        }
+        // Whether the release has ended that grant, which the server had answered before.
+        bool hasEnded(const SentGrant &sent) const
+        {
+            return sent.isAnswered_ && sent.holder_.token_ < releaseToken_;
+        }
     };
 
     struct RangeState
--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 using namespace Goldcrestwall;
@@ -86,7 +87,11 @@
     CPPUNIT_TEST(successorRenewsKeysThatHaveJustMoved);
     CPPUNIT_TEST(evenLoadMovesNoKeys);
     CPPUNIT_TEST(newServerGetsKeys);
+    CPPUNIT_TEST(releaseHasTheTokenOfTheNewRange);
+    CPPUNIT_TEST(serverThatGetsItsKeysBackIsNotAskedToReleaseThem);
+    CPPUNIT_TEST(refusalOfAnOutdatedRenewalEndsNoGrants);
     CPPUNIT_TEST(randomLivesNeverHaveTwoHolders);
+    CPPUNIT_TEST(grantsThatArriveSecondsLateNeverMakeTwoHolders);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -462,11 +467,88 @@
         }));
     }
 
+    // Guards against a release after which the server accepts a grant to it that was held on its way.
+    void releaseHasTheTokenOfTheNewRange()
+    {
+        KeyLoad load;
+        auto servers = makeServers(3);
+        auto granter = makeGranterWithGrants(servers, load);
+        const auto former = granter.assignment().ranges_[1].holder_;
+        removeSecondServer(granter, servers, load, at(1200));
+        const auto releases = granter.takeReleases(at(1200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), releases.size());
+        const auto present = granter.assignment().rangeOf(releases.front().first_)->holder_;
+        CPPUNIT_ASSERT(releases.front().holder_ == former);
+        CPPUNIT_ASSERT(releases.front().token_ == present.token_ && present.token_ > former.token_);
+        // A repeated release has the same token, and that of keys that have moved on meanwhile the newest.
+        granter.recordReleaseResult(releases.front(), ShardCallOutcome::Unanswered, "", at(1250));
+        CPPUNIT_ASSERT(granter.takeReleases(at(1600)) == releases);
+        const auto target = std::ranges::find(servers, present.server_, &ServerLoadView::id_);
+        target->isEligible_ = false;
+        granter.recordStored(*granter.plan(servers, load, at(1700)), at(1700));
+        for (const auto &call : granter.takeReleases(at(1700))) {
+            CPPUNIT_ASSERT(call.token_ == granter.assignment().rangeOf(call.first_)->holder_.token_ && call.token_ > call.holder_.token_);
+        }
+    }
+
+    void serverThatGetsItsKeysBackIsNotAskedToReleaseThem()
+    {
+        KeyLoad load;
+        auto servers = makeServers(2);
+        auto granter = makeGranterWithGrants(servers, load);
+        const auto former = granter.assignment().ranges_[1].holder_;
+        removeSecondServer(granter, servers, load, at(1200));
+        const auto release = granter.takeReleases(at(1200)).front();
+        servers[1].isEligible_ = true;
+        servers[0].isEligible_ = false;
+        granter.recordStored(*granter.plan(servers, load, at(1300)), at(1300));
+        const auto present = granter.assignment().rangeOf(release.first_)->holder_;
+        CPPUNIT_ASSERT(present.server_ == former.server_ && present.token_ > release.token_);
+        // The release may be answered late. Its token is below that of the keys' new grant, which is therefore not refused.
+        granter.recordReleaseResult(release, ShardCallOutcome::Accepted, "", at(1310));
+        for (const auto &call : granter.takeReleases(at(1320))) {
+            CPPUNIT_ASSERT(call.holder_.server_ == "s0");
+            CPPUNIT_ASSERT(call.token_ == granter.assignment().rangeOf(call.first_)->holder_.token_);
+        }
+    }
+
+    // Guards against a granter that takes the refusal of its own outdated call for another granter.
+    void refusalOfAnOutdatedRenewalEndsNoGrants()
+    {
+        KeyLoad load;
+        auto servers = makeServers(2);
+        auto granter = makeGranterWithGrants(servers, load);
+        const auto renewals = granter.takeGrants(at(2000));
+        removeSecondServer(granter, servers, load, at(2010));
+        for (const auto &call : renewals) {
+            const bool isOutdated = call.holder_.server_ == "s1";
+            granter.recordGrantResult(call, at(2000), isOutdated ? ShardCallOutcome::Refused : ShardCallOutcome::Accepted, at(2020));
+        }
+        CPPUNIT_ASSERT(!granter.isSuperseded());
+        granter.recordReleaseResult(granter.takeReleases(at(2020)).front(), ShardCallOutcome::Accepted, "", at(2030));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), granter.takeGrants(at(2040)).size());
+    }
+
     void randomLivesNeverHaveTwoHolders();
+    void grantsThatArriveSecondsLateNeverMakeTwoHolders();
+
+private:
+    // Why an unanswered grant has its effect late.
+    enum class Lateness {
+        // The server executes it late, without looking at fencing tokens. Its time counts from its arrival, which was in time.
+        Execution,
+        // It is held on its way. The server refuses it if it has seen a higher fencing token by then.
+        Arrival,
+    };
+
+    static void checkRandomLives(Lateness lateness);
 };
 
 namespace {
 
+// Between the keys that are checked.
+constexpr std::uint32_t KeyStep = 1021;
+
 // Simulated backend server: it applies grants, some of them late, and loses them on a restart.
 struct SimulatedServer
 {
@@ -479,6 +561,8 @@
     };
 
     std::vector<Hold> holds_;
+    // The highest fencing token that it has seen on some of the keys.
+    std::map<ShardKey, FencingToken> seenTokens_;
     bool isUp_ = true;
 
     bool holds(ShardKey key, TimePoint now) const
@@ -488,8 +572,26 @@
                });
     }
 
-    void release(ShardKey first, ShardKey last)
+    void recordToken(ShardKey first, ShardKey last, FencingToken token)
     {
+        for (std::uint32_t key = 0; key < ShardKeyCount; key += KeyStep) {
+            if (first <= key && key <= last) {
+                auto &seen = seenTokens_[static_cast<ShardKey>(key)];
+                seen = std::max(seen, token);
+            }
+        }
+    }
+
+    bool hasSeenHigher(ShardKey first, ShardKey last, FencingToken token) const
+    {
+        return std::ranges::any_of(seenTokens_, [&](const auto &seen) {
+            return first <= seen.first && seen.first <= last && seen.second > token;
+        });
+    }
+
+    void release(ShardKey first, ShardKey last, FencingToken token)
+    {
+        recordToken(first, last, token);
         std::vector<Hold> kept;
         for (const auto &hold : holds_) {
             if (hold.last_ < first || hold.first_ > last) {
@@ -520,6 +622,17 @@
 // Guards against two servers holding one key at the same time. Servers join, leave and restart, calls are lost, unanswered or executed
 // late, and granters succeed each other, at random.
 void TestShards::randomLivesNeverHaveTwoHolders()
+{
+    checkRandomLives(Lateness::Execution);
+}
+
+// Guards against a grant that brings keys back after its release, because it was held on its way.
+void TestShards::grantsThatArriveSecondsLateNeverMakeTwoHolders()
+{
+    checkRandomLives(Lateness::Arrival);
+}
+
+void TestShards::checkRandomLives(Lateness lateness)
 {
     const GrantTimings timings;
     for (unsigned seed = 1; seed <= 40; ++seed) {
@@ -539,7 +652,9 @@
         };
         const auto apply = [&](const GrantCall &call, TimePoint arrivedAt) {
             const auto index = indexOf(call.holder_);
-            if (servers[index].startTime_ == call.holder_.startTime_) {
+            const bool isRefused = lateness == Lateness::Arrival && simulated[index].hasSeenHigher(call.first_, call.last_, call.holder_.token_);
+            if (servers[index].startTime_ == call.holder_.startTime_ && !isRefused) {
+                simulated[index].recordToken(call.first_, call.last_, call.holder_.token_);
                 // The server's clock is 2% slow.
                 simulated[index].holds_.push_back({call.first_, call.last_, call.holder_.token_, arrivedAt + call.holdTime_ + call.holdTime_ / 50});
             }
@@ -552,6 +667,7 @@
                 if (chance(30)) {
                     server.startTime_ += 1000;
                     simulated[index].holds_.clear();
+                    simulated[index].seenTokens_.clear();
                 }
             }
             if (now > 0 && now % 7000 == 0) {
@@ -571,7 +687,7 @@
                 const auto index = indexOf(call.holder_);
                 const bool isReached = chance(80);
                 if (isReached && servers[index].startTime_ == call.holder_.startTime_) {
-                    simulated[index].release(call.first_, call.last_);
+                    simulated[index].release(call.first_, call.last_, call.token_);
                 }
                 granter->recordReleaseResult(call, isReached ? ShardCallOutcome::Accepted : ShardCallOutcome::NotSent, "", at(now));
             }
@@ -579,14 +695,15 @@
                 if (chance(10)) {
                     granter->recordGrantResult(call, at(now), ShardCallOutcome::NotSent, at(now));
                 } else if (chance(20)) {
-                    delayed.push_back({at(now + 2000 + static_cast<int>(random() % 10000)), at(now), call});
+                    const TimePoint appliedAt = at(now + 2000 + static_cast<int>(random() % 10000));
+                    delayed.push_back({appliedAt, lateness == Lateness::Arrival ? appliedAt : at(now), call});
                     granter->recordGrantResult(call, at(now), ShardCallOutcome::Unanswered, at(now));
                 } else {
                     apply(call, at(now));
                     granter->recordGrantResult(call, at(now), ShardCallOutcome::Accepted, at(now));
                 }
             }
-            for (std::uint32_t key = 0; key < ShardKeyCount; key += 1021) {
+            for (std::uint32_t key = 0; key < ShardKeyCount; key += KeyStep) {
                 const auto holders = std::ranges::count_if(simulated, [&](const SimulatedServer &server) {
                     return server.holds(static_cast<ShardKey>(key), at(now));
                 });
--- a/Tests/OnPlatform/TestKeyOwners.cpp
+++ b/Tests/OnPlatform/TestKeyOwners.cpp
@@ -10,6 +10,25 @@
 
 namespace {
 
+// Longer than any hold lasts.
+constexpr Duration HoldBound = 4s;
+constexpr auto CheckInterval = std::chrono::milliseconds(5);
+
+bool isHeldByAnother(Deployment &deployment, std::uint32_t key)
+{
+    return deployment.sharded(1).holds(key) || deployment.sharded(2).holds(key) || deployment.sharded(3).holds(key);
+}
+
+// Some key that the first server holds.
+std::uint32_t findKeyOfFirst(Deployment &deployment)
+{
+    std::uint32_t key = 0;
+    while (!deployment.sharded(0).holds(key)) {
+        ++key;
+    }
+    return key;
+}
+
 std::size_t countLines(const Deployment &deployment, const std::string &event, const std::string &outcome)
 {
     const auto lines = deployment.linesContaining("\"event\":\"" + event + "\"");
@@ -25,6 +44,17 @@
     });
 }
 
+// Checks all the time that the first server does not hold the key together with another one.
+void checkOneHolder(Deployment &deployment, std::uint32_t key, Duration duration)
+{
+    for (const TimePoint end = monotonicNow() + duration; monotonicNow() < end;) {
+        // The new holder is looked at first, as the key may change hands in between.
+        const bool isHeldTwice = isHeldByAnother(deployment, key) && deployment.sharded(0).holds(key);
+        CPPUNIT_ASSERT_MESSAGE("key " + std::to_string(key) + " is held twice", !isHeldTwice);
+        std::this_thread::sleep_for(CheckInterval);
+    }
+}
+
 // Sends a grant or a release to a server and returns the status of its response.
 std::string sendShardCall(const PlatformServerStandIn &server, const std::string &name, int first, int last, int token)
 {
@@ -45,6 +75,7 @@
     CPPUNIT_TEST_SUITE(TestKeyOwners);
     CPPUNIT_TEST(standInRefusesGrantsBelowTheTokensThatItHasSeen);
     CPPUNIT_TEST(linesTellOfUnansweredGrants);
+    CPPUNIT_TEST(renewalThatArrivesAfterTheReleaseBringsNoKeysBack);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +131,27 @@
             }
         }
     }
+
+    // Guards against two holders: a renewal is held on its way for seconds, while the release that goes by another connection is answered, and
+    // is delivered afterwards.
+    void renewalThatArrivesAfterTheReleaseBringsNoKeysBack()
+    {
+        Deployment deployment(1, DeploymentNetwork::Proxies);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        const auto key = findKeyOfFirst(deployment);
+        deployment.shardedProxy(0).holdOpenConnections(ProxyDirection::ToTarget);
+        CPPUNIT_ASSERT(awaitLine(deployment, "grant-failed", "unanswered"));
+        deployment.sharded(0).registerEntry("draining");
+        CPPUNIT_ASSERT(awaitLine(deployment, "keys-released", "accepted"));
+        // The renewal arrives shortly before the time until which an unanswered one is counted.
+        checkOneHolder(deployment, key, 3s);
+        const auto grantsBefore = deployment.sharded(0).grantCount();
+        deployment.shardedProxy(0).resume();
+        checkOneHolder(deployment, key, HoldBound);
+        CPPUNIT_ASSERT(deployment.sharded(0).grantCount() > grantsBefore);
+        CPPUNIT_ASSERT_EQUAL(200, deployment.call(0, makeKeyed(key)).status_);
+        checkNoViolations(deployment);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestKeyOwners);
--- a/Tests/Platform/TestBackendProtocol.cpp
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(healthIsRead);
     CPPUNIT_TEST(shardCallOutcomesAreRead);
     CPPUNIT_TEST(releasesAndHealthChecksEndTheirConnections);
+    CPPUNIT_TEST(releaseNamesTheTokenOfTheNewRange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,6 +230,12 @@
         CPPUNIT_ASSERT(!makeReleaseRequest("127.0.0.1:1", {}).keep_alive());
         CPPUNIT_ASSERT(!makeHealthRequest("127.0.0.1:1", "/health").keep_alive());
     }
+
+    void releaseNamesTheTokenOfTheNewRange()
+    {
+        const auto request = makeReleaseRequest("127.0.0.1:1", {{"s-0", 1, 3}, 10, 19, 8});
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"fence":8,"from":10,"to":19})"), request.body());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBackendProtocol);
