--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -337,14 +337,14 @@
     {
         Side follower;
         Side watcher;
-        watcher.view_.replace(largeContent(4), 4, bootNow());
+        follower.view_.replace(largeContent(6), 6, bootNow());
         const TimePoint until = bootNow() + 3s;
-        while (watcher.storeLink_.expectedRevision() != 5 && bootNow() < until) {
+        while (watcher.storeLink_.expectedRevision() != 6 && bootNow() < until) {
             follower.relay_.refresh({watcher.address_}, bootNow());
             follower.run(10ms);
             watcher.run(10ms);
         }
-        CPPUNIT_ASSERT_EQUAL(Platform::Revision(5), watcher.storeLink_.expectedRevision());
+        CPPUNIT_ASSERT_EQUAL(Platform::Revision(6), watcher.storeLink_.expectedRevision());
     }
 };
 
