Tests: Let servers leave behind silent connections to the store

Under load, all open connections to the store fall silent (both ways, one way, again and again, with those to the server itself), then the entry of a server is marked draining, or those of two are removed. No request may reach them later than 2 s after the store's acknowledgement.

--- a/Tests/OnPlatform/TestSilentConnections.cpp
+++ b/Tests/OnPlatform/TestSilentConnections.cpp
@@ -3,13 +3,18 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <numeric>
+
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::OnPlatform;
 
 namespace {
 
+constexpr std::size_t PlainServers = 4;
 // Within this time after the store has acknowledged a configuration it has to be in force.
 constexpr Duration ConfigurationBound = 2s;
+// Later than this after the store has acknowledged that a server is leaving, no request may reach it.
+constexpr Duration LeavingBound = 2s;
 // From the fault to the change, so that the fault is there before.
 constexpr auto TimeBeforeChange = std::chrono::milliseconds(300);
 
@@ -34,6 +39,12 @@
     CPPUNIT_TEST(configurationIsInForceDespiteSilentWatchesEverywhere);
     CPPUNIT_TEST(unknownRouteIsNoVerdictWhileTheViewIsUnconfirmed);
     CPPUNIT_TEST(slowStoreIsNotReadCompletelyAgain);
+    CPPUNIT_TEST(drainingServerGetsNothingDespiteSilentWatches);
+    CPPUNIT_TEST(removedServersGetNothingDespiteSilentWatches);
+    CPPUNIT_TEST(leavingServerGetsNothingWhenRequestsToTheStoreAreSilent);
+    CPPUNIT_TEST(leavingServerGetsNothingWhenResponsesOfTheStoreAreSilent);
+    CPPUNIT_TEST(leavingServerGetsNothingWhenConnectionsFallSilentAgainAndAgain);
+    CPPUNIT_TEST(leavingServerGetsNothingOnConnectionsToItThatFellSilent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,7 +99,107 @@
         checkNoViolations(deployment);
     }
 
+    void drainingServerGetsNothingDespiteSilentWatches()
+    {
+        checkLeaving(4, {"p-1"}, LeavingSign::Draining, [](Deployment &deployment) {
+            silenceStore(deployment, ProxyDirection::Both);
+        });
+    }
+
+    void removedServersGetNothingDespiteSilentWatches()
+    {
+        checkLeaving(4, {"p-1", "p-2"}, LeavingSign::Removed, [](Deployment &deployment) {
+            silenceStore(deployment, ProxyDirection::Both);
+        });
+    }
+
+    void leavingServerGetsNothingWhenRequestsToTheStoreAreSilent()
+    {
+        checkLeaving(2, {"p-1"}, LeavingSign::Removed, [](Deployment &deployment) {
+            silenceStore(deployment, ProxyDirection::ToTarget);
+        });
+    }
+
+    void leavingServerGetsNothingWhenResponsesOfTheStoreAreSilent()
+    {
+        checkLeaving(2, {"p-1"}, LeavingSign::Draining, [](Deployment &deployment) {
+            silenceStore(deployment, ProxyDirection::FromTarget);
+        });
+    }
+
+    // The next silence begins soon after the one before has been noticed.
+    void leavingServerGetsNothingWhenConnectionsFallSilentAgainAndAgain()
+    {
+        checkLeaving(4, {"p-1"}, LeavingSign::Removed, [](Deployment &deployment) {
+            for (int i = 0; i < 4; ++i) {
+                silenceStore(deployment, ProxyDirection::Both);
+                std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+            }
+            silenceStore(deployment, ProxyDirection::Both);
+        });
+    }
+
+    void leavingServerGetsNothingOnConnectionsToItThatFellSilent()
+    {
+        checkLeaving(4, {"p-1"}, LeavingSign::Draining, [](Deployment &deployment) {
+            silenceStore(deployment, ProxyDirection::Both);
+            deployment.plainProxy(1).silenceOpenConnections(ProxyDirection::FromTarget);
+        });
+    }
+
 private:
+    // How servers leave.
+    enum class LeavingSign {
+        Draining,
+        Removed,
+    };
+
+    static void silenceStore(Deployment &deployment, ProxyDirection direction)
+    {
+        for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
+            deployment.storeProxy(i).silenceOpenConnections(direction);
+        }
+    }
+
+    // Under load, causes the fault, then lets plain servers leave, and checks what reaches them.
+    template<typename Cause>
+    static void checkLeaving(std::size_t instances, const std::vector<std::string> &leaving, LeavingSign sign, Cause cause)
+    {
+        Deployment deployment(instances, DeploymentNetwork::Proxies);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        std::vector<std::size_t> all(instances);
+        std::iota(all.begin(), all.end(), 0);
+        Load load(deployment, all);
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        cause(deployment);
+        std::this_thread::sleep_for(TimeBeforeChange);
+        for (std::size_t i = 0; i < PlainServers; ++i) {
+            auto &server = deployment.plain(i);
+            if (std::ranges::find(leaving, "p-" + std::to_string(i)) == leaving.end()) {
+                continue;
+            }
+            if (sign == LeavingSign::Draining) {
+                server.registerEntry("draining");
+            } else {
+                server.removeEntry();
+            }
+        }
+        const TimePoint acknowledgedAt = monotonicNow();
+        std::this_thread::sleep_for(std::chrono::seconds(6));
+        load.stop();
+        std::size_t arrived = 0;
+        Duration latest = Duration::zero();
+        for (const auto &arrival : deployment.recorder().arrivals()) {
+            if (std::ranges::find(leaving, arrival.server_) != leaving.end() && arrival.at_ > acknowledgedAt) {
+                ++arrived;
+                latest = std::max(latest, arrival.at_ - acknowledgedAt);
+            }
+        }
+        const auto message = std::to_string(arrived) + " requests after the sign, the last after " + std::to_string(latest / 1ms) + " ms";
+        CPPUNIT_ASSERT_MESSAGE(message, latest <= LeavingBound);
+        checkNoViolations(deployment);
+    }
+
     // All open connections to the store fall silent, then a route is added.
     static void checkAddedRoute(std::size_t instances)
     {
