BackendProtocol: Take no rejection on a used connection for the end of a grant

A server may write the response to an earlier call once more, and grants use kept connections. On a connection that was used before, such a response now leaves the grant's outcome open. On a new one it is certain, as before. A copy of a 409 is not covered: it would still be taken for another granter.

The comment at DeliveryDelayMargin states from when the end of an unanswered grant is counted, and what it does not cover.

--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -9,7 +9,10 @@
 
 // The clock of a server may run slow by up to 1/50 (2%).
 constexpr int ClockDriftDivisor = 50;
-// Time by which delivery of a grant may be delayed after the sender considers the call finished.
+// Longest time from the end of an unanswered call to the last moment at which its bytes can reach the server, unless the keys have been
+// released. The connection is reset then, which drops what has not left this machine, so that only what is on its way remains. Bytes that
+// the server's system has taken and the server has not read, or that something on the way keeps, may come later; if the server does not
+// answer a release either, nothing covers them.
 constexpr Duration DeliveryDelayMargin = 200ms;
 // Before the initial assignment, the number of servers must have been unchanged for this long.
 constexpr Duration InitialStabilityTime = 700ms;
--- a/Tests/Platform/TestBackendProtocol.cpp
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(shardCallOutcomesAreRead);
     CPPUNIT_TEST(releasesAndHealthChecksEndTheirConnections);
     CPPUNIT_TEST(releaseNamesTheTokenOfTheNewRange);
+    CPPUNIT_TEST(rejectionOnAUsedConnectionDoesNotEndAGrant);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -231,6 +232,20 @@
         CPPUNIT_ASSERT(!makeHealthRequest("127.0.0.1:1", "/health").keep_alive());
     }
 
+    // Guards against a copy of an earlier rejection that makes a grant in force look never received, so that nobody waits for its end.
+    void rejectionOnAUsedConnectionDoesNotEndAGrant()
+    {
+        for (const unsigned status : {400U, 404U, 421U}) {
+            Gateway::ExchangeResult result;
+            result.outcome_ = Gateway::ExchangeOutcome::Answered;
+            result.response_.result(status);
+            result.exchangesOnConnection_ = 1;
+            CPPUNIT_ASSERT(readShardCallOutcome(result) == Gateway::ShardCallOutcome::NotSent);
+            result.exchangesOnConnection_ = 2;
+            CPPUNIT_ASSERT(readShardCallOutcome(result) == Gateway::ShardCallOutcome::Unanswered);
+        }
+    }
+
     void releaseNamesTheTokenOfTheNewRange()
     {
         const auto request = makeReleaseRequest("127.0.0.1:1", {{"s-0", 1, 3}, 10, 19, 8});
