Tests: Pause, kill and cut off coordinators while keys move

Series of pauses and kills of the coordinator of the sharded service, of links to its store that pass nothing one way for 3 s, and of pauses while its grants are held on their way; each time another server's keys move meanwhile.

--- a/Tests/OnPlatform/TestKeyOwners.cpp
+++ b/Tests/OnPlatform/TestKeyOwners.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <csignal>
 
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::OnPlatform;
@@ -55,6 +56,69 @@
     }
 }
 
+// Looks all the time whether two servers hold the same key.
+class OwnerWatch
+{
+public:
+    explicit OwnerWatch(Deployment &deployment)
+        : deployment_(deployment)
+        , thread_([this] {
+            while (!isStopped_) {
+                look();
+                std::this_thread::sleep_for(CheckInterval);
+            }
+        })
+    {
+    }
+
+    ~OwnerWatch()
+    {
+        stop();
+    }
+    OwnerWatch(const OwnerWatch &) = delete;
+    OwnerWatch &operator=(const OwnerWatch &) = delete;
+
+    void stop()
+    {
+        isStopped_ = true;
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    // Empty if no key was held twice. Call `stop` before.
+    const std::string &finding() const
+    {
+        return finding_;
+    }
+
+private:
+    void look()
+    {
+        for (std::uint32_t key = 0; key < KeyCount; key += KeyStep) {
+            for (std::size_t first = 0; first < ShardedServerCount; ++first) {
+                for (std::size_t second = first + 1; second < ShardedServerCount; ++second) {
+                    // The first is looked at once more, as the key may change hands in between.
+                    const bool isHeldTwice =
+                        deployment_.sharded(first).holds(key) && deployment_.sharded(second).holds(key) && deployment_.sharded(first).holds(key);
+                    if (isHeldTwice && finding_.empty()) {
+                        finding_ = "key " + std::to_string(key) + " is held by s-" + std::to_string(first) + " and s-" + std::to_string(second);
+                    }
+                }
+            }
+        }
+    }
+
+    static constexpr std::uint32_t KeyCount = 65536;
+    static constexpr std::uint32_t KeyStep = 4096;
+    static constexpr std::size_t ShardedServerCount = 4;
+
+    Deployment &deployment_;
+    std::string finding_;
+    std::atomic<bool> isStopped_ = false;
+    std::thread thread_;
+};
+
 // Sends a grant or a release to a server and returns the status of its response.
 std::string sendShardCall(const PlatformServerStandIn &server, const std::string &name, int first, int last, int token)
 {
@@ -76,6 +140,9 @@
     CPPUNIT_TEST(standInRefusesGrantsBelowTheTokensThatItHasSeen);
     CPPUNIT_TEST(linesTellOfUnansweredGrants);
     CPPUNIT_TEST(renewalThatArrivesAfterTheReleaseBringsNoKeysBack);
+    CPPUNIT_TEST(coordinatorsThatArePausedAndKilledLeaveOneHolder);
+    CPPUNIT_TEST(coordinatorsThatAreCutOffOneWayLeaveOneHolder);
+    CPPUNIT_TEST(grantsOfPausedCoordinatorsThatArriveLateLeaveOneHolder);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,6 +219,128 @@
         CPPUNIT_ASSERT_EQUAL(200, deployment.call(0, makeKeyed(key)).status_);
         checkNoViolations(deployment);
     }
+
+    // Guards against two granters: one that was paused goes on while another has begun and moves keys.
+    void coordinatorsThatArePausedAndKilledLeaveOneHolder()
+    {
+        checkTroubles({pauseCoordinator, killCoordinator, pauseCoordinator, killCoordinator, pauseCoordinator}, 5);
+    }
+
+    // Guards against two granters: one that no longer hears the store, or is no longer heard there, goes on while another has begun.
+    void coordinatorsThatAreCutOffOneWayLeaveOneHolder()
+    {
+        // One that is still heard keeps its lease.
+        checkTroubles({deafenCoordinator, muteCoordinator, deafenCoordinator, muteCoordinator}, 2);
+    }
+
+    // Guards against two holders: grants of a coordinator that is paused arrive after another one has moved the keys.
+    void grantsOfPausedCoordinatorsThatArriveLateLeaveOneHolder()
+    {
+        checkTroubles({pauseCoordinatorWithLateGrants, pauseCoordinatorWithLateGrants, pauseCoordinatorWithLateGrants}, 3);
+    }
+
+private:
+    // Disturbs the coordinator of the sharded service, calls `move`, and lets the coordinator go on.
+    using Trouble = std::function<void(Deployment &, const std::function<void()> &move)>;
+
+    // Long enough for another instance to take over and to move keys.
+    static constexpr auto TroubleTime = std::chrono::milliseconds(3000);
+    static constexpr auto TakeOverTime = std::chrono::milliseconds(1500);
+    static constexpr auto RenewalInterval = std::chrono::milliseconds(800);
+
+    static std::size_t coordinatorIndex(Deployment &deployment)
+    {
+        const RouterProcess *coordinator = nullptr;
+        CPPUNIT_ASSERT(Deployment::eventually([&] {
+            coordinator = deployment.coordinator("sharded");
+            return coordinator != nullptr && coordinator->isRunning();
+        }));
+        std::size_t index = 0;
+        while (&deployment.instance(index) != coordinator) {
+            ++index;
+        }
+        return index;
+    }
+
+    static void passTime(const std::function<void()> &move)
+    {
+        std::this_thread::sleep_for(TakeOverTime);
+        move();
+        std::this_thread::sleep_for(TroubleTime - TakeOverTime);
+    }
+
+    static void pauseCoordinator(Deployment &deployment, const std::function<void()> &move)
+    {
+        const auto &coordinator = deployment.instance(coordinatorIndex(deployment));
+        coordinator.signal(SIGSTOP);
+        passTime(move);
+        coordinator.signal(SIGCONT);
+    }
+
+    static void pauseCoordinatorWithLateGrants(Deployment &deployment, const std::function<void()> &move)
+    {
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.shardedProxy(i).holdOpenConnections(ProxyDirection::ToTarget);
+        }
+        // Until renewals have been sent and are held.
+        std::this_thread::sleep_for(RenewalInterval);
+        pauseCoordinator(deployment, move);
+        for (std::size_t i = 0; i < 4; ++i) {
+            deployment.shardedProxy(i).resume();
+        }
+    }
+
+    static void killCoordinator(Deployment &deployment, const std::function<void()> &move)
+    {
+        auto &coordinator = deployment.instance(coordinatorIndex(deployment));
+        coordinator.signal(SIGKILL);
+        coordinator.wait(5s);
+        passTime(move);
+        coordinator.start();
+    }
+
+    static void deafenCoordinator(Deployment &deployment, const std::function<void()> &move)
+    {
+        holdStoreOf(deployment, ProxyDirection::FromTarget, move);
+    }
+
+    static void muteCoordinator(Deployment &deployment, const std::function<void()> &move)
+    {
+        holdStoreOf(deployment, ProxyDirection::ToTarget, move);
+    }
+
+    static void holdStoreOf(Deployment &deployment, ProxyDirection direction, const std::function<void()> &move)
+    {
+        auto &proxy = deployment.storeProxy(coordinatorIndex(deployment));
+        proxy.hold(direction);
+        passTime(move);
+        proxy.resume();
+    }
+
+    // Lets troubles follow each other under load. During each of them the keys of one server move. At least
+    // `takeOvers` of them bring another granter.
+    static void checkTroubles(const std::vector<Trouble> &troubles, std::size_t takeOvers)
+    {
+        Deployment deployment(4, DeploymentNetwork::Proxies);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        OwnerWatch watch(deployment);
+        Load load(deployment, {0, 1, 2, 3});
+        for (std::size_t i = 0; i < troubles.size(); ++i) {
+            auto &server = deployment.sharded(i % 4);
+            troubles[i](deployment, [&server] {
+                server.registerEntry("draining");
+            });
+            std::this_thread::sleep_for(500ms);
+            server.registerEntry();
+        }
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        load.stop();
+        watch.stop();
+        CPPUNIT_ASSERT_EQUAL(std::string(), watch.finding());
+        const auto granters = deployment.linesContaining("\"event\":\"granter-started\"").size();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(granters) + " granters", granters > takeOvers);
+        checkNoViolations(deployment);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestKeyOwners);
