--- a/Tests/Soak/PromiseChecks.cpp
+++ b/Tests/Soak/PromiseChecks.cpp
@@ -72,6 +72,9 @@
         for (const auto &call : result_.calls_) {
             checkBooking(call);
             checkOrigin(call);
+            if (call.kind_ != CallKind::Changing && call.answer_.status_ == 404) {
+                report("CONFIG", call, "its route is in all configurations");
+            }
         }
         for (const auto &arrival : result_.arrivals_) {
             checkLoss(arrival);
--- a/Tests/Soak/TestPromiseChecks.cpp
+++ b/Tests/Soak/TestPromiseChecks.cpp
@@ -146,7 +146,8 @@
         addCall(result, CallKind::Booking, 1s, 200, "p-0");
         result.runs_.push_back(result.runs_.back());
         result.calls_.front().answer_.isSigned_ = false;
-        CPPUNIT_ASSERT_EQUAL(std::string("LOST MIXED REFUSED TWICE "), rulesOf(result));
+        addCall(result, CallKind::Plain, 1s, 404, "");
+        CPPUNIT_ASSERT_EQUAL(std::string("CONFIG LOST MIXED REFUSED TWICE "), rulesOf(result));
     }
 };
 
