--- a/Tests/Soak/FaultSeries.cpp
+++ b/Tests/Soak/FaultSeries.cpp
@@ -33,7 +33,7 @@
     WeightedKind{FaultKind::StopInstance, 5},
     WeightedKind{FaultKind::ReloadSettings, 2},
     WeightedKind{FaultKind::StoreLink, 14},
-    WeightedKind{FaultKind::ServerLink, 14},
+    WeightedKind{FaultKind::ServerLink, 20},
     WeightedKind{FaultKind::Store, 2},
     WeightedKind{FaultKind::RestartServer, 4},
     WeightedKind{FaultKind::DrainServer, 6},
@@ -191,7 +191,14 @@
 
     void fillLink(FaultAction &action)
     {
-        action.link_ = std::array{LinkFault::Silent, LinkFault::Silent, LinkFault::Held, LinkFault::Delayed, LinkFault::Reset, LinkFault::Refusing}[below(6)];
+        action.link_ = std::array{LinkFault::Silent,
+                                  LinkFault::Silent,
+                                  LinkFault::Held,
+                                  LinkFault::Held,
+                                  LinkFault::Held,
+                                  LinkFault::Delayed,
+                                  LinkFault::Reset,
+                                  LinkFault::Refusing}[below(8)];
         action.direction_ = std::array{ProxyDirection::Both, ProxyDirection::ToTarget, ProxyDirection::FromTarget}[below(3)];
         if (action.link_ == LinkFault::Delayed) {
             action.delay_ = drawTime(10ms, 400ms);
