LibHttp: Take a status that is none of the protocol for no answer

Here callers were not told 000, but waited for it: the client took every status below 200 for an interim response and read on, also 101, though nobody had asked to switch protocols, and 600 to 999 were complete responses and went to callers as they were.

What callers saw, with servers that respond 000, 099 and 101 and keep the connection open: a booking got 504 after 2,060 ms, its whole time limit, and a lookup got 504 after the same time, though three other servers were sound. After 600 and 999 a booking got that status. A call of the store and a health check waited for their time limits (700 ms for a write).

Cause: a status was compared with one bound only. Statuses from 100 to 599 other than 101 are now the only ones of the protocol; anything else is malformed, and the connection is closed as soon as the header has been read, whatever body it announces. A client may skip any interim response that it doesn't know (100 to 199), so these are skipped as before, at most eight for each request. Versions that are none of HTTP/1 were malformed already, and so were statuses with more or fewer digits; tests say so now. classifyResponse treats what is no final status as unusable too, with or without the statement that the request did not run.

TestOnPlatform::storeOutageIsSurvived has the store's new fault as well.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -18,7 +18,11 @@
 constexpr Duration DefaultKeepAlive = 5s;
 constexpr Duration KeepAliveMargin = 1s;
 constexpr std::size_t MaxIdlePerAddress = 8;
+// Other statuses are none of the protocol.
+constexpr unsigned LowestStatus = 100;
+constexpr unsigned HighestStatus = 599;
 constexpr unsigned LowestFinalStatus = 200;
+constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned LowestUnsuccessfulStatus = 300;
 // A connection that has brought so many unsuccessful responses is closed, so that its list of their ids stays short.
 constexpr std::size_t MaxUnsuccessfulIds = 32;
@@ -58,6 +62,12 @@
     return std::max<Duration>(Duration::zero(), std::chrono::seconds(seconds) - KeepAliveMargin);
 }
 
+// Whether a response may have this status. The client never asks a server to switch protocols.
+bool isStatusOfProtocol(unsigned status)
+{
+    return status >= LowestStatus && status <= HighestStatus && status != SwitchingProtocols;
+}
+
 // Maps an error while reading the response to an exchange outcome.
 ExchangeOutcome outcomeOf(ErrorCode error)
 {
@@ -210,6 +220,9 @@
     while (!error && !parser.is_header_done()) {
         error = co_await buffer.readSome(stream, parser, MaxUnparsedBytes);
     }
+    if (!error && !isStatusOfProtocol(parser.get().result_int())) {
+        co_return http::error::bad_status;
+    }
     const auto length = announcedLength(parser);
     if (!error && !parser.is_done() && reservation != nullptr && length && !reservation->tryReserveBody(*length)) {
         co_return asio::error::no_memory;
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -252,6 +252,12 @@
     limitMeter_.setLimit(isNumber ? std::make_optional(limit) : std::nullopt, monotonicNow());
 }
 
+void PlatformServerStandIn::setStatus(std::string value)
+{
+    const std::lock_guard lock(announcementMutex_);
+    status_ = std::move(value);
+}
+
 void PlatformServerStandIn::recordArrival()
 {
     ++arrivalCount_;
@@ -329,7 +335,7 @@
     response.send();
 }
 
-void PlatformServerStandIn::checkHealth(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+void PlatformServerStandIn::checkHealth(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
 {
     ++healthCount_;
     if (isLeftAlone()) {
@@ -342,8 +348,7 @@
     response.set("Goldcrestwall-Warmup-Ms", std::to_string(left));
     response.set("Goldcrestwall-Server-Load", load());
     setAnnouncementHeaders(response);
-    response.setContentLength(0);
-    response.send();
+    sendWithStatus(request, response, "");
 }
 
 void PlatformServerStandIn::handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
@@ -462,7 +467,7 @@
     std::ostringstream bytes;
     response.write(bytes);
     lastShardCallResponses_[request.clientAddress().port()] = bytes.str();
-    response.send();
+    sendWithStatus(request, response, "");
 }
 
 bool PlatformServerStandIn::isRejected(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
@@ -596,7 +601,7 @@
         const std::lock_guard lock(mutex_);
         response.set("Goldcrestwall-Server-Load", load());
     }
-    response.sendBuffer(text.data(), text.size());
+    sendWithStatus(request, response, text);
 }
 
 bool PlatformServerStandIn::isRejectedOnce(Poco::Net::HTTPServerRequest &request, PlatformServerFault fault)
@@ -690,6 +695,28 @@
     socket.close();
 }
 
+void PlatformServerStandIn::sendWithStatus(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body)
+{
+    std::string status;
+    {
+        const std::lock_guard lock(announcementMutex_);
+        status = status_;
+    }
+    if (status.empty()) {
+        response.sendBuffer(body.data(), body.size());
+        return;
+    }
+    // Interim responses have no body.
+    const std::string content = status.starts_with('1') ? std::string() : body;
+    response.setContentLength(static_cast<std::streamsize>(content.size()));
+    std::ostringstream head;
+    response.write(head);
+    const std::string bytes = "HTTP/1.1 " + status + " Odd" + head.str().substr(head.str().find("\r\n")) + content;
+    // Bypasses the response object, so that the connection stays open.
+    auto &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
 void PlatformServerStandIn::sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset)
 {
     auto socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket();
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -182,6 +182,9 @@
     // From now on each response names this limit, and more requests than it allows are a violation; no longer if the value is empty. A
     // value that is no number is named as it is.
     void setLimit(const std::string &value);
+    // From now on responses to requests, grants, releases and health checks have this status, as it is, and their connections stay open; the
+    // true status again if the value is empty.
+    void setStatus(std::string value);
     // Simulates a restart under the same id: the server holds no keys and is cold.
     void restart();
     // Whether the server holds the key at present.
@@ -249,8 +252,10 @@
     // Sends `head` once, then `filler` repeatedly until the connection is closed or the fault is cleared.
     void sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler);
     void sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset);
+    // Sends the response with the status that has been set for all.
+    void sendWithStatus(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
     void reject(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, int status) const;
-    void checkHealth(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    void checkHealth(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void setAnnouncementHeaders(Poco::Net::HTTPServerResponse &response) const;
     bool isLeftAlone() const;
     void recordArrival();
@@ -270,6 +275,7 @@
     std::string leavingHeader_;
     std::string retryAfter_;
     std::string limitHeader_;
+    std::string status_;
     LimitMeter limitMeter_;
     std::uint32_t running_ = 0;
     // Number of runs at all servers when the fault was set.
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -289,6 +289,13 @@
         }
         reply.body_ = document.dump();
     }
+    if (fault == PlatformStoreFault::SendsInvalidStatus || fault == PlatformStoreFault::SwitchesProtocols) {
+        const std::string status = fault == PlatformStoreFault::SwitchesProtocols ? "101" : "000";
+        const std::string bytes = "HTTP/1.1 " + status + " Odd\r\nContent-Length: " + std::to_string(reply.body_.size()) + "\r\n\r\n" + reply.body_;
+        // Bypasses the response object, so that the connection stays open.
+        static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        return;
+    }
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status_));
     response.setContentType("application/json");
     response.sendBuffer(reply.body_.data(), reply.body_.size());
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -31,6 +31,10 @@
     LosesAnswers,
     // Does the same for writes only.
     LosesWriteAnswers,
+    // Executes each call, then responds with status 000 and keeps the connection open.
+    SendsInvalidStatus,
+    // Does the same with status 101.
+    SwitchesProtocols,
     // Responds with malformed JSON.
     SendsMalformedBytes,
     // Does not respond to any call.
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -126,6 +126,9 @@
 {
     CPPUNIT_TEST_SUITE(TestHttpClient);
     CPPUNIT_TEST(answersAreJudged);
+    CPPUNIT_TEST(statusThatIsNoneOfTheProtocolIsNoAnswer);
+    CPPUNIT_TEST(versionThatIsNoneOfTheProtocolIsNoAnswer);
+    CPPUNIT_TEST(interimResponsesAreSkipped);
     CPPUNIT_TEST(responseCutOffAtAnyByteIsNoAnswer);
     CPPUNIT_TEST(connectionsAreKeptOnlyWhenClean);
     CPPUNIT_TEST(copyOfAnUncorrelatedRejectionIsNoAnswer);
@@ -357,6 +360,66 @@
         }
     }
 
+    // Guards against an exchange that waits for another response until its deadline, and against a status that its caller cannot read.
+    void statusThatIsNoneOfTheProtocolIsNoAnswer()
+    {
+        // 101 responds to a request to switch protocols, which nobody has made.
+        for (const std::string status : {"000", "001", "099", "101", "600", "999", "1000", "2000", "0200", "20", "2", "", "-20", "+20", "2x0", " 200"}) {
+            expectMalformed("HTTP/1.1 " + status + " Odd\r\n");
+        }
+        for (const std::string line : {"HTTP/1.1 200\tOK\r\n", "HTTP/1.1 \r\n", "HTTP/1.1\r\n", "HTTP/1.1  200 OK\r\n"}) {
+            expectMalformed(line);
+        }
+    }
+
+    void versionThatIsNoneOfTheProtocolIsNoAnswer()
+    {
+        for (const std::string version : {"HTTP/0.0", "HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/11", "HTTP/1.", "http/1.1", "HTTPS/1.1", "ICY"}) {
+            expectMalformed(version + " 200 OK\r\n");
+        }
+    }
+
+    void interimResponsesAreSkipped()
+    {
+        constexpr int MaxSkipped = 8;
+        const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        for (const std::string status : {"100", "102", "103", "104", "199"}) {
+            const std::string interim = "HTTP/1.1 " + status + " Wait\r\nMore: x\r\n\r\n";
+            std::string before;
+            for (int count = 1; count <= MaxSkipped + 1; ++count) {
+                before += interim;
+                const auto results = runExchanges({{{before + clean, clean}, false}, {{clean}, false}}, 2);
+                const bool isSkipped = count <= MaxSkipped;
+                const std::string outcome = exchangeOutcomeName(results[0].outcome_);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(before, std::string(isSkipped ? "answered" : "malformed"), outcome);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(before, isSkipped, !results[1].isNewConnection_);
+                CPPUNIT_ASSERT_MESSAGE(before, !isSkipped || results[0].response_.body() == "abc");
+            }
+        }
+    }
+
+    // Checks that a response with this status line ends its exchange at once and its connection, whether its body has come, comes never or
+    // has no end, and whatever it states. The servers keep their connections open.
+    void expectMalformed(const std::string &statusLine)
+    {
+        const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        const std::vector<std::string> rests{
+            "Id: 1\r\nContent-Length: 3\r\n\r\nabc",
+            "Id: 1\r\nContent-Length: 3\r\n\r\n",
+            "Id: 1\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n",
+            "Id: 1\r\n\r\n",
+            "\r\n",
+            "Id: 7\r\nContent-Length: 0\r\n\r\n",
+            "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            "Id: 1\r\nContent-Length: 0\r\n\r\n" + clean,
+        };
+        for (const auto &rest : rests) {
+            const auto results = runExchanges({{{statusLine + rest, clean}, false}, {{clean}, false}}, 2);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(statusLine + rest, std::string("malformed"), std::string(exchangeOutcomeName(results[0].outcome_)));
+            CPPUNIT_ASSERT_MESSAGE(statusLine + rest, results[1].isNewConnection_);
+        }
+    }
+
     void connectionsAreKeptOnlyWhenClean()
     {
         const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
--- a/Tests/OnPlatform/TestOnPlatform.cpp
+++ b/Tests/OnPlatform/TestOnPlatform.cpp
@@ -227,7 +227,8 @@
     {
         Deployment deployment(3);
         CPPUNIT_ASSERT(deployment.awaitServing());
-        for (const auto fault : {PlatformStoreFault::Down, PlatformStoreFault::Busy, PlatformStoreFault::Unresponsive}) {
+        for (const auto fault :
+             {PlatformStoreFault::Down, PlatformStoreFault::Busy, PlatformStoreFault::Unresponsive, PlatformStoreFault::SendsInvalidStatus}) {
             deployment.store().setFault(fault);
             deployment.store().expireAllLeases();
             Load load(deployment, {0, 1, 2});
--- a/Tests/Platform/TestBackendProtocol.cpp
+++ b/Tests/Platform/TestBackendProtocol.cpp
@@ -89,6 +89,18 @@
             {200, {signature, notRun}, ResponseKind::Unusable},
             {204, {signature, notRun}, ResponseKind::Unusable},
             {504, {signature}, ResponseKind::Complete},
+            {304, {signature}, ResponseKind::Complete},
+            {599, {}, ResponseKind::Complete},
+            // Guards against a status that callers cannot read, and against a promise in a response that is none.
+            {0, {signature}, ResponseKind::Unusable},
+            {0, {notRun}, ResponseKind::Unusable},
+            {99, {signature}, ResponseKind::Unusable},
+            {100, {signature}, ResponseKind::Unusable},
+            {101, {signature}, ResponseKind::Unusable},
+            {199, {notRun}, ResponseKind::Unusable},
+            {600, {signature}, ResponseKind::Unusable},
+            {600, {notRun}, ResponseKind::Unusable},
+            {999, {}, ResponseKind::Unusable},
         };
         for (const auto &each : cases) {
             CPPUNIT_ASSERT_MESSAGE(std::to_string(each.status_), classifyResponse(makeResponse(each.status_, each.headers_)) == each.kind_);
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(compactedHistoryIsReported);
     CPPUNIT_TEST(leasesEndWithTheirKeys);
     CPPUNIT_TEST(faultsMapToOutcomes);
+    CPPUNIT_TEST(statusThatIsNoneOfTheProtocolIsNotWaitedFor);
     CPPUNIT_TEST(unreadableItemDoesNotHideItsNeighbours);
     CPPUNIT_TEST(responsesStayWithinTheMemory);
     CPPUNIT_TEST_SUITE_END();
@@ -133,6 +134,46 @@
         CPPUNIT_ASSERT(await(loop_, unreachableStore.readRange("", "")).outcome_ == StoreOutcome::Unreachable);
     }
 
+    // Guards against a call that waits for another response until its time limit, and against a write that is taken to be done or not done.
+    void statusThatIsNoneOfTheProtocolIsNotWaitedFor()
+    {
+        // Less than half of the time limit of a call.
+        constexpr Duration MaxWait = 500ms;
+        const auto lease = await(loop_, store_.grantLease(10s));
+        CPPUNIT_ASSERT(lease.outcome_ == StoreOutcome::Done);
+        for (const auto fault : {PlatformStoreFault::SendsInvalidStatus, PlatformStoreFault::SwitchesProtocols}) {
+            const auto label = std::to_string(static_cast<int>(fault));
+            standIn_.setFault(fault);
+            const auto expectUnknown = [&](const std::string &call, const auto &send) {
+                const TimePoint startedAt = monotonicNow();
+                const StoreOutcome outcome = send();
+                const Duration waited = monotonicNow() - startedAt;
+                const std::string message = std::string(call).append(" with fault ").append(label).append(" after us ").append(std::to_string(waited.count()));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::string("unknown"), std::string(storeOutcomeName(outcome)));
+                CPPUNIT_ASSERT_MESSAGE(message, waited < MaxWait);
+            };
+            expectUnknown("write", [&] {
+                return await(loop_, store_.commit(makeWrite("k" + label, "1", 0))).outcome_;
+            });
+            CPPUNIT_ASSERT_EQUAL(std::string("1"), standIn_.get("k" + label));
+            expectUnknown("range", [&] {
+                return await(loop_, store_.readRange("", "")).outcome_;
+            });
+            expectUnknown("watch", [&] {
+                return await(loop_, store_.watch("", 0, 5s, nullptr)).outcome_;
+            });
+            expectUnknown("renewal", [&] {
+                return await(loop_, store_.renewLease(lease.id_)).outcome_;
+            });
+            expectUnknown("lease", [&] {
+                return await(loop_, store_.grantLease(10s)).outcome_;
+            });
+            standIn_.setFault(PlatformStoreFault::None);
+            // No later call gets what was left on a connection.
+            CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("k" + label, "2", 0))).outcome_ == StoreOutcome::Conflict);
+        }
+    }
+
     // Guards against a watch that asks again from the same revision for ever because of one item.
     void unreadableItemDoesNotHideItsNeighbours()
     {
