LibBackend: Take a status that is none of the protocol for no answer

Interim responses other than 100 ended the exchange, and 100 was read on without end.

Cause: Poco takes any number for a status and any text for a version, and skips only 100. The head is now checked where it is read: versions other than HTTP/1, statuses outside 100 to 599 and 101 are no response; other interim ones are skipped, at most eight.

Failed before: TestBackendClient::statusThatIsNoneOfTheProtocolIsNoAnswer (000: answered, lost expected), versionThatIsNoneOfTheProtocolIsNoAnswer (HTTP/0.9: answered), interimResponsesAreSkipped (a ninth 100 was skipped), grantWithAnOddStatusIsUnanswered (000: answered).

--- a/Libraries/LibBackend/BackendClient.cpp
+++ b/Libraries/LibBackend/BackendClient.cpp
@@ -23,14 +23,17 @@
 constexpr const char *CancelPath = "/.goldcrestwall/cancel";
 constexpr std::size_t MaxHeadBytes = 64 * 1024;
 constexpr std::streamsize MaxResponseBytes = 16 * 1024 * 1024;
+// Maximum number of interim responses that are skipped.
+constexpr int MaxInterimResponses = 8;
+constexpr int HighestStatus = 599;
 
 Poco::Timespan toTimespan(Duration duration)
 {
     return Poco::Timespan(std::max<Duration>(duration, 1ms).count());
 }
 
-// A response whose head is read to its end or not at all. Poco takes the end of the connection for the end of the head, so that a head
-// which was cut off would look complete.
+// A final response whose head is read to its end or not at all. Poco takes the end of the connection for the end of the head, so that a head
+// which was cut off would look complete, and takes any number for a status.
 class CompleteResponse : public Poco::Net::HTTPResponse
 {
 public:
@@ -47,7 +50,28 @@
         }
         std::istringstream whole(head);
         Poco::Net::HTTPResponse::read(whole);
+        checkStatusLine();
     }
+
+private:
+    void checkStatusLine()
+    {
+        const int status = getStatus();
+        const bool isOfProtocol = getVersion().starts_with("HTTP/1.") && status >= HTTP_CONTINUE && status <= HighestStatus;
+        // This client never asks a server to switch protocols.
+        if (!isOfProtocol || status == HTTP_SWITCHING_PROTOCOLS) {
+            throw Poco::Net::MessageException("the response's version or status is none of the protocol");
+        }
+        if (status < HTTP_OK) {
+            if (++interimResponses_ > MaxInterimResponses) {
+                throw Poco::Net::MessageException("too many interim responses");
+            }
+            // The session reads on after a response with this status only.
+            setStatus(HTTP_CONTINUE);
+        }
+    }
+
+    int interimResponses_ = 0;
 };
 
 ServerContact readContact(const Poco::Net::HTTPResponse &response)
--- a/Tests/LibBackend/TestBackendClient.cpp
+++ b/Tests/LibBackend/TestBackendClient.cpp
@@ -34,6 +34,9 @@
     return {correlation, token, {}, RequestId("r"), "k", 300ms, unixNow() + 300};
 }
 
+// 101 responds to a request to switch protocols, which nobody has made.
+const std::vector<std::string> OddStatuses{"000", "001", "099", "101", "600", "999", "1000", "0200", "20", "2", "", "-20", "+20", "2x0"};
+
 const HttpRequestContent Request{"POST", "/visits", {}, "body"};
 
 } // namespace
@@ -47,6 +50,10 @@
     CPPUNIT_TEST(lateRequestIsRefused);
     CPPUNIT_TEST(unreachableServerIsNotWritten);
     CPPUNIT_TEST(responseCutOffAtAnyByteIsNoAnswer);
+    CPPUNIT_TEST(statusThatIsNoneOfTheProtocolIsNoAnswer);
+    CPPUNIT_TEST(versionThatIsNoneOfTheProtocolIsNoAnswer);
+    CPPUNIT_TEST(interimResponsesAreSkipped);
+    CPPUNIT_TEST(grantWithAnOddStatusIsUnanswered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,6 +131,58 @@
         }
     }
 
+    // Guards against a status that callers cannot read, and against a promise in a response that is none.
+    void statusThatIsNoneOfTheProtocolIsNoAnswer()
+    {
+        const std::string rest = " Odd\r\nGoldcrestwall-Correlation: a\r\nContent-Length: 0\r\n";
+        for (const std::string &status : OddStatuses) {
+            for (const std::string &statement : {std::string(), std::string("Goldcrestwall-Refused: shed\r\n")}) {
+                const auto reply = sendTo("POST", std::string("HTTP/1.1 ").append(status).append(rest).append(statement).append("\r\n"));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(status + statement, static_cast<int>(AttemptResult::Lost), static_cast<int>(reply.result_));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(status + statement, 0, reply.answer_.status_);
+            }
+        }
+    }
+
+    void versionThatIsNoneOfTheProtocolIsNoAnswer()
+    {
+        for (const std::string version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "http/1.1", "HTTPS/1.1", "ICY", ""}) {
+            const auto reply = sendTo("POST", version + " 200 OK\r\nGoldcrestwall-Correlation: a\r\nContent-Length: 0\r\n\r\n");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(version, static_cast<int>(AttemptResult::Lost), static_cast<int>(reply.result_));
+        }
+    }
+
+    void interimResponsesAreSkipped()
+    {
+        constexpr int MaxSkipped = 8;
+        const std::string last = "HTTP/1.1 200 OK\r\nGoldcrestwall-Correlation: a\r\nContent-Length: 3\r\n\r\nabc";
+        for (const std::string status : {"100", "102", "103", "199"}) {
+            std::string interim;
+            for (int count = 1; count <= MaxSkipped + 1; ++count) {
+                interim += "HTTP/1.1 " + status + " Wait\r\nGoldcrestwall-Correlation: a\r\n\r\n";
+                const auto reply = sendTo("POST", interim + last);
+                const auto expected = count <= MaxSkipped ? AttemptResult::Answered : AttemptResult::Lost;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(interim, static_cast<int>(expected), static_cast<int>(reply.result_));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(interim, std::string(count <= MaxSkipped ? "abc" : ""), reply.answer_.body_);
+            }
+        }
+    }
+
+    void grantWithAnOddStatusIsUnanswered()
+    {
+        for (const std::string &status : OddStatuses) {
+            const std::string response = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n";
+            const auto reply = withServer({response}, [](BackendClient &client) {
+                return client.grant(1, 300ms);
+            });
+            CPPUNIT_ASSERT_MESSAGE(status, !reply.isAnswered_ && !reply.isAccepted_);
+        }
+        const auto reply = withServer({"HTTP/1.1 103 Wait\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, [](BackendClient &client) {
+            return client.grant(1, 300ms);
+        });
+        CPPUNIT_ASSERT(reply.isAnswered_ && reply.isAccepted_);
+    }
+
     void unreachableServerIsNotWritten()
     {
         std::string address;
@@ -139,19 +198,26 @@
 private:
     // Sends a request to a server that answers a health check, then sends these bytes and closes the connection.
     static BackendReply sendTo(const std::string &method, const std::string &bytes)
+    {
+        return withServer({"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", bytes}, [&method](BackendClient &client) {
+            return client.send({method, "/visits", {}, ""}, makeCall("a", 1));
+        });
+    }
+
+    // Calls a server that sends one of the responses for each request, in order, and then closes the connection.
+    template<typename Call>
+    static std::invoke_result_t<Call, BackendClient &> withServer(const std::vector<std::string> &responses, Call call)
     {
         Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
-        std::thread server([&listener, &bytes] {
+        std::thread server([&listener, &responses] {
             auto socket = listener.acceptConnection();
-            const std::string health = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-            receiveHead(socket);
-            socket.sendBytes(health.data(), static_cast<int>(health.size()));
-            receiveHead(socket);
-            socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+            for (const auto &response : responses) {
+                receiveHead(socket);
+                socket.sendBytes(response.data(), static_cast<int>(response.size()));
+            }
         });
         BackendClient client(listener.address().toString(), 10);
-        const HttpRequestContent request{method, "/visits", {}, ""};
-        auto reply = client.send(request, makeCall("a", 1));
+        auto reply = call(client);
         server.join();
         return reply;
     }
