LibGateway: Push small changes of the view instead of having them fetched

A change took an announcement, a request and an answer, each through the queue of a link that callers fill. Now the instances that watch the store send the change itself, at once, to those that want it: each instance asks two of them for that by its pings, the one of its own failure domain and another that differs between instances. What is new to an instance is passed on once, so pushes end also where connections form circles.

A change states the revisions it covers. It is applied completely if it joins on to the view. Otherwise what binds in a bounded time (configuration, servers, evacuations) is applied by item, newer ones only, and the view's revision stays; the complete update is fetched as before. A complete read that is older than a pushed removal no longer brings the item back, and the removal history never goes back.

An older version closes a connection on which it gets an unknown message, so the new one goes only to peers that have said in a ping that they want it or in a pong that they accept it (appended fields, which older versions pass over).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -214,6 +214,8 @@
         relay_.handlePing(link, *ping, now);
     } else if (const auto *request = std::get_if<ViewRequestMessage>(&message)) {
         relay_.handleRequest(link, *request, now);
+    } else if (auto *change = std::get_if<ViewChangeMessage>(&message)) {
+        handleChange(link, std::move(*change), now);
     }
 }
 
@@ -237,6 +239,15 @@
         if (relay_.handleUpdate(link, std::move(*update), now)) {
             viewChanged();
         }
+    } else if (auto *change = std::get_if<ViewChangeMessage>(&message)) {
+        handleChange(link, std::move(*change), now);
+    }
+}
+
+void Gateway::handleChange(const std::shared_ptr<PeerLink> &link, ViewChangeMessage message, TimePoint now)
+{
+    if (relay_.handleChange(link, std::move(message), now)) {
+        viewChanged();
     }
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -39,6 +39,7 @@
     PeerNetwork::Handlers makePeerHandlers();
     void handleIncoming(const std::shared_ptr<PeerLink> &link, PeerMessage message);
     void handleOutgoing(const std::shared_ptr<PeerLink> &link, PeerMessage message);
+    void handleChange(const std::shared_ptr<PeerLink> &link, ViewChangeMessage message, TimePoint now);
     HttpResponse handleStatusRequest(const HttpRequest &request);
     bool isReady(TimePoint now) const;
 
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -193,6 +193,7 @@
 {
     isViewCurrent_ = pong.isViewCurrent_;
     revision_ = pong.revision_;
+    acceptsChanges_ = pong.acceptsChanges_;
     if (pong.pingSentAt_ != 0 && pong.viewAge_ >= 0) {
         // Counted from the sending of the ping, because the pong may have been delayed.
         confirmedAt_ = std::max(confirmedAt_, TimePoint(Duration(pong.pingSentAt_ - pong.viewAge_)));
@@ -234,6 +235,8 @@
         }
         if (const auto *pong = std::get_if<PongMessage>(&*message)) {
             recordPong(*pong);
+        } else if (const auto *ping = std::get_if<PingMessage>(&*message)) {
+            wantsChanges_ = ping->wantsChanges_;
         }
         hasHello_ = hasHello_ || std::holds_alternative<HelloMessage>(*message);
         handlers_.message_(shared_from_this(), std::move(*message));
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -124,12 +124,27 @@
     {
         address_ = std::move(address);
     }
+    // Whether the peer wants changes of the view to be pushed on this connection, by its last ping.
+    bool wantsChanges() const
+    {
+        return wantsChanges_;
+    }
+    // Whether the peer understands pushed changes, by its last pong.
+    bool acceptsChanges() const
+    {
+        return acceptsChanges_;
+    }
+    // The peer has said that its view, or a part of it, is at the revision.
+    void recordRevision(Platform::Revision revision)
+    {
+        revision_ = std::max(revision_, revision);
+    }
     // Whether the peer's view of the store was current, by its last pong.
     bool isViewCurrent() const
     {
         return isViewCurrent_;
     }
-    // The peer's store revision, by its last pong.
+    // The peer's store revision, by its last pong or pushed change.
     Platform::Revision revision() const
     {
         return revision_;
@@ -182,6 +197,8 @@
     std::uint64_t seenDelivered_ = 0;
     TimePoint progressAt_;
     bool isTransmitting_ = false;
+    bool wantsChanges_ = false;
+    bool acceptsChanges_ = false;
     bool isViewCurrent_ = false;
     Platform::Revision revision_ = 0;
     TimePoint confirmedAt_;
--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -160,4 +160,34 @@
     return update;
 }
 
+ViewChangeMessage toMessage(ViewChange change)
+{
+    ViewChangeMessage message;
+    message.from_ = change.from_;
+    message.to_ = change.to_;
+    message.isComplete_ = change.isComplete_;
+    for (auto &item : change.items_) {
+        message.items_.push_back({std::move(item.key_), std::move(item.value_), item.revision_});
+    }
+    for (auto &removal : change.removals_) {
+        message.removals_.push_back({std::move(removal.key_), removal.revision_});
+    }
+    return message;
+}
+
+ViewChange toViewChange(ViewChangeMessage message)
+{
+    ViewChange change;
+    change.from_ = message.from_;
+    change.to_ = message.to_;
+    change.isComplete_ = message.isComplete_;
+    for (auto &item : message.items_) {
+        change.items_.push_back({std::move(item.key_), std::move(item.value_), item.revision_, 0});
+    }
+    for (auto &removal : message.removals_) {
+        change.removals_.push_back({std::move(removal.key_), removal.revision_});
+    }
+    return change;
+}
+
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -146,8 +146,10 @@
     std::int64_t sentAt_ = 0;
     // The revision of the sender's view; 0 from earlier versions.
     Platform::Revision revision_ = 0;
+    // Whether the receiver is to push changes of its view on this connection. Earlier versions neither ask for that nor hear of it.
+    bool wantsChanges_ = false;
 
-    MSGPACK_DEFINE(sentAt_, revision_)
+    MSGPACK_DEFINE(sentAt_, revision_, wantsChanges_)
 };
 
 // One run of a server that is leaving.
@@ -175,8 +177,10 @@
     std::int64_t claimsWithheldFor_ = 0;
     // The sender's boot clock in microseconds; 0 from earlier versions.
     std::int64_t sentAt_ = 0;
+    // Whether the sender understands ViewChangeMessage.
+    bool acceptsChanges_ = false;
 
-    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_, sentAt_)
+    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_, sentAt_, acceptsChanges_)
 };
 
 // Requests the changes of the store's content since a revision.
@@ -206,6 +210,27 @@
     MSGPACK_DEFINE(at_, isSnapshot_, items_, removedKeys_)
 };
 
+struct RemovedItem
+{
+    std::string key_;
+    Platform::Revision revision_ = 0;
+
+    MSGPACK_DEFINE(key_, revision_)
+};
+
+// Changes of the sender's view, sent without being asked for. Earlier versions close a connection on which they receive it, so it is sent
+// only to instances that have said that they want or accept changes.
+struct ViewChangeMessage
+{
+    Platform::Revision from_ = 0;
+    Platform::Revision to_ = 0;
+    bool isComplete_ = false;
+    std::vector<ViewItem> items_;
+    std::vector<RemovedItem> removals_;
+
+    MSGPACK_DEFINE(from_, to_, isComplete_, items_, removals_)
+};
+
 // The sender does not coordinate the service of the request.
 struct DeclinedMessage
 {
@@ -227,7 +252,8 @@
                                  PongMessage,
                                  ViewRequestMessage,
                                  ViewUpdateMessage,
-                                 DeclinedMessage>;
+                                 DeclinedMessage,
+                                 ViewChangeMessage>;
 
 // Encodes a message with a length prefix.
 std::string encodeFrame(const PeerMessage &message);
@@ -240,5 +266,7 @@
 PlacementReport toPlacementReport(const FinishMessage &message);
 ViewUpdateMessage toMessage(ViewUpdate update);
 ViewUpdate toViewUpdate(ViewUpdateMessage message);
+ViewChangeMessage toMessage(ViewChange change);
+ViewChange toViewChange(ViewChangeMessage message);
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -36,11 +36,6 @@
 {
 }
 
-PingMessage PeerNetwork::makePing(TimePoint now) const
-{
-    return {now.time_since_epoch().count(), revision_};
-}
-
 std::error_code PeerNetwork::listen(const std::string &address)
 {
     return listener_.listen(address);
@@ -162,6 +157,32 @@
     maintain(now);
 }
 
+void PeerNetwork::ping(const std::string &address, Outgoing &outgoing, TimePoint now) const
+{
+    outgoing.pingedAt_ = now;
+    outgoing.link_->send(PingMessage{now.time_since_epoch().count(), revision_, changeSources_.contains(address)});
+}
+
+void PeerNetwork::setChangeSources(std::set<std::string> addresses, TimePoint now)
+{
+    const auto before = std::exchange(changeSources_, std::move(addresses));
+    for (auto &[address, outgoing] : outgoing_) {
+        if (outgoing.link_ && changeSources_.contains(address) && !before.contains(address)) {
+            ping(address, outgoing, now);
+        }
+    }
+}
+
+std::vector<std::shared_ptr<PeerLink>> PeerNetwork::changeReceivers() const
+{
+    std::vector<std::shared_ptr<PeerLink>> receivers;
+    std::ranges::copy_if(incoming_, std::back_inserter(receivers), &PeerLink::wantsChanges);
+    std::stable_partition(receivers.begin(), receivers.end(), [this](const std::shared_ptr<PeerLink> &link) {
+        return link->domain() == self_.domain_;
+    });
+    return receivers;
+}
+
 void PeerNetwork::maintain(TimePoint now)
 {
     std::vector<std::shared_ptr<PeerLink>> unresponsive;
@@ -179,8 +200,7 @@
         if (now - outgoing.link_->lastReceivedAt() > CloseTimeout) {
             unresponsive.push_back(outgoing.link_);
         } else if (now - outgoing.pingedAt_ >= PingInterval) {
-            outgoing.pingedAt_ = now;
-            outgoing.link_->send(makePing(now));
+            ping(address, outgoing, now);
         }
     }
     for (const auto &link : incoming_) {
@@ -232,8 +252,7 @@
     found->second.link_ = link;
     link->start();
     link->send(self_);
-    link->send(makePing(bootNow()));
-    found->second.pingedAt_ = bootNow();
+    ping(address, found->second, bootNow());
     log_.write(LogLine("peer-connected").add("address", address), LogImportance::State, bootNow());
     handlers_.opened_(address, link);
 }
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -50,6 +50,14 @@
     {
         revision_ = revision;
     }
+    // Asks the instances at these addresses, as far as connected, to push changes of their views, and no others.
+    void setChangeSources(std::set<std::string> addresses, TimePoint now);
+    const std::set<std::string> &changeSources() const
+    {
+        return changeSources_;
+    }
+    // Connections whose peers want changes to be pushed; those of the own failure domain first.
+    std::vector<std::shared_ptr<PeerLink>> changeReceivers() const;
     // Opens missing connections, sends pings and closes unresponsive connections. To be called a few times a second.
     void maintain(TimePoint now);
     // The open connection to an address, or null if there is none or its peer has not responded lately.
@@ -79,7 +87,6 @@
         TimePoint pingedAt_;
     };
 
-    PingMessage makePing(TimePoint now) const;
     void accept(Tcp::socket socket);
     void recordClosed(const std::shared_ptr<PeerLink> &link);
     // Makes room for one more connection; returns whether there is any.
@@ -87,6 +94,7 @@
     // Closes connections until all of them together hold no more than they may.
     void enforceLimits(TimePoint now);
     Task<void> connect(std::string address);
+    void ping(const std::string &address, Outgoing &outgoing, TimePoint now) const;
 
     asio::io_context &loop_;
     HelloMessage self_;
@@ -96,6 +104,7 @@
     PeerLimits limits_;
     Listener listener_;
     std::map<std::string, Outgoing> outgoing_;
+    std::set<std::string> changeSources_;
     std::set<std::shared_ptr<PeerLink>> incoming_;
     std::map<PeerCloseReason, std::uint64_t> closedLinks_;
 };
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -82,6 +82,11 @@
 
 } // namespace
 
+bool bindsInTime(const std::string &key)
+{
+    return key == Platform::ConfigurationKey || key.starts_with(Platform::ServerPrefix) || key.starts_with(Platform::EvacuationPrefix);
+}
+
 std::string memberKey(const std::string &instance)
 {
     return MemberPrefix + instance;
@@ -176,6 +181,68 @@
     at_ = update.at_;
 }
 
+bool StoreView::apply(const ViewChange &change, TimePoint now)
+{
+    if (at_ == 0) {
+        return false;
+    }
+    source_ = NoticeSource::Peer;
+    const auto changesBefore = changeCount_;
+    if (!change.isComplete_ || change.from_ > at_ || change.to_ <= at_) {
+        applyPart(change, now);
+        return changeCount_ != changesBefore;
+    }
+    for (const auto &removal : change.removals_) {
+        remove(removal.key_, removal.revision_, now);
+    }
+    for (const auto &item : change.items_) {
+        put(item, change.to_, now);
+    }
+    at_ = change.to_;
+    return true;
+}
+
+void StoreView::applyPart(const ViewChange &change, TimePoint now)
+{
+    // What is not newer than the view has been replaced or removed, also if the view has forgotten when.
+    for (const auto &removal : change.removals_) {
+        if (!bindsInTime(removal.key_) || removal.revision_ <= at_) {
+            continue;
+        }
+        if (items_.contains(removal.key_)) {
+            remove(removal.key_, removal.revision_, now);
+        } else if (const auto known = removedAt_.find(removal.key_); known == removedAt_.end() || known->second < removal.revision_) {
+            // The item itself may still come from a peer that is behind.
+            recordRemoval(removal.key_, removal.revision_);
+            ++changeCount_;
+        }
+    }
+    for (const auto &item : change.items_) {
+        if (bindsInTime(item.key_) && item.revision_ > at_) {
+            put(item, at_, now);
+        }
+    }
+}
+
+ViewChange StoreView::changeSince(Revision revision) const
+{
+    ViewChange change{revision, at_, !needsSnapshot(revision), {}, {}};
+    if (!change.isComplete_) {
+        return change;
+    }
+    for (const auto &[key, known] : items_) {
+        if (known.relayRevision_ > revision) {
+            change.items_.push_back(known.item_);
+        }
+    }
+    for (const auto &[key, removedAt] : removedAt_) {
+        if (removedAt > revision && !items_.contains(key)) {
+            change.removals_.push_back({key, removedAt});
+        }
+    }
+    return change;
+}
+
 bool StoreView::needsSnapshot(Revision revision) const
 {
     return revision < removalHistoryStart_ || revision == 0;
@@ -220,10 +287,11 @@
     if (known != items_.end() && known->second.item_.revision_ >= item.revision_) {
         return;
     }
-    // A watch or a peer that was held up may report an item that others have reported as removed since. A complete read cannot: it is not
-    // older than the view.
+    // A watch or a peer that was held up may report an item that others have reported as removed since. A complete read may only if a peer
+    // has pushed the removal before.
     const auto removed = removedAt_.find(item.key_);
-    if (source_ != NoticeSource::Read && removed != removedAt_.end() && removed->second >= item.revision_) {
+    const bool mayBeOlder = source_ != NoticeSource::Read || (removed != removedAt_.end() && removed->second > at);
+    if (mayBeOlder && removed != removedAt_.end() && removed->second >= item.revision_) {
         return;
     }
     // Peers that got this view's earlier state have a revision that is not below the item's and lack it nevertheless.
@@ -254,7 +322,7 @@
         return;
     }
     const auto &[oldestRevision, oldestKey] = removals_.front();
-    removalHistoryStart_ = oldestRevision;
+    removalHistoryStart_ = std::max(removalHistoryStart_, oldestRevision);
     if (const auto oldest = removedAt_.find(oldestKey); oldest != removedAt_.end() && oldest->second == oldestRevision) {
         removedAt_.erase(oldest);
     }
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -63,6 +63,31 @@
     std::vector<std::string> removedKeys_;
 };
 
+// A key that was removed from the store.
+struct ViewRemoval
+{
+    std::string key_;
+    Platform::Revision revision_ = 0;
+
+    auto operator<=>(const ViewRemoval &) const = default;
+};
+
+// Changes of a view that are told to others without being asked for.
+struct ViewChange
+{
+    Platform::Revision from_ = 0;
+    Platform::Revision to_ = 0;
+    // Whether it brings every view at a revision from `from_` on to `to_`. Otherwise it holds only a part of the changes.
+    bool isComplete_ = false;
+    std::vector<Platform::StoreItem> items_;
+    std::vector<ViewRemoval> removals_;
+
+    auto operator<=>(const ViewChange &) const = default;
+};
+
+// Whether a change of the item has to be in force at every instance within a bounded time: configuration, servers and evacuations.
+bool bindsInTime(const std::string &key);
+
 std::string memberKey(const std::string &instance);
 std::string coordinatorKey(const std::string &service);
 std::string assignmentKey(const std::string &service);
@@ -108,6 +133,11 @@
     // Replaces the content by a complete read. `at` is the lowest revision at which any part of it was read.
     void replace(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
     void apply(const ViewUpdate &update, TimePoint now);
+    // Applies a change completely if it joins on to this view. Otherwise applies those of its items that bind in time and are newer than
+    // the view, whose revision stays as it is. Returns whether anything was new. A view that has no content yet ignores the change.
+    bool apply(const ViewChange &change, TimePoint now);
+    // All changes since the revision; incomplete and empty if only the complete content brings a view at the revision up to date.
+    ViewChange changeSince(Platform::Revision revision) const;
     ViewUpdate changesSince(Platform::Revision revision) const;
     // Whether only the complete content brings a view at the revision up to date.
     bool needsSnapshot(Platform::Revision revision) const;
@@ -166,6 +196,7 @@
     void put(const Platform::StoreItem &item, Platform::Revision at, TimePoint now);
     void remove(const std::string &key, Platform::Revision revision, TimePoint now);
     void recordRemoval(const std::string &key, Platform::Revision revision);
+    void applyPart(const ViewChange &change, TimePoint now);
     void decode(const Platform::StoreItem &item, TimePoint now);
     void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
     void replaceItems(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -9,6 +9,8 @@
 
 // Answers to requests for the view that are on their way to all peers together.
 constexpr std::size_t MaxAnswerBytes = 1U << 20U;
+// Bytes that one change takes on all connections together. Instances that do not get it are told that there is one, and ask.
+constexpr std::size_t MaxPushBytes = 1U << 20U;
 // Minimum number of instances watching the store that each instance is connected to.
 constexpr std::size_t MinWatchers = 2;
 
@@ -90,7 +92,9 @@
         return profile.name_ == instance_ && profile.coordinatedServices_ > 0;
     });
     const bool isFollower = !isCoordinator && own != watchers.end() && own->second != instance_;
-    role_ = Role{view_.changeCount(), isFollower, watcherAddresses(watchers)};
+    const auto ownMember = own == watchers.end() || own->second == instance_ ? view_.members().end() : view_.members().find(own->second);
+    role_ =
+        Role{view_.changeCount(), isFollower, watcherAddresses(watchers), ownMember == view_.members().end() ? std::string() : ownMember->second.peerAddress_};
     return *role_;
 }
 
@@ -105,6 +109,11 @@
     }
     network_.setRevision(view_.at());
     network_.setRequiredAddresses(std::move(addresses), now);
+    auto watchers = role().watchers_;
+    std::erase_if(watchers, [this, now](const std::string &address) {
+        return !network_.link(address, now);
+    });
+    network_.setChangeSources(chooseChangeSources(instance_, role().ownWatcher_, watchers), now);
 }
 
 void ViewRelay::noteCurrentPeers(TimePoint now)
@@ -129,6 +138,63 @@
         }
     }
     ask(now);
+    pushToSources(now);
+}
+
+void ViewRelay::push(const ViewChange &change, const std::shared_ptr<PeerLink> &from)
+{
+    const PeerFrame frame = std::make_shared<const std::string>(encodeFrame(toMessage(change)));
+    std::size_t bytes = 0;
+    for (const auto &link : network_.changeReceivers()) {
+        bytes += frame->size();
+        if (bytes > MaxPushBytes) {
+            break;
+        }
+        if (link != from) {
+            link->send(frame);
+        }
+    }
+}
+
+void ViewRelay::pushToSources(TimePoint now)
+{
+    std::erase_if(toldRevisions_, [this](const auto &entry) {
+        return !network_.changeSources().contains(entry.first);
+    });
+    for (const auto &address : network_.changeSources()) {
+        const auto link = network_.link(address, now);
+        if (!link || !link->acceptsChanges()) {
+            continue;
+        }
+        for (const auto &change : changes_.takeMissing(link->revision(), toldRevisions_[address], now)) {
+            link->send(toMessage(change));
+        }
+    }
+}
+
+bool ViewRelay::handleChange(const std::shared_ptr<PeerLink> &link, ViewChangeMessage message, TimePoint now)
+{
+    link->recordRevision(message.to_);
+    const auto before = view_.at();
+    const auto changesBefore = view_.changeCount();
+    auto change = toViewChange(std::move(message));
+    LogLine line("change-pushed");
+    line.add("peer", link->instance())
+        .add("from", change.from_)
+        .add("to", change.to_)
+        .add("known", before)
+        .add("items", change.items_.size())
+        .add("removed", change.removals_.size())
+        .add("bytes", contentBytes(change));
+    const auto passedOn = changes_.receive(std::move(change), view_, now);
+    if (passedOn) {
+        push(*passedOn, link);
+    }
+    const bool isNew = view_.at() != before || view_.changeCount() != changesBefore;
+    if (isNew) {
+        log_.write(line.add("revision", view_.at()), LogImportance::Sampled, now);
+    }
+    return isNew;
 }
 
 void ViewRelay::ask(TimePoint now)
@@ -154,6 +220,7 @@
     pong.pingSentAt_ = pingSentAt;
     pong.viewAge_ = (now - storeLink_.confirmedAt()).count();
     pong.sentAt_ = now.time_since_epoch().count();
+    pong.acceptsChanges_ = true;
     for (const auto &server : notices_->announcedOnly()) {
         pong.leavingServers_.push_back({server.id_, server.startTime_});
     }
@@ -165,6 +232,9 @@
 
 void ViewRelay::announce(TimePoint now)
 {
+    if (const auto change = changes_.takeDue(view_, now)) {
+        push(*change, nullptr);
+    }
     if (!storeLink_.isWatching()) {
         return;
     }
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -1,6 +1,7 @@
 // Propagates changes of the store's content between instances.
 #pragma once
 
+#include <LibGateway/ChangePush.h>
 #include <LibGateway/PeerNetwork.h>
 #include <LibGateway/StoreLink.h>
 #include <LibGateway/ViewAsker.h>
@@ -11,7 +12,7 @@
 // the other instances of its failure domain.
 //
 // One instance of each failure domain and every coordinator watch the store. The others receive changes from at least two of these, and
-// watch the store themselves when none of them confirms the view.
+// watch the store themselves when none of them confirms the view. Small changes are pushed, before they are asked for, by two of these.
 class ViewRelay
 {
 public:
@@ -27,7 +28,8 @@
     void refresh(const std::vector<std::string> &seeds, TimePoint now);
     // Requests changes from instances with a newer view. To be called a few times a second.
     void follow(TimePoint now);
-    // Announces a change of the view to the other instances of the failure domain, and to all instances that the view is current again.
+    // Pushes a change of the view to the instances that want it, and announces it to the other instances of the failure domain, and to all instances that the
+    // view is current again.
     void announce(TimePoint now);
 
     void handlePing(const std::shared_ptr<PeerLink> &link, const PingMessage &message, TimePoint now);
@@ -48,6 +50,8 @@
     }
     // Bytes of encoded answers that are held.
     std::size_t answerBytes() const;
+    // Applies a change that a peer has pushed, and passes it on. Returns whether there was anything new.
+    bool handleChange(const std::shared_ptr<PeerLink> &link, ViewChangeMessage message, TimePoint now);
     // Applies the changes to the view. Returns whether there were any.
     bool handleUpdate(const std::shared_ptr<PeerLink> &link, ViewUpdateMessage message, TimePoint now);
 
@@ -61,6 +65,8 @@
         bool isFollower_ = false;
         // Peer addresses of the instances that watch the store.
         std::set<std::string> watchers_;
+        // The one of the own failure domain; empty if it is this instance.
+        std::string ownWatcher_;
     };
 
     // An answer on its way.
@@ -83,6 +89,10 @@
     const Role &role();
     PeerFrame encodeAnswer(Platform::Revision revision);
     void ask(TimePoint now);
+    // Sends the change to all instances that want changes except the one it came from.
+    void push(const ViewChange &change, const std::shared_ptr<PeerLink> &from);
+    // Tells the instances that push changes to this one what they seem to lack.
+    void pushToSources(TimePoint now);
     std::set<std::string> watcherAddresses(const std::map<std::string, std::string> &watchers) const;
     std::set<std::string> allAddresses(const std::vector<std::string> &seeds) const;
     // Lets the store be tried at once when the first peer says that its view is current again.
@@ -98,6 +108,9 @@
     EventLog &log_;
     std::optional<Role> role_;
     ViewAsker asker_;
+    ChangePush changes_;
+    // For each instance that pushes changes to this one, the revision up to which it was told of changes that it seemed to lack.
+    std::map<std::string, Platform::Revision> toldRevisions_;
     ViewAnswerQueue<std::shared_ptr<PeerLink>> answers_;
     std::map<std::shared_ptr<PeerLink>, Sending> sending_;
     Encodings encodings_;
--- a/Tests/OnPlatform/TestViewExchange.cpp
+++ b/Tests/OnPlatform/TestViewExchange.cpp
@@ -8,8 +8,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <arpa/inet.h>
 #include <unistd.h>
 
+#include <array>
+#include <cstring>
 #include <fstream>
 #include <iostream>
 #include <thread>
@@ -21,6 +24,8 @@
 
 constexpr std::size_t ViewBytes = 300'000;
 constexpr std::size_t PeerCount = 20;
+// Between the versions of two configurations of a deployment.
+constexpr std::uint64_t VersionStep = 3;
 
 // JSON text of routes that have `bytes` bytes together.
 std::string manyRoutes(std::size_t bytes)
@@ -108,12 +113,112 @@
     std::thread thread_;
 };
 
+// A peer that asks for nothing and collects the messages that it is sent.
+class Listener
+{
+public:
+    Listener(const std::string &address, bool wantsChanges)
+    {
+        socket_.connect(Poco::Net::SocketAddress(address));
+        send(Gateway::HelloMessage{"edge-listener", "1", "south"});
+        send(Gateway::PingMessage{1, 0, wantsChanges});
+    }
+
+    void send(const Gateway::PeerMessage &message)
+    {
+        const auto frame = Gateway::encodeFrame(message);
+        socket_.sendBytes(frame.data(), static_cast<int>(frame.size()));
+    }
+
+    // All pushed changes received until there is one of the configuration at the version, or the time has passed.
+    std::vector<Gateway::ViewChange> awaitConfiguration(std::uint64_t version, Duration timeout)
+    {
+        std::vector<Gateway::ViewChange> changes;
+        for (const TimePoint until = monotonicNow() + timeout; monotonicNow() < until;) {
+            receive();
+            while (auto message = takeMessage()) {
+                hasPong_ = hasPong_ || std::holds_alternative<Gateway::PongMessage>(*message);
+                if (auto *change = std::get_if<Gateway::ViewChangeMessage>(&*message)) {
+                    changes.push_back(Gateway::toViewChange(std::move(*change)));
+                    if (configurationVersion(changes.back()) == version) {
+                        return changes;
+                    }
+                }
+            }
+        }
+        return changes;
+    }
+
+    bool hasPong() const
+    {
+        return hasPong_;
+    }
+
+    // 0 if the configuration is not part of the change.
+    static std::uint64_t configurationVersion(const Gateway::ViewChange &change)
+    {
+        for (const auto &item : change.items_) {
+            if (item.key_ == Platform::ConfigurationKey) {
+                return Platform::readConfigurationVersion(item.value_).value_or(0);
+            }
+        }
+        return 0;
+    }
+
+private:
+    void receive()
+    {
+        std::array<char, 4096> bytes{};
+        if (socket_.poll(Poco::Timespan(0, 10'000), Poco::Net::Socket::SELECT_READ)) {
+            const int size = socket_.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+            CPPUNIT_ASSERT_MESSAGE("the instance has closed the connection", size > 0);
+            incoming_.append(bytes.data(), static_cast<std::size_t>(size));
+        }
+    }
+
+    std::optional<Gateway::PeerMessage> takeMessage()
+    {
+        std::uint32_t length = 0;
+        if (incoming_.size() < sizeof length) {
+            return std::nullopt;
+        }
+        std::memcpy(&length, incoming_.data(), sizeof length);
+        length = ntohl(length);
+        if (incoming_.size() < sizeof length + length) {
+            return std::nullopt;
+        }
+        auto message = Gateway::decodeFrame(incoming_.data() + sizeof length, length);
+        CPPUNIT_ASSERT(message);
+        incoming_.erase(0, sizeof length + length);
+        return message;
+    }
+
+    Poco::Net::StreamSocket socket_;
+    std::string incoming_;
+    bool hasPong_ = false;
+};
+
+// The version of the configuration that an instance uses, by its log.
+std::uint64_t versionInForce(const RouterProcess &instance)
+{
+    const std::string field = R"("event":"configuration-in-force","version":)";
+    std::uint64_t version = 0;
+    for (const auto &line : instance.logLines()) {
+        if (const auto position = line.find(field); position != std::string::npos) {
+            version = std::stoull(line.substr(position + field.size()));
+        }
+    }
+    return version;
+}
+
 } // namespace
 
 class TestViewExchange : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestViewExchange);
     CPPUNIT_TEST(slowPeersThatAskForTheViewCostLittleMemory);
+    CPPUNIT_TEST(configurationIsPushedToWhoeverWantsIt);
+    CPPUNIT_TEST(pushedConfigurationIsInForceAndPassedOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +253,58 @@
         CPPUNIT_ASSERT_MESSAGE(received, areAllAnswered);
         std::cout << growth << '\n';
     }
+
+    // A peer that does not say that it wants changes may be of an earlier version, which would close the connection.
+    void configurationIsPushedToWhoeverWantsIt()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        const auto version = versionInForce(deployment.instance(0));
+        const auto next = version + VersionStep;
+        Listener wanting(deployment.instance(0).peerAddress(), true);
+        Listener earlier(deployment.instance(0).peerAddress(), false);
+        wanting.awaitConfiguration(version, 300ms);
+        CPPUNIT_ASSERT(wanting.hasPong());
+        deployment.putConfiguration(manyRoutes(1000));
+        const auto changes = wanting.awaitConfiguration(next, 2s);
+        CPPUNIT_ASSERT(!changes.empty());
+        CPPUNIT_ASSERT_EQUAL(next, Listener::configurationVersion(changes.back()));
+        CPPUNIT_ASSERT(changes.back().isComplete_);
+        for (std::size_t i = 1; i < changes.size(); ++i) {
+            CPPUNIT_ASSERT_MESSAGE("each change joins on to the one before", changes[i].from_ == changes[i - 1].to_);
+        }
+        CPPUNIT_ASSERT(earlier.awaitConfiguration(next, 300ms).empty());
+        CPPUNIT_ASSERT(earlier.hasPong());
+    }
+
+    // Neither the store nor a request has a part in it: the change does not join on to the instance's view, whose revision stays.
+    void pushedConfigurationIsInForceAndPassedOn()
+    {
+        constexpr Platform::Revision Later = 1'000'000;
+        constexpr std::uint64_t Version = 1000;
+        Deployment deployment(2);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        Listener sender(deployment.instance(0).peerAddress(), false);
+        Listener receiver(deployment.instance(0).peerAddress(), true);
+        receiver.awaitConfiguration(Version, 300ms);
+        const std::string text = R"({"version":1000,"resources":[]})";
+        const Gateway::ViewChange change{Later - 1, Later, true, {{Platform::ConfigurationKey, text, Later, 0}}, {}};
+        sender.send(Gateway::toMessage(change));
+        const auto changes = receiver.awaitConfiguration(Version, 2s);
+        CPPUNIT_ASSERT(!changes.empty());
+        CPPUNIT_ASSERT(changes.back() == change);
+        for (std::size_t i = 0; i < deployment.instanceCount(); ++i) {
+            const bool isInForce = Deployment::eventually(
+                [&] {
+                    return versionInForce(deployment.instance(i)) == Version;
+                },
+                2s);
+            CPPUNIT_ASSERT_MESSAGE("instance " + std::to_string(i), isInForce);
+        }
+        // A second copy is no news.
+        sender.send(Gateway::toMessage(change));
+        CPPUNIT_ASSERT(receiver.awaitConfiguration(Version, 500ms).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestViewExchange);
