LibGateway: Fetch a configuration that is known to be late, and reject when it stays so

An instance that heard of a newer configuration went on judging requests by its own for as long as the news took. Pongs now state the revision of the sender's configuration (an appended field). When a newer one has been known to exist for 1 s, the instance reads that one key from the store, at most twice a second; after 1.5 s it answers 503 with Retry-After at once ("outdated-configuration"). A successful read ends the expectation whatever peers say, so a wrong word of a peer, or a store that came back from an older copy, does not keep an instance from serving.

New tests: TestStoreView::configurationLagCountsFromTheFirstNews, TestViewExchange::instanceThatKnowsItsConfigurationIsOutdatedRejects.

It covers changes that are too large to be pushed and pushes that were lost.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Duration TickInterval = 50ms;
+// When a newer configuration has been known to exist for this time, it is read from the store, and again after the second time.
+constexpr Duration ConfigurationFetchLag = 1s;
+constexpr Duration ConfigurationFetchInterval = 500ms;
 // A longer gap between two ticks means that the process was suspended.
 constexpr Duration SuspensionGap = 600ms;
 constexpr Duration SettingsInterval = 1s;
@@ -363,6 +366,47 @@
     }
 }
 
+void Gateway::checkConfigurationLag(TimePoint now)
+{
+    if (isFetchingConfiguration_ || view_.configurationLag(now) < ConfigurationFetchLag || now - configurationFetchedAt_ < ConfigurationFetchInterval) {
+        return;
+    }
+    isFetchingConfiguration_ = true;
+    spawn(loop_, log_, "configuration", [this] {
+        return fetchConfiguration();
+    });
+}
+
+Task<void> Gateway::fetchConfiguration()
+{
+    const TimePoint sentAt = bootNow();
+    const auto lag = view_.configurationLag(sentAt);
+    auto page = co_await store_.readRange(Platform::ConfigurationKey, {});
+    const TimePoint now = bootNow();
+    isFetchingConfiguration_ = false;
+    configurationFetchedAt_ = now;
+    const bool isRead = page.outcome_ == Platform::StoreOutcome::Done;
+    log_.write(LogLine("configuration-fetched")
+                   .add("outcome", Platform::storeOutcomeName(page.outcome_))
+                   .add("revision", page.at_)
+                   .add("known", view_.at())
+                   .addDuration("lateMs", lag)
+                   .addDuration("tookMs", now - sentAt),
+               LogImportance::State,
+               now);
+    ViewChange change{0, page.at_, false, std::move(page.items_), {}};
+    std::erase_if(change.items_, [](const Platform::StoreItem &item) {
+        return item.key_ != Platform::ConfigurationKey;
+    });
+    const bool isNew = isRead && view_.apply(change, now);
+    if (isRead) {
+        view_.confirmConfiguration();
+    }
+    if (isNew) {
+        viewChanged();
+    }
+}
+
 void Gateway::recordPeerDelay(PeerLink &link, const PongMessage &pong, TimePoint now)
 {
     if (pong.pingSentAt_ == 0 || pong.sentAt_ == 0) {
@@ -406,6 +450,7 @@
         relay_.refresh(settings_.seeds_, now);
         relay_.follow(now);
         relay_.serve(now);
+        checkConfigurationLag(now);
         coordination_.run(isStopping_, now);
         checkSettingsFile(now);
         checkMemory(now);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -51,6 +51,9 @@
     // Runs all handlers until the loop is stopped.
     void runLoop();
     Task<void> tick();
+    // Reads the configuration from the store when it has been late for too long.
+    void checkConfigurationLag(TimePoint now);
+    Task<void> fetchConfiguration();
     void reportLoopDelay(TimePoint now);
     // Measures the delays of a ping and its answer.
     void recordPeerDelay(PeerLink &link, const PongMessage &pong, TimePoint now);
@@ -101,6 +104,8 @@
     TimePoint settingsCheckedAt_;
     std::int64_t settingsChangedAt_ = 0;
     std::uint64_t configurationVersion_ = 0;
+    bool isFetchingConfiguration_ = false;
+    TimePoint configurationFetchedAt_;
 };
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -179,8 +179,10 @@
     std::int64_t sentAt_ = 0;
     // Whether the sender understands ViewChangeMessage.
     bool acceptsChanges_ = false;
+    // The store's revision at the last change of the configuration that the sender knows of; 0 if it knows none.
+    Platform::Revision configurationRevision_ = 0;
 
-    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_, sentAt_, acceptsChanges_)
+    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_, sentAt_, acceptsChanges_, configurationRevision_)
 };
 
 // Requests the changes of the store's content since a revision.
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -30,6 +30,8 @@
 constexpr unsigned GatewayTimeout = 504;
 constexpr Duration StartupRetryAfter = 300ms;
 // A caller that returns at once reaches another instance: this one takes no new connections.
+// Requests are rejected when a newer configuration has been known to exist for this time without being known itself.
+constexpr Duration MaxConfigurationLag = 1500ms;
 constexpr Duration StoppingRetryAfter = 10ms;
 constexpr Duration MisdirectedDelay = 30ms;
 
@@ -158,6 +160,10 @@
         report_.ended(progress, 400, "no-request-id", now);
         return makeResponse(progress, 400, std::nullopt);
     }
+    if (view_.configurationLag(now) > MaxConfigurationLag) {
+        report_.ended(progress, 503, "outdated-configuration", now);
+        return makeResponse(progress, 503, StartupRetryAfter);
+    }
     progress.route_ = progress.configuration_->route(hostOf(request), pathOf(request));
     if (progress.route_ == nullptr) {
         // While the view of the store is stale, the route may already exist there.
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -439,6 +439,30 @@
     configuration_ = std::make_shared<const RoutingConfiguration>(std::move(*decoded.value_));
 }
 
+Revision StoreView::configurationRevision() const
+{
+    const auto known = items_.find(Platform::ConfigurationKey);
+    return known == items_.end() ? 0 : known->second.item_.revision_;
+}
+
+void StoreView::expectConfiguration(Revision revision, TimePoint now)
+{
+    const bool wasLate = configurationLag(now) > Duration::zero();
+    if (revision <= std::max(configurationRevision(), at_)) {
+        return;
+    }
+    // Counted from the first one, also when others follow before it has come.
+    if (!wasLate) {
+        configurationLateSince_ = now;
+    }
+    expectedConfiguration_ = std::max(expectedConfiguration_, revision);
+}
+
+Duration StoreView::configurationLag(TimePoint now) const
+{
+    return expectedConfiguration_ > std::max(configurationRevision(), at_) ? now - configurationLateSince_ : Duration::zero();
+}
+
 void StoreView::removeDecoded(const std::string &key, Revision revision, TimePoint now)
 {
     if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -159,6 +159,17 @@
     {
         return newestConfigurationVersion_;
     }
+    // The store's revision at the last change of the configuration, usable or not; 0 if none is known.
+    Platform::Revision configurationRevision() const;
+    // A peer knows a configuration of that revision.
+    void expectConfiguration(Platform::Revision revision, TimePoint now);
+    // The configuration has been read from the store, applied, and nothing newer is there: what was expected is in force or never was.
+    void confirmConfiguration()
+    {
+        expectedConfiguration_ = 0;
+    }
+    // For how long a newer configuration is known to exist that this view lacks; zero if none is.
+    Duration configurationLag(TimePoint now) const;
     std::vector<PoolServerInput> serversOf(const std::string &service) const;
     const ServerDescription *server(const std::string &id) const;
     std::size_t serverCount() const
@@ -227,6 +238,9 @@
     std::map<std::string, TimePoint> expired_;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     std::uint64_t newestConfigurationVersion_ = 0;
+    Platform::Revision expectedConfiguration_ = 0;
+    // Since when a configuration has been expected that the view lacks.
+    TimePoint configurationLateSince_;
     std::map<std::string, KnownServer> servers_;
     // What the usable entry said before the present one, which is unusable.
     std::map<std::string, ServerDescription> beforeUnusable_;
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -221,6 +221,7 @@
     pong.viewAge_ = (now - storeLink_.confirmedAt()).count();
     pong.sentAt_ = now.time_since_epoch().count();
     pong.acceptsChanges_ = true;
+    pong.configurationRevision_ = view_.configurationRevision();
     for (const auto &server : notices_->announcedOnly()) {
         pong.leavingServers_.push_back({server.id_, server.startTime_});
     }
@@ -259,6 +260,7 @@
     for (const auto &server : message.leavingServers_) {
         notices_->recordLeaving({server.id_, server.startTime_}, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
     }
+    view_.expectConfiguration(message.configurationRevision_, now);
     noteCurrentPeers(now);
     if (link->domain() == domain_ && link->revision() > view_.at() && !storeLink_.isWatching()) {
         ask(now);
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(removedServerMayRegisterAgain);
     CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST(versionOfAnUnusableConfigurationIsKnown);
+    CPPUNIT_TEST(configurationLagCountsFromTheFirstNews);
     CPPUNIT_TEST(snapshotRemovesMissingEntries);
     CPPUNIT_TEST(expiredServersAreKeptDuringGracePeriod);
     CPPUNIT_TEST(leavingServersAreNoticed);
@@ -277,6 +278,27 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(13), view_.newestConfigurationVersion());
     }
 
+    void configurationLagCountsFromTheFirstNews()
+    {
+        view_.replace({{Platform::ConfigurationKey, configurationText(2), 5, 0}}, 10, at(0));
+        CPPUNIT_ASSERT_EQUAL(Revision(5), view_.configurationRevision());
+        // What was changed before the view's revision is known, whether or not the configuration was there then.
+        view_.expectConfiguration(10, at(0));
+        CPPUNIT_ASSERT(view_.configurationLag(at(5000)) == Duration::zero());
+        view_.expectConfiguration(12, at(1000));
+        view_.expectConfiguration(14, at(1500));
+        view_.expectConfiguration(12, at(1600));
+        CPPUNIT_ASSERT(view_.configurationLag(at(2000)) == Duration(1s));
+        view_.apply({put(Platform::ConfigurationKey, configurationText(3), 12)}, 12, at(2000));
+        CPPUNIT_ASSERT(view_.configurationLag(at(2000)) == Duration(1s));
+        view_.apply(ViewChange{0, 14, false, {{Platform::ConfigurationKey, configurationText(4), 14, 0}}, {}}, at(2100));
+        CPPUNIT_ASSERT(view_.configurationLag(at(2100)) == Duration::zero());
+        view_.expectConfiguration(20, at(3000));
+        CPPUNIT_ASSERT(view_.configurationLag(at(3500)) == Duration(500ms));
+        view_.confirmConfiguration();
+        CPPUNIT_ASSERT(view_.configurationLag(at(3500)) == Duration::zero());
+    }
+
     void snapshotRemovesMissingEntries()
     {
         view_.apply({put("servers/i-1", serverText(), 11), put("servers/i-2", serverText(), 12)}, 12, at(0));
--- a/Tests/OnPlatform/FixedCoordinator.cpp
+++ b/Tests/OnPlatform/FixedCoordinator.cpp
@@ -110,6 +110,7 @@
     if (const auto *ping = std::get_if<Gateway::PingMessage>(&message)) {
         Gateway::PongMessage pong;
         pong.pingSentAt_ = ping->sentAt_;
+        pong.configurationRevision_ = configurationRevision_;
         sendMessage(socket, pong);
     } else if (const auto *request = std::get_if<Gateway::PlacementRequestMessage>(&message)) {
         ++placementCount_;
--- a/Tests/OnPlatform/FixedCoordinator.h
+++ b/Tests/OnPlatform/FixedCoordinator.h
@@ -23,6 +23,11 @@
     FixedCoordinator(const FixedCoordinator &) = delete;
     FixedCoordinator &operator=(const FixedCoordinator &) = delete;
 
+    // Says from now on that it knows a configuration of the revision.
+    void claimConfiguration(Platform::Revision revision)
+    {
+        configurationRevision_ = revision;
+    }
     // Number of placements that were sent.
     std::size_t placementCount() const
     {
@@ -43,6 +48,7 @@
     Poco::Net::ServerSocket listener_;
     std::atomic<bool> isStopped_ = false;
     std::atomic<std::size_t> placementCount_ = 0;
+    std::atomic<Platform::Revision> configurationRevision_ = 0;
     mutable std::mutex mutex_;
     std::vector<Gateway::FinishMessage> reports_;
     std::vector<std::thread> threads_;
--- a/Tests/OnPlatform/TestViewExchange.cpp
+++ b/Tests/OnPlatform/TestViewExchange.cpp
@@ -1,5 +1,5 @@
 // Tests of an instance that many peers ask for its view.
-#include "Deployment.h"
+#include "FixedCoordinator.h"
 
 #include <LibGateway/LibGateway.h>
 
@@ -219,6 +219,7 @@
     CPPUNIT_TEST(slowPeersThatAskForTheViewCostLittleMemory);
     CPPUNIT_TEST(configurationIsPushedToWhoeverWantsIt);
     CPPUNIT_TEST(pushedConfigurationIsInForceAndPassedOn);
+    CPPUNIT_TEST(instanceThatKnowsItsConfigurationIsOutdatedRejects);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -305,6 +306,50 @@
         sender.send(Gateway::toMessage(change));
         CPPUNIT_ASSERT(receiver.awaitConfiguration(Version, 500ms).empty());
     }
+
+    void instanceThatKnowsItsConfigurationIsOutdatedRejects()
+    {
+        constexpr Platform::Revision Later = 1'000'000;
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        FixedCoordinator coordinator(deployment, "plain", deployment.plain(0));
+        const bool isPlacedThere = Deployment::eventually([&] {
+            deployment.call(0, CallerRequest());
+            return coordinator.placementCount() > 0;
+        });
+        CPPUNIT_ASSERT(isPlacedThere);
+        deployment.store().setFault(PlatformStoreFault::Unresponsive);
+        CPPUNIT_ASSERT_EQUAL(200, deployment.call(0, CallerRequest()).status_);
+        coordinator.claimConfiguration(Later);
+        CallerAnswer answer;
+        const bool isRejected = Deployment::eventually(
+            [&] {
+                answer = deployment.call(0, CallerRequest());
+                return answer.status_ == 503;
+            },
+            4s);
+        CPPUNIT_ASSERT(isRejected);
+        CPPUNIT_ASSERT(answer.hasRetryAfter_);
+        // Lines are written some times a second.
+        const bool isReasonLogged = Deployment::eventually(
+            [&deployment] {
+                return !deployment.linesContaining("outdated-configuration").empty();
+            },
+            2s);
+        CPPUNIT_ASSERT(isReasonLogged);
+        // The store knows what is in force, whatever peers say.
+        deployment.store().setFault(PlatformStoreFault::None);
+        const auto isServedForAWhile = [&deployment] {
+            for (const TimePoint until = monotonicNow() + 3s; monotonicNow() < until;) {
+                if (deployment.call(0, CallerRequest()).status_ != 200) {
+                    return false;
+                }
+            }
+            return true;
+        };
+        CPPUNIT_ASSERT(Deployment::eventually(isServedForAWhile));
+        CPPUNIT_ASSERT(!deployment.linesContaining("configuration-fetched").empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestViewExchange);
