--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -29,9 +29,9 @@
 constexpr Duration MinCallerRetryAge = 20ms;
 constexpr unsigned GatewayTimeout = 504;
 constexpr Duration StartupRetryAfter = 300ms;
-// A caller that returns at once reaches another instance: this one takes no new connections.
 // Requests are rejected when a newer configuration has been known to exist for this time without being known itself.
 constexpr Duration MaxConfigurationLag = 1500ms;
+// A caller that returns at once reaches another instance: this one takes no new connections.
 constexpr Duration StoppingRetryAfter = 10ms;
 constexpr Duration MisdirectedDelay = 30ms;
 
