--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(TestSoak);
     CPPUNIT_TEST(promisesHoldInSeries2);
+    CPPUNIT_TEST(promisesHoldInSeries4);
     CPPUNIT_TEST(promisesHoldInSeries101);
     CPPUNIT_TEST_SUITE_END();
 
@@ -19,6 +20,11 @@
         checkSeries(2);
     }
 
+    void promisesHoldInSeries4()
+    {
+        checkSeries(4);
+    }
+
     void promisesHoldInSeries101()
     {
         checkSeries(101);
