--- a/Tests/LibPlacement/TestPlacementComponents.cpp
+++ b/Tests/LibPlacement/TestPlacementComponents.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(TestPlacementComponents);
     CPPUNIT_TEST(rotationKeepsWeightsExactly);
     CPPUNIT_TEST(rotationFollowsNewWeights);
+    CPPUNIT_TEST(rotationsOfSeveralInstancesKeepTheWeights);
     CPPUNIT_TEST(sharedRateStartsEmpty);
     CPPUNIT_TEST(savedRequestsOfASharedRateAreBounded);
     CPPUNIT_TEST(fractionOfASharedRateSavesNothing);
@@ -62,6 +63,37 @@
         }
     }
 
+    // Shares are judged over 200 requests or more at all instances, also right after a change of the configuration.
+    void rotationsOfSeveralInstancesKeepTheWeights()
+    {
+        constexpr double MaxDifference = 0.2;
+        constexpr int Requests = 200;
+        const std::vector<std::vector<WeightedService>> versions{
+            {{"a", 90}, {"b", 10}}, {{"a", 1}, {"b", 1}, {"c", 1}}, {{"b", 3}, {"a", 97}}, {{"c", 5}, {"a", 4}, {"b", 1}}};
+        for (const std::size_t instances : {1U, 3U, 12U, 40U}) {
+            std::mt19937_64 random(instances);
+            std::vector<WeightedRotation> rotations(instances);
+            for (int round = 0; round < 50; ++round) {
+                const auto &services = versions[static_cast<std::size_t>(round) % versions.size()];
+                std::map<std::string, int> counts;
+                int total = 0;
+                for (const auto &service : services) {
+                    total += static_cast<int>(service.weight_);
+                }
+                for (int i = 0; i < Requests; ++i) {
+                    ++counts[rotations[random() % instances].next(services)];
+                }
+                for (const auto &service : services) {
+                    const double share = static_cast<double>(counts[service.service_]) / Requests;
+                    const double weight = static_cast<double>(service.weight_) / total;
+                    CPPUNIT_ASSERT_MESSAGE(service.service_ + " got " + std::to_string(share) + " at " + std::to_string(instances) + " instances, version "
+                                               + std::to_string(round % static_cast<int>(versions.size())),
+                                           std::abs(share - weight) <= MaxDifference);
+                }
+            }
+        }
+    }
+
     void sharedRateStartsEmpty()
     {
         std::mt19937_64 random(1);
