StoreView: Lose no removal behind a part of a change, or behind a watch that was held up

Found by review, before any caller saw it. A server, an evacuation or a coordinator entry that the store had removed could stay in a view for good, or come back for good, until the next complete read, in two ways:

A removal of a key that the view doesn't have was not recorded. A watcher that got an item's removal by a push, and then the item itself by an answer of its own watch that had been held up, took the item for new; the next watch begins after the removal.

A part of a change brings items above the view's revision, as pages of a read do. A source that never had such an item doesn't name its removal, so the view went past it and kept the item.

Now removals of unknown keys are recorded, and items ahead of the view that a complete change up to a later revision doesn't list are removed.

--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -126,7 +126,27 @@
             put(event.item_, at, now);
         }
     }
-    at_ = std::max(at_, at);
+    advance(std::max(at_, at));
+}
+
+void StoreView::advance(Revision at)
+{
+    at_ = at;
+    std::erase_if(itemsAhead_, [this](const std::string &key) {
+        const auto known = items_.find(key);
+        return known == items_.end() || known->second.item_.revision_ <= at_;
+    });
+}
+
+void StoreView::removeUnlistedAhead(const std::vector<StoreItem> &items, Revision at, TimePoint now)
+{
+    const auto keys = itemsAhead_;
+    for (const auto &key : keys) {
+        const auto known = items_.find(key);
+        if (known != items_.end() && known->second.item_.revision_ <= at && std::ranges::find(items, key, &StoreItem::key_) == items.end()) {
+            remove(key, at, now);
+        }
+    }
 }
 
 void StoreView::replace(const std::vector<StoreItem> &items, Revision at, TimePoint now)
@@ -159,7 +179,7 @@
     if (removalHistoryStart_ == 0) {
         removalHistoryStart_ = at;
     }
-    at_ = at;
+    advance(at);
 }
 
 void StoreView::apply(const ViewUpdate &update, TimePoint now)
@@ -172,13 +192,14 @@
         replaceItems(update.items_, update.at_, now);
         return;
     }
+    removeUnlistedAhead(update.items_, update.at_, now);
     for (const auto &key : update.removedKeys_) {
         remove(key, update.at_, now);
     }
     for (const auto &item : update.items_) {
         put(item, update.at_, now);
     }
-    at_ = update.at_;
+    advance(update.at_);
 }
 
 bool StoreView::apply(const ViewChange &change, TimePoint now)
@@ -192,13 +213,14 @@
         applyPart(change, now);
         return changeCount_ != changesBefore;
     }
+    removeUnlistedAhead(change.items_, change.to_, now);
     for (const auto &removal : change.removals_) {
         remove(removal.key_, removal.revision_, now);
     }
     for (const auto &item : change.items_) {
         put(item, change.to_, now);
     }
-    at_ = change.to_;
+    advance(change.to_);
     return true;
 }
 
@@ -206,15 +228,8 @@
 {
     // What is not newer than the view has been replaced or removed, also if the view has forgotten when.
     for (const auto &removal : change.removals_) {
-        if (!bindsInTime(removal.key_) || removal.revision_ <= at_) {
-            continue;
-        }
-        if (items_.contains(removal.key_)) {
+        if (bindsInTime(removal.key_) && removal.revision_ > at_) {
             remove(removal.key_, removal.revision_, now);
-        } else if (const auto known = removedAt_.find(removal.key_); known == removedAt_.end() || known->second < removal.revision_) {
-            // The item itself may still come from a peer that is behind.
-            recordRemoval(removal.key_, removal.revision_);
-            ++changeCount_;
         }
     }
     for (const auto &item : change.items_) {
@@ -298,6 +313,9 @@
     const bool isLate = item.revision_ <= at_;
     lateItemCount_ += isLate ? 1 : 0;
     items_[item.key_] = {item, isLate ? std::max(at, item.revision_) : item.revision_};
+    if (item.revision_ > at) {
+        itemsAhead_.insert(item.key_);
+    }
     ++changeCount_;
     decode(item, now);
 }
@@ -305,7 +323,16 @@
 void StoreView::remove(const std::string &key, Revision revision, TimePoint now)
 {
     const auto known = items_.find(key);
-    if (known == items_.end() || known->second.item_.revision_ > revision) {
+    if (known == items_.end()) {
+        // The item itself may still come from a watch or a peer that is behind.
+        const auto removed = removedAt_.find(key);
+        if (removed == removedAt_.end() || removed->second < revision) {
+            ++changeCount_;
+            recordRemoval(key, revision);
+        }
+        return;
+    }
+    if (known->second.item_.revision_ > revision) {
         return;
     }
     items_.erase(known);
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -208,6 +208,10 @@
     void remove(const std::string &key, Platform::Revision revision, TimePoint now);
     void recordRemoval(const std::string &key, Platform::Revision revision);
     void applyPart(const ViewChange &change, TimePoint now);
+    // Removes the items ahead of the view up to `at` that are not among these: all items that were changed since the view's revision.
+    void removeUnlistedAhead(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
+    // All changes up to the revision have been applied.
+    void advance(Platform::Revision at);
     void decode(const Platform::StoreItem &item, TimePoint now);
     void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
     void replaceItems(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
@@ -229,6 +233,9 @@
     std::uint64_t changeCount_ = 0;
     std::uint64_t lateItemCount_ = 0;
     std::map<std::string, KnownItem> items_;
+    // Keys of items with a revision above the view's, which came by parts of changes or by pages of a read. A source of changes that never had such an item
+    // does not tell of its removal.
+    std::set<std::string> itemsAhead_;
     std::deque<std::pair<Platform::Revision, std::string>> removals_;
     // The last removal of each key in `removals_`.
     std::map<std::string, Platform::Revision> removedAt_;
--- a/Tests/LibGateway/TestChangePush.cpp
+++ b/Tests/LibGateway/TestChangePush.cpp
@@ -272,6 +272,13 @@
     CPPUNIT_TEST(onlyNewsIsPassedOn);
     CPPUNIT_TEST(sourcesAreToldOnceWhatTheyLack);
     CPPUNIT_TEST(sourcesAreTwoAndDifferent);
+    CPPUNIT_TEST(removalAfterAPartIsNotLost);
+    CPPUNIT_TEST(removalAfterAPartIsNotLostWhenFetched);
+    CPPUNIT_TEST(heldUpWatchBringsNoServerBack);
+    CPPUNIT_TEST(heldUpWatchBringsNoServerBackAfterAFetch);
+    CPPUNIT_TEST(evacuationTakenBackDoesNotStay);
+    CPPUNIT_TEST(sourceThatReadsAllTellsOfRemovals);
+    CPPUNIT_TEST(heldUpWatchBringsNoCoordinatorBack);
     CPPUNIT_TEST(messageRoundTrips);
     CPPUNIT_TEST(earlierInstancesReadPingsAndPongs);
     CPPUNIT_TEST(spreadDoesNotGrowWithTheNumber);
@@ -468,6 +475,114 @@
         CPPUNIT_ASSERT(chooseChangeSources("edge-1", "", {}).empty());
     }
 
+    static StoreItem secondServer(Revision revision)
+    {
+        return {Platform::ServerPrefix + std::string("s2"), serverText(), revision, 0};
+    }
+
+    // Views of two instances.
+    struct FollowerAndSource
+    {
+        StoreView follower_ = loadedView();
+        StoreView source_ = loadedView();
+    };
+
+    // The follower holds an item by a part push; the source learns the whole at once, fetched, and never knew the item.
+    static FollowerAndSource makeFollowerWithPart(const StoreItem &item)
+    {
+        FollowerAndSource views;
+        auto watcher = loadedView();
+        watcher.apply({StoreEvent{configurationItem(12), false}}, 12, at(1));
+        watcher.apply({StoreEvent{item, false}}, 13, at(2));
+        views.follower_.apply(watcher.changeSince(12), at(3));
+        watcher.apply({StoreEvent{item, true}}, 13, at(4));
+        StoreItem gone = item;
+        gone.revision_ = 14;
+        watcher.apply({StoreEvent{gone, true}}, 14, at(4));
+        views.source_.apply(watcher.changesSince(10), at(5));
+        return views;
+    }
+
+    void removalAfterAPartIsNotLost()
+    {
+        auto both = makeFollowerWithPart(secondServer(13));
+        CPPUNIT_ASSERT(both.follower_.server("s2") != nullptr);
+        CPPUNIT_ASSERT(both.source_.server("s2") == nullptr);
+        both.follower_.apply(both.source_.changeSince(10), at(6));
+        CPPUNIT_ASSERT_EQUAL(Revision(14), both.follower_.at());
+        CPPUNIT_ASSERT_MESSAGE("a removed server stays for good", both.follower_.server("s2") == nullptr);
+    }
+
+    void removalAfterAPartIsNotLostWhenFetched()
+    {
+        auto both = makeFollowerWithPart(secondServer(13));
+        both.follower_.apply(both.source_.changesSince(10), at(6));
+        CPPUNIT_ASSERT_EQUAL(Revision(14), both.follower_.at());
+        CPPUNIT_ASSERT_MESSAGE("a removed server stays for good", both.follower_.server("s2") == nullptr);
+    }
+
+    void evacuationTakenBackDoesNotStay()
+    {
+        auto both = makeFollowerWithPart({Platform::EvacuationPrefix + std::string("north"), "{}", 13, 0});
+        both.follower_.apply(both.source_.changesSince(10), at(6));
+        CPPUNIT_ASSERT_MESSAGE("an evacuation taken back stays for good", both.follower_.evacuatedDomains().empty());
+    }
+
+    void heldUpWatchBringsNoServerBack()
+    {
+        auto watcher = loadedView();
+        watcher.apply({StoreEvent{secondServer(13), false}}, 13, at(1));
+        watcher.apply({StoreEvent{secondServer(14), true}}, 14, at(2));
+        auto late = loadedView();
+        late.apply(watcher.changeSince(10), at(3));
+        CPPUNIT_ASSERT_EQUAL(Revision(14), late.at());
+        // The answer of its own watch was on its way since before the removal; the next watch begins at 14.
+        late.apply({StoreEvent{secondServer(13), false}}, 13, at(4));
+        CPPUNIT_ASSERT_EQUAL(Revision(14), late.at());
+        CPPUNIT_ASSERT_MESSAGE("a removed server came back", late.server("s2") == nullptr);
+    }
+
+    void heldUpWatchBringsNoServerBackAfterAFetch()
+    {
+        auto watcher = loadedView();
+        watcher.apply({StoreEvent{secondServer(13), false}}, 13, at(1));
+        watcher.apply({StoreEvent{secondServer(14), true}}, 14, at(2));
+        auto late = loadedView();
+        late.apply(watcher.changesSince(10), at(3));
+        late.apply({StoreEvent{secondServer(13), false}}, 13, at(4));
+        CPPUNIT_ASSERT_MESSAGE("a removed server came back", late.server("s2") == nullptr);
+    }
+
+    void sourceThatReadsAllTellsOfRemovals()
+    {
+        auto watcher = loadedView();
+        watcher.apply({StoreEvent{configurationItem(12), false}}, 12, at(1));
+        watcher.apply({StoreEvent{secondServer(13), false}}, 13, at(2));
+        auto follower = loadedView();
+        follower.apply(watcher.changeSince(12), at(3));
+        CPPUNIT_ASSERT(follower.server("s2") != nullptr);
+        auto source = loadedView();
+        source.replace({configurationItem(12), serverItem(6)}, 14, at(4));
+        follower.apply(source.changeSince(10), at(5));
+        CPPUNIT_ASSERT_EQUAL(Revision(14), follower.at());
+        CPPUNIT_ASSERT_MESSAGE("a removed server stays for good", follower.server("s2") == nullptr);
+    }
+
+    void heldUpWatchBringsNoCoordinatorBack()
+    {
+        const MemberEntry member{"edge-9", "1", "10.0.0.9:1", "north", 200};
+        const StoreItem item{coordinatorKey("one"), encodeCoordinator({member, 1, false, false, 0}), 13, 0};
+        StoreItem gone = item;
+        gone.revision_ = 14;
+        auto watcher = loadedView();
+        watcher.apply({StoreEvent{item, false}}, 13, at(1));
+        watcher.apply({StoreEvent{gone, true}}, 14, at(2));
+        auto late = loadedView();
+        late.apply(watcher.changeSince(10), at(3));
+        late.apply({StoreEvent{item, false}}, 13, at(4));
+        CPPUNIT_ASSERT_MESSAGE("an ended coordinator came back", late.coordinator("one") == nullptr);
+    }
+
     void messageRoundTrips()
     {
         const ViewChange change{10, 13, true, {configurationItem(11), serverItem(12)}, {{"servers/gone", 13}}};
