--- a/Tests/OnPlatform/Callers.cpp
+++ b/Tests/OnPlatform/Callers.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// The time limit of requests is 2 s, that of a grant 1 s.
+constexpr Duration MaxPromptWait = 500ms;
 constexpr int ReceiveTimeoutSeconds = 5;
 
 } // namespace
@@ -164,6 +166,40 @@
     }
 }
 
+TimedAnswer callTimed(Deployment &deployment, const CallerRequest &request)
+{
+    const TimePoint startedAt = monotonicNow();
+    auto answer = deployment.call(0, request);
+    return {std::move(answer), monotonicNow() - startedAt};
+}
+
+std::vector<TimedAnswer> callConcurrently(Deployment &deployment, const CallerRequest &request)
+{
+    constexpr int Callers = 8;
+    constexpr int CallsOfEach = 10;
+    std::mutex mutex;
+    std::vector<TimedAnswer> answers;
+    std::vector<std::jthread> callers;
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&] {
+            for (int call = 0; call < CallsOfEach; ++call) {
+                auto timed = callTimed(deployment, request);
+                const std::lock_guard lock(mutex);
+                answers.push_back(std::move(timed));
+            }
+        });
+    }
+    callers.clear();
+    return answers;
+}
+
+void checkAnswer(const Deployment &deployment, const std::string &label, int expected, const TimedAnswer &timed)
+{
+    const bool isAsExpected = timed.answer_.status_ == expected && timed.waited_ < MaxPromptWait;
+    const std::string waited = label + " after " + std::to_string(timed.waited_.count()) + " us: ";
+    CPPUNIT_ASSERT_MESSAGE(waited + (isAsExpected ? "" : explain(deployment, timed.answer_)), isAsExpected);
+}
+
 void checkBookings(Deployment &deployment, const std::vector<CallerAnswer> &bookings)
 {
     for (const auto &booking : bookings) {
--- a/Tests/OnPlatform/Callers.h
+++ b/Tests/OnPlatform/Callers.h
@@ -70,6 +70,18 @@
     std::vector<std::thread> callers_;
 };
 
+// A response and how long the caller waited for it.
+struct TimedAnswer
+{
+    CallerAnswer answer_;
+    Duration waited_;
+};
+
+TimedAnswer callTimed(Deployment &deployment, const CallerRequest &request);
+// Makes the call from so many callers at the same time that each server is needed.
+std::vector<TimedAnswer> callConcurrently(Deployment &deployment, const CallerRequest &request);
+// Checks that a call was answered with this status, and long before its time limit of 2 s. `label` names the call in a failure.
+void checkAnswer(const Deployment &deployment, const std::string &label, int expected, const TimedAnswer &timed);
 // Checks the responses to bookings against the runs that servers recorded: a booking runs at most once, exactly once after a 200, and never
 // after a 429 or 503.
 void checkBookings(Deployment &deployment, const std::vector<CallerAnswer> &bookings);
--- a/Tests/OnPlatform/TestOddStatuses.cpp
+++ b/Tests/OnPlatform/TestOddStatuses.cpp
@@ -8,52 +8,8 @@
 
 namespace {
 
-// The time limit of requests is 2 s, that of a grant 1 s.
-constexpr Duration MaxWait = 500ms;
 const std::vector<std::string> OddStatuses{"000", "099", "101", "600", "999"};
 
-struct TimedAnswer
-{
-    CallerAnswer answer_;
-    Duration waited_;
-};
-
-TimedAnswer callTimed(Deployment &deployment, const CallerRequest &request)
-{
-    const TimePoint startedAt = monotonicNow();
-    auto answer = deployment.call(0, request);
-    return {std::move(answer), monotonicNow() - startedAt};
-}
-
-// Makes the call from so many callers at the same time that each server is needed.
-std::vector<TimedAnswer> callConcurrently(Deployment &deployment, const CallerRequest &request)
-{
-    constexpr int Callers = 8;
-    constexpr int CallsOfEach = 10;
-    std::mutex mutex;
-    std::vector<TimedAnswer> answers;
-    std::vector<std::jthread> callers;
-    for (int caller = 0; caller < Callers; ++caller) {
-        callers.emplace_back([&] {
-            for (int call = 0; call < CallsOfEach; ++call) {
-                auto timed = callTimed(deployment, request);
-                const std::lock_guard lock(mutex);
-                answers.push_back(std::move(timed));
-            }
-        });
-    }
-    callers.clear();
-    return answers;
-}
-
-// Checks that a call was answered with this status in time.
-void checkAnswer(const Deployment &deployment, const std::string &serverStatus, int expected, const TimedAnswer &timed)
-{
-    const bool isAsExpected = timed.answer_.status_ == expected && timed.waited_ < MaxWait;
-    const std::string waited = serverStatus + " after " + std::to_string(timed.waited_.count()) + " us: ";
-    CPPUNIT_ASSERT_MESSAGE(waited + (isAsExpected ? "" : explain(deployment, timed.answer_)), isAsExpected);
-}
-
 void setPlainStatus(Deployment &deployment, const std::string &status)
 {
     for (std::size_t i = 0; i < 4; ++i) {
