LibHttp: Take a body that a reset cut off during the upload for no answer

Cause: the system reports the error of a connection once. The write of the upload failed and took it; the read that followed brought the bytes that had arrived and then an orderly end, which is the end of a body without a length. HttpClient reads on after a failed write, since a server may answer before it has read everything, and did not look at the write's error when it judged the response.

Change: after a failed write, a response whose body lasts until the end of the connection is lost, since nothing tells its end from a reset. A write that times out closes the connection, and its response was lost before too. Nothing else takes the error before the reader: the look at an idle connection comes before the request, and a reset found there sends nothing.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -213,7 +213,8 @@
     co_return connection;
 }
 
-Task<ErrorCode> HttpClient::readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation)
+Task<ErrorCode>
+HttpClient::readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation, ErrorCode writeError)
 {
     ErrorCode error;
     parser.eager(false);
@@ -223,6 +224,10 @@
     if (!error && !isStatusOfProtocol(parser.get().result_int())) {
         co_return http::error::bad_status;
     }
+    // The system reports the error of a connection once. The write has taken it, so a reset would now be read as an orderly end.
+    if (!error && writeError && parser.need_eof()) {
+        co_return writeError;
+    }
     const auto length = announcedLength(parser);
     if (!error && !parser.is_done() && reservation != nullptr && length && !reservation->tryReserveBody(*length)) {
         co_return asio::error::no_memory;
@@ -236,7 +241,8 @@
     co_return error;
 }
 
-Task<bool> HttpClient::readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result)
+Task<bool>
+HttpClient::readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ErrorCode writeError, ExchangeResult &result)
 {
     MemoryAccount uncounted(std::numeric_limits<std::uint64_t>::max());
     InputBuffer buffer(options.bodyReservation_ != nullptr ? options.bodyReservation_->account() : uncounted, MemoryHolder::ServerInput);
@@ -248,7 +254,7 @@
         if (request.method() == http::verb::head) {
             parser.skip(true);
         }
-        const ErrorCode error = co_await readMessage(stream, buffer, parser, options.bodyReservation_);
+        const ErrorCode error = co_await readMessage(stream, buffer, parser, options.bodyReservation_, writeError);
         if (error) {
             result.outcome_ = outcomeOf(error);
             const bool hasBegun = parser.is_header_done() || buffer.size() > 0;
@@ -309,16 +315,16 @@
     result.connection_ = connection.number_;
     result.exchangesOnConnection_ = ++connection.exchanges_;
     stream->expires_after(std::chrono::microseconds(timeLeft));
-    ErrorCode error;
-    co_await http::async_write(*stream, request, redirectErrorTo(error));
+    ErrorCode writeError;
+    co_await http::async_write(*stream, request, redirectErrorTo(writeError));
     // A server may respond and close before it has read the whole request, so the response is read even after a failed write.
-    const bool isReusable = co_await readResponse(*stream, request, options, result);
+    const bool isReusable = co_await readResponse(*stream, request, options, writeError, result);
     handle->stream_.reset();
     if (handle->isCancelled()) {
         result.outcome_ = ExchangeOutcome::Cancelled;
         co_return result;
     }
-    if (result.outcome_ == ExchangeOutcome::Answered && isReusable && !error && connection.record(options, result, bootNow())) {
+    if (result.outcome_ == ExchangeOutcome::Answered && isReusable && !writeError && connection.record(options, result, bootNow())) {
         storeIdle(address, std::move(connection));
         co_return result;
     }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -149,9 +149,12 @@
     std::optional<Connection> takeIdle(const std::string &address, const ExchangeOptions &options, TimePoint now);
     void storeIdle(const std::string &address, Connection connection);
     Task<Connection> connect(const std::string &address, Duration timeout, std::shared_ptr<ExchangeHandle> handle);
-    static Task<ErrorCode> readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation);
+    // Reads a response. `writeError` is the error with which the write of the request has ended, if it has failed.
+    static Task<ErrorCode>
+    readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation, ErrorCode writeError);
     // Reads responses up to the one to this request. Sets the outcome and the response; returns whether the connection is reusable.
-    static Task<bool> readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result);
+    static Task<bool>
+    readResponse(beast::tcp_stream &stream, const HttpRequest &request, const ExchangeOptions &options, ErrorCode writeError, ExchangeResult &result);
 
     asio::io_context &loop_;
     std::map<std::string, std::deque<Connection>> idle_;
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/String.h>
 
 #include <nlohmann/json.hpp>
 
@@ -22,6 +23,8 @@
 constexpr auto PairPollInterval = std::chrono::milliseconds(1);
 // How long after a rejection its copy follows, or after the first part of a copy the second.
 constexpr auto CopyDelay = std::chrono::milliseconds(5);
+// How long after a response during an upload the connection is reset: long enough for the upload to fill its buffers.
+constexpr auto UploadCutDelay = std::chrono::milliseconds(30);
 constexpr auto LateGrantDelay = std::chrono::milliseconds(1500);
 // A cold server may get this multiple of its rate plus this number of requests within a second; more is a violation.
 constexpr double ColdRateFactor = 1.5;
@@ -258,6 +261,12 @@
     status_ = std::move(value);
 }
 
+void PlatformServerStandIn::setRawResponse(std::optional<RawResponse> response)
+{
+    const std::lock_guard lock(announcementMutex_);
+    rawResponse_ = std::move(response);
+}
+
 void PlatformServerStandIn::recordArrival()
 {
     ++arrivalCount_;
@@ -348,11 +357,14 @@
     response.set("Goldcrestwall-Warmup-Ms", std::to_string(left));
     response.set("Goldcrestwall-Server-Load", load());
     setAnnouncementHeaders(response);
-    sendWithStatus(request, response, "");
+    sendResponse(request, response, "");
 }
 
 void PlatformServerStandIn::handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
 {
+    if (respondDuringUpload(request)) {
+        return;
+    }
     std::string body;
     Poco::StreamCopier::copyToString(request.stream(), body);
     const auto &path = request.getURI();
@@ -467,7 +479,7 @@
     std::ostringstream bytes;
     response.write(bytes);
     lastShardCallResponses_[request.clientAddress().port()] = bytes.str();
-    sendWithStatus(request, response, "");
+    sendResponse(request, response, "");
 }
 
 bool PlatformServerStandIn::isRejected(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
@@ -601,7 +613,7 @@
         const std::lock_guard lock(mutex_);
         response.set("Goldcrestwall-Server-Load", load());
     }
-    sendWithStatus(request, response, text);
+    sendResponse(request, response, text);
 }
 
 bool PlatformServerStandIn::isRejectedOnce(Poco::Net::HTTPServerRequest &request, PlatformServerFault fault)
@@ -695,8 +707,11 @@
     socket.close();
 }
 
-void PlatformServerStandIn::sendWithStatus(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body)
+void PlatformServerStandIn::sendResponse(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body)
 {
+    if (sendRawResponse(request)) {
+        return;
+    }
     std::string status;
     {
         const std::lock_guard lock(announcementMutex_);
@@ -717,6 +732,49 @@
     socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
 }
 
+bool PlatformServerStandIn::sendRawResponse(Poco::Net::HTTPServerRequest &request)
+{
+    std::optional<RawResponse> raw;
+    {
+        const std::lock_guard lock(announcementMutex_);
+        raw = rawResponse_;
+    }
+    if (!raw || raw->timing_ == RawResponseTiming::DuringUpload) {
+        return false;
+    }
+    const auto bytes = Poco::replace(raw->bytes_, std::string("{id}"), request.get("Goldcrestwall-Request-Id", id_));
+    if (raw->timing_ == RawResponseTiming::AfterRunThenClose) {
+        sendRaw(request, bytes, false);
+        return true;
+    }
+    // Bypasses the response object, so that the connection stays open.
+    static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    return true;
+}
+
+bool PlatformServerStandIn::respondDuringUpload(Poco::Net::HTTPServerRequest &request)
+{
+    std::optional<RawResponse> raw;
+    {
+        const std::lock_guard lock(announcementMutex_);
+        raw = rawResponse_;
+    }
+    const std::string requestId = request.get("Goldcrestwall-Request-Id", "");
+    if (!raw || raw->timing_ != RawResponseTiming::DuringUpload || requestId.empty()) {
+        return false;
+    }
+    recordArrival();
+    recorder_.recordArrival({requestId, id_, monotonicNow()});
+    recorder_.recordRun({requestId, id_, request.getMethod(), request.getURI(), "", monotonicNow()});
+    const auto bytes = Poco::replace(raw->bytes_, std::string("{id}"), requestId);
+    auto socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket();
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::this_thread::sleep_for(UploadCutDelay);
+    socket.setLinger(true, 0);
+    socket.close();
+    return true;
+}
+
 void PlatformServerStandIn::sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset)
 {
     auto socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket();
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -5,6 +5,7 @@
 #include <StandIns/LimitMeter.h>
 #include <StandIns/PlatformStoreStandIn.h>
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -78,6 +79,26 @@
     SendsUnnamedRejections,
 };
 
+// When a server sends a response of given bytes, and what becomes of the connection.
+enum class RawResponseTiming {
+    // After the request has run. The connection stays open.
+    AfterRun,
+    // As AfterRun, and the connection is closed in an orderly way.
+    AfterRunThenClose,
+    // When the request has begun to run, before its body has been read. The connection is reset soon after.
+    DuringUpload,
+};
+
+// A response that is sent as it is, in place of a server's own.
+struct RawResponse
+{
+    // "{id}" stands for the id of the request, or of the server if the request has none.
+    std::string bytes_;
+    RawResponseTiming timing_ = RawResponseTiming::AfterRun;
+
+    auto operator<=>(const RawResponse &) const = default;
+};
+
 // A request that a server started to run.
 struct PlatformRun
 {
@@ -185,6 +206,8 @@
     // From now on responses to requests, grants, releases and health checks have this status, as it is, and their connections stay open; the
     // true status again if the value is empty.
     void setStatus(std::string value);
+    // From now on requests, grants, releases and health checks get this response; the server's own again if there is none.
+    void setRawResponse(std::optional<RawResponse> response);
     // Simulates a restart under the same id: the server holds no keys and is cold.
     void restart();
     // Whether the server holds the key at present.
@@ -252,8 +275,12 @@
     // Sends `head` once, then `filler` repeatedly until the connection is closed or the fault is cleared.
     void sendEndless(Poco::Net::HTTPServerRequest &request, const std::string &head, const std::string &filler);
     void sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset);
-    // Sends the response with the status that has been set for all.
-    void sendWithStatus(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
+    // Sends the response, with the status or the bytes that have been set for all.
+    void sendResponse(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
+    // Sends the bytes that have been set for all; returns whether there are any.
+    bool sendRawResponse(Poco::Net::HTTPServerRequest &request);
+    // Runs a request without reading its body, if the response that has been set is sent then; returns whether that is so.
+    bool respondDuringUpload(Poco::Net::HTTPServerRequest &request);
     void reject(const Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, int status) const;
     void checkHealth(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void setAnnouncementHeaders(Poco::Net::HTTPServerResponse &response) const;
@@ -276,6 +303,7 @@
     std::string retryAfter_;
     std::string limitHeader_;
     std::string status_;
+    std::optional<RawResponse> rawResponse_;
     LimitMeter limitMeter_;
     std::uint32_t running_ = 0;
     // Number of runs at all servers when the fault was set.
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -265,7 +265,8 @@
                    + route("r-keyed", "keyed.example", "/keyed/", "idempotent", "sharded") + extraRoutes
                    + R"({"resourceType":"services","metadata":{"name":"plain"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5}},
             {"resourceType":"services","metadata":{"name":"sharded"},"spec":{"healthPath":"/health","maxConns":120,"warmupS":1,"warmupPerS":5,"useShards":true}},
-            {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutS":3,"idleTimeoutS":15}}]})");
+            {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":4096,"maxBodyBytes":)"
+                   + std::to_string(maxRequestBody_) + R"(,"headerTimeoutS":3,"idleTimeoutS":15}}]})");
 }
 
 RouterProcess *Deployment::coordinator(const std::string &service)
--- a/Tests/OnPlatform/Deployment.h
+++ b/Tests/OnPlatform/Deployment.h
@@ -153,6 +153,11 @@
     // The instance that coordinates a service according to the store; null if there is none.
     RouterProcess *coordinator(const std::string &service);
 
+    // Sets the longest body of a request, in bytes, for the configurations that are written from now on.
+    void setMaxRequestBody(std::uint64_t bytes)
+    {
+        maxRequestBody_ = bytes;
+    }
     // Writes the next version of the configuration. `extraRoutes` is JSON text in the platform's format, each route followed by a comma.
     void putConfiguration(const std::string &extraRoutes = "");
     // Waits until all running instances are ready and serve both services, the sharded one for sample keys of the whole key space.
@@ -182,6 +187,7 @@
     std::vector<std::unique_ptr<LoopbackProxy>> shardedProxies_;
     std::vector<std::unique_ptr<RouterProcess>> instances_;
     int version_ = 0;
+    std::uint64_t maxRequestBody_ = 100000;
     std::atomic<std::uint64_t> nextRequest_ = 1;
 };
 
--- /dev/null
+++ b/Tests/OnPlatform/TestBrokenAnswers.cpp
@@ -0,0 +1,98 @@
+// Tests of router processes whose servers send responses that are cut off or violate the protocol.
+#include "Callers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Goldcrestwall;
+using namespace Goldcrestwall::OnPlatform;
+
+namespace {
+
+// More than the send buffer of a connection takes, so that the upload is still being written when the server resets the connection.
+constexpr std::size_t LongUpload = 8U << 20U;
+// Room for such uploads of all concurrent callers.
+constexpr double UploadMemoryMegabytes = 1200;
+
+// A deployment that takes long uploads.
+class UploadDeployment : public Deployment
+{
+public:
+    UploadDeployment()
+        : Deployment(1, 10s, UploadMemoryMegabytes)
+    {
+        setMaxRequestBody(2 * LongUpload);
+        putConfiguration();
+        CPPUNIT_ASSERT(awaitServing());
+    }
+};
+
+// A response without a length, of which a part is sent before the connection is reset.
+RawResponse makeCutResponse(const std::string &fields)
+{
+    return {"HTTP/1.1 200 OK\r\nGoldcrestwall-Request-Id: {id}\r\nGoldcrestwall-Server-Signature: s\r\n" + fields + "\r\n" + std::string(3000, 'x'),
+            RawResponseTiming::DuringUpload};
+}
+
+void setAllPlain(Deployment &deployment, const std::optional<RawResponse> &response)
+{
+    for (std::size_t i = 0; i < 4; ++i) {
+        deployment.plain(i).setRawResponse(response);
+    }
+}
+
+// Checks that a booking that all servers answer like this is told 502 at once, has run once, and that nothing of the response is passed on.
+void checkBooking(Deployment &deployment, const std::string &label, const RawResponse &response, const CallerRequest &booking)
+{
+    CPPUNIT_ASSERT(deployment.awaitServing());
+    setAllPlain(deployment, response);
+    const auto timed = callTimed(deployment, booking);
+    checkAnswer(deployment, label, 502, timed);
+    CPPUNIT_ASSERT_MESSAGE(label, !timed.answer_.isSigned_ && timed.answer_.body_.empty());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(label, std::size_t(1), deployment.recorder().runsOf(timed.answer_.requestId_));
+    setAllPlain(deployment, std::nullopt);
+}
+
+// Checks that lookups of which one server answers some like this are all served by the others.
+void checkLookups(Deployment &deployment, const std::string &label, const RawResponse &response, const CallerRequest &lookup)
+{
+    CPPUNIT_ASSERT(deployment.awaitServing());
+    deployment.plain(0).setRawResponse(response);
+    const auto before = deployment.plain(0).arrivalCount();
+    for (const auto &timed : callConcurrently(deployment, lookup)) {
+        checkAnswer(deployment, label, 200, timed);
+        CPPUNIT_ASSERT_MESSAGE(label, timed.answer_.isSigned_ && timed.answer_.body_.starts_with("p-"));
+    }
+    CPPUNIT_ASSERT_MESSAGE(label, deployment.plain(0).arrivalCount() > before);
+}
+
+} // namespace
+
+class TestBrokenAnswers : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestBrokenAnswers);
+    CPPUNIT_TEST(bookingWhoseUploadIsResetIsNotToldAPartOfTheAnswer);
+    CPPUNIT_TEST(lookupWhoseUploadIsResetIsServedByAnotherServer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void bookingWhoseUploadIsResetIsNotToldAPartOfTheAnswer()
+    {
+        UploadDeployment deployment;
+        auto booking = makeBooking();
+        booking.body_.assign(LongUpload, 'u');
+        for (const std::string fields : {"", "Connection: close\r\n"}) {
+            checkBooking(deployment, "cut off " + fields, makeCutResponse(fields), booking);
+        }
+    }
+
+    void lookupWhoseUploadIsResetIsServedByAnotherServer()
+    {
+        UploadDeployment deployment;
+        CallerRequest lookup;
+        lookup.method_ = "POST";
+        lookup.body_.assign(LongUpload, 'u');
+        checkLookups(deployment, "cut off", makeCutResponse(""), lookup);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestBrokenAnswers);
