LibHttp: Take a body in another transfer coding than chunks for no answer

A lookup got 200, signed, with the coding's bytes, chunk sizes included, as the body; of "gzip, chunked" the chunks alone were decoded. With the connection kept open, a booking waited for its end: 504 after 2,060 ms.

Cause: the parser takes a coding that it doesn't know for none, so that the body lasts to the end of the connection, and does not look at codings in front of chunked. Requests of callers were checked for that, responses were not.

Evidence: failed before: TestBrokenAnswers::bodyInAnUnknownTransferCodingIsNoAnswer (LibHttp; xchunked: "lost" at the time limit, malformed expected) and, with router processes, bookingIsNotToldABodyInAnUnknownTransferCoding (504 after 2,060 ms) and lookupWithAnUnknownTransferCodingIsServedByAnotherServer (200 with another body than the server's).

Change: a response may name no transfer coding but "chunked", once; any other is malformed as soon as its head has been read (RFC 9112, section 6.1: a recipient that doesn't understand a coding can't read the body). Bookings get 502 at once, lookups another server's answer.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,6 +1,8 @@
 // HTTP/1.1 client with persistent connections.
 #include "HttpClient.h"
 
+#include "ResponseHead.h"
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -18,11 +20,7 @@
 constexpr Duration DefaultKeepAlive = 5s;
 constexpr Duration KeepAliveMargin = 1s;
 constexpr std::size_t MaxIdlePerAddress = 8;
-// Other statuses are none of the protocol.
-constexpr unsigned LowestStatus = 100;
-constexpr unsigned HighestStatus = 599;
 constexpr unsigned LowestFinalStatus = 200;
-constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned LowestUnsuccessfulStatus = 300;
 // A connection that has brought so many unsuccessful responses is closed, so that its list of their ids stays short.
 constexpr std::size_t MaxUnsuccessfulIds = 32;
@@ -62,12 +60,6 @@
     return std::max<Duration>(Duration::zero(), std::chrono::seconds(seconds) - KeepAliveMargin);
 }
 
-// Whether a response may have this status. The client never asks a server to switch protocols.
-bool isStatusOfProtocol(unsigned status)
-{
-    return status >= LowestStatus && status <= HighestStatus && status != SwitchingProtocols;
-}
-
 // Maps an error while reading the response to an exchange outcome.
 ExchangeOutcome outcomeOf(ErrorCode error)
 {
@@ -221,8 +213,8 @@
     while (!error && !parser.is_header_done()) {
         error = co_await buffer.readSome(stream, parser, MaxUnparsedBytes);
     }
-    if (!error && !isStatusOfProtocol(parser.get().result_int())) {
-        co_return http::error::bad_status;
+    if (!error) {
+        error = checkResponseHead(parser.get());
     }
     // The system reports the error of a connection once. The write has taken it, so a reset would now be read as an orderly end.
     if (!error && writeError && parser.need_eof()) {
--- a/Libraries/LibHttp/LibHttp.h
+++ b/Libraries/LibHttp/LibHttp.h
@@ -6,3 +6,4 @@
 #include <LibHttp/InputBuffer.h>
 #include <LibHttp/Listener.h>
 #include <LibHttp/MemoryAccount.h>
+#include <LibHttp/ResponseHead.h>
--- a/Tests/LibHttp/TestBrokenAnswers.cpp
+++ b/Tests/LibHttp/TestBrokenAnswers.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(wholeAnswerDuringTheUploadIsAnAnswer);
     CPPUNIT_TEST(bodyUpToAnOrderlyEndIsAnAnswer);
     CPPUNIT_TEST(bodyCutOffByAResetAtAnyByteIsNoAnswer);
+    CPPUNIT_TEST(bodyInAnUnknownTransferCodingIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +171,33 @@
             }
         }
     }
+
+    // Guards against a body that is not the server's: the coding's bytes would be taken for the content.
+    void bodyInAnUnknownTransferCodingIsNoAnswer()
+    {
+        const std::string body = "3\r\nabc\r\n0\r\n\r\n";
+        for (const std::string coding :
+             {"xchunked", "gzip", "gzip, chunked", "chunked, gzip", "identity", "", ",", "chunked, chunked", "chunked;x=1", "chunked x"}) {
+            expectMalformed(makeResponse("Id: 1\r\nTransfer-Encoding: " + coding + "\r\n", body));
+            expectMalformed(makeResponse("Id: 1\r\nTransfer-Encoding: " + coding + "\r\nContent-Length: 18\r\n", body));
+        }
+        expectMalformed(makeResponse("Id: 1\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", body));
+        for (const std::string coding : {"chunked", "Chunked", " chunked\t"}) {
+            const auto results = runExchanges({{{makeResponse("Id: 1\r\nTransfer-Encoding: " + coding + "\r\n", body)}, false}}, 1);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(coding, std::string("answered"), outcomeName(results.front()));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(coding, std::string("abc"), results.front().response_.body());
+        }
+    }
+
+private:
+    // Checks that a response ends its exchange at once, although its server keeps the connection open, and that the connection is not kept.
+    static void expectMalformed(const std::string &response)
+    {
+        const auto clean = makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc");
+        const auto results = runExchanges({{{response, clean}, false}, {{clean}, false}}, 2);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, std::string("malformed"), outcomeName(results[0]));
+        CPPUNIT_ASSERT_MESSAGE(response, results[1].isNewConnection_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBrokenAnswers);
--- a/Tests/OnPlatform/TestBrokenAnswers.cpp
+++ b/Tests/OnPlatform/TestBrokenAnswers.cpp
@@ -13,6 +13,8 @@
 // Room for such uploads of all concurrent callers.
 constexpr double UploadMemoryMegabytes = 1200;
 
+const std::string ChunkedBody = "5\r\nwrong\r\n0\r\n\r\n";
+
 // A deployment that takes long uploads.
 class UploadDeployment : public Deployment
 {
@@ -26,11 +28,16 @@
     }
 };
 
+// A success with these fields and this body beside what makes it the answer to its request.
+RawResponse makeRawResponse(const std::string &fields, const std::string &body, RawResponseTiming timing = RawResponseTiming::AfterRun)
+{
+    return {"HTTP/1.1 200 OK\r\nGoldcrestwall-Request-Id: {id}\r\nGoldcrestwall-Server-Signature: s\r\n" + fields + "\r\n" + body, timing};
+}
+
 // A response without a length, of which a part is sent before the connection is reset.
 RawResponse makeCutResponse(const std::string &fields)
 {
-    return {"HTTP/1.1 200 OK\r\nGoldcrestwall-Request-Id: {id}\r\nGoldcrestwall-Server-Signature: s\r\n" + fields + "\r\n" + std::string(3000, 'x'),
-            RawResponseTiming::DuringUpload};
+    return makeRawResponse(fields, std::string(3000, 'x'), RawResponseTiming::DuringUpload);
 }
 
 void setAllPlain(Deployment &deployment, const std::optional<RawResponse> &response)
@@ -72,6 +79,8 @@
     CPPUNIT_TEST_SUITE(TestBrokenAnswers);
     CPPUNIT_TEST(bookingWhoseUploadIsResetIsNotToldAPartOfTheAnswer);
     CPPUNIT_TEST(lookupWhoseUploadIsResetIsServedByAnotherServer);
+    CPPUNIT_TEST(bookingIsNotToldABodyInAnUnknownTransferCoding);
+    CPPUNIT_TEST(lookupWithAnUnknownTransferCodingIsServedByAnotherServer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -93,6 +102,23 @@
         lookup.body_.assign(LongUpload, 'u');
         checkLookups(deployment, "cut off", makeCutResponse(""), lookup);
     }
+
+    void bookingIsNotToldABodyInAnUnknownTransferCoding()
+    {
+        Deployment deployment(1);
+        for (const std::string coding : {"gzip", "xchunked", "gzip, chunked", "chunked, gzip"}) {
+            for (const auto timing : {RawResponseTiming::AfterRun, RawResponseTiming::AfterRunThenClose}) {
+                checkBooking(deployment, coding, makeRawResponse("Transfer-Encoding: " + coding + "\r\n", ChunkedBody, timing), makeBooking());
+            }
+        }
+    }
+
+    void lookupWithAnUnknownTransferCodingIsServedByAnotherServer()
+    {
+        Deployment deployment(1);
+        const auto response = makeRawResponse("Transfer-Encoding: gzip\r\n", ChunkedBody, RawResponseTiming::AfterRunThenClose);
+        checkLookups(deployment, "gzip", response, CallerRequest());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBrokenAnswers);
