LibHttp: Take a head with a line that continues another for no answer

A lookup got 200, signed, with everything up to the connection's end as the body; with the connection kept open a booking waited for that end: 504 after 2,060 ms. A statement in such a line vanished likewise.

Cause: the parser joins a line that begins with a blank or a tab to the field before it (obsolete folding), and hands out the joined value only.

Decision: RFC 9112, section 5.2, lets a proxy reject such a response or put blanks in place of the fold. Joined, the line means what no server of today writes on purpose, and a sound server that folds cannot be told from one whose name begins with a blank; so it is rejected.

Evidence: failed before: TestBrokenAnswers::lineThatContinuesAnotherIsNoAnswer (LibHttp; "lost" at the time limit, malformed expected) and, with router processes, bookingIsNotToldAResponseWithAContinuedLine (504 after 2,060 ms) and lookupWithAContinuedLineIsServedByAnotherServer (another body than the server's). Passed before and after: oddFieldLinesAreNoAnswer (names with a blank, a tab or a control byte, empty ones, lines without a colon, control bytes in values).

Change: HttpClient reads a head by InputBuffer::readHead, which shows the lines as received to a check once they have been parsed. The parser takes whole lines, and waits for the byte behind a line before it takes it, so no fold is missed between two parts (the test cuts a response at each byte). Callers' requests are read as before.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -208,11 +208,8 @@
 Task<ErrorCode>
 HttpClient::readMessage(beast::tcp_stream &stream, InputBuffer &buffer, ResponseParser &parser, MemoryReservation *reservation, ErrorCode writeError)
 {
-    ErrorCode error;
     parser.eager(false);
-    while (!error && !parser.is_header_done()) {
-        error = co_await buffer.readSome(stream, parser, MaxUnparsedBytes);
-    }
+    ErrorCode error = co_await buffer.readHead(stream, parser, MaxUnparsedBytes, checkHeadLines);
     if (!error) {
         error = checkResponseHead(parser.get());
     }
--- a/Libraries/LibHttp/InputBuffer.h
+++ b/Libraries/LibHttp/InputBuffer.h
@@ -4,7 +4,10 @@
 #include <LibHttp/Asio.h>
 #include <LibHttp/MemoryAccount.h>
 
+#include <boost/beast/core/read_size.hpp>
+
 #include <algorithm>
+#include <string_view>
 
 namespace Goldcrestwall::Gateway {
 
@@ -44,6 +47,24 @@
         co_return error;
     }
 
+    // Reads and parses up to the end of the head of a message. `checkLines` judges the bytes of each part that has been parsed: whole lines, as
+    // received. Errors: those of `readSome` and of `checkLines`.
+    template<typename Stream, typename Parser, typename CheckLines>
+    Task<ErrorCode> readHead(Stream &stream, Parser &parser, std::size_t maxSize, CheckLines checkLines)
+    {
+        ErrorCode error;
+        if (buffer_.size() == 0) {
+            error = co_await receive(stream, parser, maxSize);
+        }
+        while (!error && !parser.is_header_done()) {
+            error = parseLines(parser, checkLines);
+            if (error == http::error::need_more) {
+                error = co_await receive(stream, parser, maxSize);
+            }
+        }
+        co_return error;
+    }
+
     // Reads and parses the next part of a message. Errors: no_memory when the account refuses more; buffer_overflow when the parser needs
     // more than `maxSize` bytes at once; those of the stream and the parser.
     template<typename Stream, typename Parser>
@@ -51,12 +72,12 @@
     {
         for (;;) {
             ErrorCode error;
-            buffer_.max_size(std::max(reservedSize(), buffer_.size()) + Slack);
+            limitToReserved();
             co_await http::async_read_some(stream, buffer_, parser, redirectErrorTo(error));
             if (error != http::error::buffer_overflow || reservedSize() >= maxSize) {
                 co_return error;
             }
-            if (!reservation_.tryReserve(std::min(2 * reservedSize(), maxSize) - FreeBytes)) {
+            if (!reserveMore(maxSize)) {
                 co_return asio::error::no_memory;
             }
         }
@@ -65,6 +86,54 @@
 private:
     // A read that can receive nothing would complete before it has been awaited.
     static constexpr std::size_t Slack = 512;
+    static constexpr std::size_t MaxReadBytes = 65536;
+
+    // Receives the next bytes, without parsing them.
+    template<typename Stream, typename Parser>
+    Task<ErrorCode> receive(Stream &stream, const Parser &parser, std::size_t maxSize)
+    {
+        limitToReserved();
+        std::size_t room = beast::read_size(buffer_, MaxReadBytes);
+        if (room == 0 && reservedSize() >= maxSize) {
+            co_return http::error::buffer_overflow;
+        }
+        if (room == 0 && !reserveMore(maxSize)) {
+            co_return asio::error::no_memory;
+        }
+        limitToReserved();
+        room = beast::read_size(buffer_, MaxReadBytes);
+        ErrorCode error;
+        const std::size_t size = co_await stream.async_read_some(buffer_.prepare(room), redirectErrorTo(error));
+        buffer_.commit(size);
+        if (error == asio::error::eof) {
+            co_return parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
+        }
+        co_return error;
+    }
+
+    // Parses the lines of a head that have been received, and has them checked.
+    template<typename Parser, typename CheckLines>
+    ErrorCode parseLines(Parser &parser, CheckLines checkLines)
+    {
+        ErrorCode error;
+        const auto received = buffer_.data();
+        const std::size_t size = parser.put(received, error);
+        const ErrorCode checked = checkLines(std::string_view(static_cast<const char *>(received.data()), size));
+        buffer_.consume(size);
+        return checked ? checked : error;
+    }
+
+    // Lets the buffer grow as far as memory is reserved for it.
+    void limitToReserved()
+    {
+        buffer_.max_size(std::max(reservedSize(), buffer_.size()) + Slack);
+    }
+
+    // Reserves up to twice the memory, but no more than for `maxSize` bytes.
+    bool reserveMore(std::size_t maxSize)
+    {
+        return reservation_.tryReserve(std::min(2 * reservedSize(), maxSize) - FreeBytes);
+    }
 
     std::size_t reservedSize() const
     {
--- a/Libraries/LibHttp/ResponseHead.cpp
+++ b/Libraries/LibHttp/ResponseHead.cpp
@@ -25,6 +25,12 @@
 
 } // namespace
 
+ErrorCode checkHeadLines(std::string_view lines)
+{
+    const bool isContinued = lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
+    return isContinued ? http::error::bad_obs_fold : ErrorCode();
+}
+
 ErrorCode checkResponseHead(const http::response_header<> &head)
 {
     if (!isStatusOfProtocol(head.result_int())) {
--- a/Tests/LibHttp/TestBrokenAnswers.cpp
+++ b/Tests/LibHttp/TestBrokenAnswers.cpp
@@ -40,6 +40,19 @@
     }
 }
 
+// Responds in two parts with a pause between them, and closes the connection.
+Task<void> respondInParts(asio::io_context &loop, Tcp::acceptor &acceptor, std::string first, std::string second)
+{
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    beast::flat_buffer buffer;
+    HttpRequest request;
+    co_await http::async_read(socket, buffer, request, asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(first), asio::use_awaitable);
+    co_await sleepFor(loop, 2ms);
+    ErrorCode ignored;
+    co_await asio::async_write(socket, asio::buffer(second), redirectErrorTo(ignored));
+}
+
 // Reads the whole request, then responds and closes the connection.
 Task<void> respondAfterUpload(Tcp::acceptor &acceptor, std::string response)
 {
@@ -94,6 +107,8 @@
     CPPUNIT_TEST(bodyUpToAnOrderlyEndIsAnAnswer);
     CPPUNIT_TEST(bodyCutOffByAResetAtAnyByteIsNoAnswer);
     CPPUNIT_TEST(bodyInAnUnknownTransferCodingIsNoAnswer);
+    CPPUNIT_TEST(lineThatContinuesAnotherIsNoAnswer);
+    CPPUNIT_TEST(oddFieldLinesAreNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,7 +204,77 @@
         }
     }
 
+    // Guards against a field that vanishes into the one before it, so that the body has another end than the server gave it.
+    void lineThatContinuesAnotherIsNoAnswer()
+    {
+        const std::vector<std::string> heads{
+            "Id: 1\r\nA: b\r\n Content-Length: 2\r\n",
+            "Id: 1\r\nA: b\r\n\tContent-Length: 2\r\n",
+            "Id: 1\r\nA:\r\n Content-Length: 2\r\n",
+            "Id: 1\r\nA: b\r\n \r\n",
+            "Id: 1\r\nContent-Length: 3\r\nA: b\r\n  more\r\n",
+            "Content-Length: 3\r\nId:\r\n 1\r\n",
+            " Content-Length: 2\r\nId: 1\r\n",
+            "A: b\r\n Not-Run: 1\r\nId: 1\r\nContent-Length: 3\r\n",
+        };
+        for (const auto &head : heads) {
+            expectMalformed(makeResponse(head, "abc"));
+        }
+        // The same in what is skipped, and at any place of the parts in which a head arrives.
+        expectMalformed("HTTP/1.1 103 Wait\r\nA: b\r\n c: d\r\n\r\n" + makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc"));
+        expectMalformed(makeResponse("Id: 7\r\nA: b\r\n c: d\r\nContent-Length: 0\r\n", "") + makeResponse("Id: 1\r\nContent-Length: 3\r\n", "abc"));
+        expectMalformedInParts(makeResponse(heads.front(), "abc"));
+        // A body may have lines that begin with blanks.
+        const auto body = makeResponse("Id: 1\r\nContent-Length: 9\r\n", "a\r\n b\r\n\tc");
+        CPPUNIT_ASSERT_EQUAL(std::string("answered"), outcomeName(runExchanges({{{body}, false}}, 1).front()));
+    }
+
+    // Guards against a field that is passed on under a name that is none, or whose name hides it.
+    void oddFieldLinesAreNoAnswer()
+    {
+        const std::vector<std::string> lines{
+            "Bad Name: x",
+            "Bad-Name : x",
+            "Content-Length : 2",
+            "Bad\tName: x",
+            "Bad\x01Name: x",
+            "Bad\x7fName: x",
+            std::string("Bad\0Name: x", 11),
+            "Bad\rName: x",
+            "B\xc3\xa4"
+            "d: x",
+            ": x",
+            "no colon",
+            "Bad\"Name: x",
+            "(Bad): x",
+            "A: b\x01c",
+            std::string("A: b\0c", 6),
+            "A: b\x7f"
+            "c",
+            "A: b\rc",
+            "A: b\n C: d",
+            "\x0b"
+            "A: b",
+            "Transfer-Encoding : chunked",
+        };
+        for (const auto &line : lines) {
+            expectMalformed(makeResponse(line + "\r\nId: 1\r\nContent-Length: 3\r\n", "abc"));
+            expectMalformed(makeResponse("Id: 1\r\nContent-Length: 3\r\n" + line + "\r\n", "abc"));
+        }
+    }
+
 private:
+    // Sends a response in two parts, for each place where it can be cut.
+    static void expectMalformedInParts(const std::string &response)
+    {
+        for (std::size_t length = 1; length < response.size(); ++length) {
+            const auto result = upload(10, [&](asio::io_context &loop, Tcp::acceptor &acceptor) {
+                return respondInParts(loop, acceptor, response.substr(0, length), response.substr(length));
+            });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(length), std::string("malformed"), outcomeName(result));
+        }
+    }
+
     // Checks that a response ends its exchange at once, although its server keeps the connection open, and that the connection is not kept.
     static void expectMalformed(const std::string &response)
     {
--- a/Tests/OnPlatform/TestBrokenAnswers.cpp
+++ b/Tests/OnPlatform/TestBrokenAnswers.cpp
@@ -13,6 +13,8 @@
 // Room for such uploads of all concurrent callers.
 constexpr double UploadMemoryMegabytes = 1200;
 
+// A length in a line that continues another field.
+const std::string HiddenLength = "A: b\r\n Content-Length: 5\r\n";
 const std::string ChunkedBody = "5\r\nwrong\r\n0\r\n\r\n";
 
 // A deployment that takes long uploads.
@@ -67,7 +69,7 @@
     const auto before = deployment.plain(0).arrivalCount();
     for (const auto &timed : callConcurrently(deployment, lookup)) {
         checkAnswer(deployment, label, 200, timed);
-        CPPUNIT_ASSERT_MESSAGE(label, timed.answer_.isSigned_ && timed.answer_.body_.starts_with("p-"));
+        CPPUNIT_ASSERT_MESSAGE(label, timed.answer_.isSigned_ && timed.answer_.body_.ends_with(" for " + timed.answer_.requestId_ + "\n"));
     }
     CPPUNIT_ASSERT_MESSAGE(label, deployment.plain(0).arrivalCount() > before);
 }
@@ -81,6 +83,8 @@
     CPPUNIT_TEST(lookupWhoseUploadIsResetIsServedByAnotherServer);
     CPPUNIT_TEST(bookingIsNotToldABodyInAnUnknownTransferCoding);
     CPPUNIT_TEST(lookupWithAnUnknownTransferCodingIsServedByAnotherServer);
+    CPPUNIT_TEST(bookingIsNotToldAResponseWithAContinuedLine);
+    CPPUNIT_TEST(lookupWithAContinuedLineIsServedByAnotherServer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,6 +123,20 @@
         const auto response = makeRawResponse("Transfer-Encoding: gzip\r\n", ChunkedBody, RawResponseTiming::AfterRunThenClose);
         checkLookups(deployment, "gzip", response, CallerRequest());
     }
+
+    void bookingIsNotToldAResponseWithAContinuedLine()
+    {
+        Deployment deployment(1);
+        for (const auto timing : {RawResponseTiming::AfterRun, RawResponseTiming::AfterRunThenClose}) {
+            checkBooking(deployment, "hidden length", makeRawResponse(HiddenLength, "right, and more", timing), makeBooking());
+        }
+    }
+
+    void lookupWithAContinuedLineIsServedByAnotherServer()
+    {
+        Deployment deployment(1);
+        checkLookups(deployment, "hidden length", makeRawResponse(HiddenLength, "p-right, and more", RawResponseTiming::AfterRunThenClose), CallerRequest());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBrokenAnswers);
