Tests: Send heads with odd field names to router processes and to the store's client

The second kind (status 000) was handled before and has its tests: TestOddStatuses, with router processes.

--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -15,6 +15,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <sstream>
 
 namespace Goldcrestwall {
@@ -77,6 +78,26 @@
     PlatformStoreStandIn &store_;
 };
 
+// The head of a response, up to its empty line, that violates the protocol as the fault says; nothing with another fault.
+std::optional<std::string> makeOddHead(PlatformStoreFault fault, std::size_t bodySize)
+{
+    const std::string length = "Content-Length: " + std::to_string(bodySize) + "\r\n";
+    switch (fault) {
+    case PlatformStoreFault::SendsInvalidStatus:
+        return "HTTP/1.1 000 Odd\r\n" + length;
+    case PlatformStoreFault::SwitchesProtocols:
+        return "HTTP/1.1 101 Odd\r\n" + length;
+    case PlatformStoreFault::SendsOddFieldName:
+        return "HTTP/1.1 200 OK\r\nOdd Name: x\r\n" + length;
+    case PlatformStoreFault::SendsUnknownCoding:
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n";
+    case PlatformStoreFault::HidesLength:
+        return "HTTP/1.1 200 OK\r\nA: b\r\n " + length;
+    default:
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 PlatformStoreStandIn::PlatformStoreStandIn(std::uint16_t port)
@@ -289,9 +310,8 @@
         }
         reply.body_ = document.dump();
     }
-    if (fault == PlatformStoreFault::SendsInvalidStatus || fault == PlatformStoreFault::SwitchesProtocols) {
-        const std::string status = fault == PlatformStoreFault::SwitchesProtocols ? "101" : "000";
-        const std::string bytes = "HTTP/1.1 " + status + " Odd\r\nContent-Length: " + std::to_string(reply.body_.size()) + "\r\n\r\n" + reply.body_;
+    if (const auto head = makeOddHead(fault, reply.body_.size())) {
+        const std::string bytes = *head + "\r\n" + reply.body_;
         // Bypasses the response object, so that the connection stays open.
         static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
         return;
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -35,6 +35,12 @@
     SendsInvalidStatus,
     // Does the same with status 101.
     SwitchesProtocols,
+    // Executes each call, then responds with a field whose name has a blank, and keeps the connection open.
+    SendsOddFieldName,
+    // Does the same with a body in an unknown transfer coding.
+    SendsUnknownCoding,
+    // Does the same with the body's length in a line that continues another field.
+    HidesLength,
     // Responds with malformed JSON.
     SendsMalformedBytes,
     // Does not respond to any call.
--- a/Tests/OnPlatform/TestBrokenAnswers.cpp
+++ b/Tests/OnPlatform/TestBrokenAnswers.cpp
@@ -13,6 +13,9 @@
 // Room for such uploads of all concurrent callers.
 constexpr double UploadMemoryMegabytes = 1200;
 
+// Lines of a head whose field's name has a blank or a control byte, or is none.
+const std::vector<std::string> OddFieldLines{
+    "Odd Name: x", "Odd-Name : x", "Content-Length : 2", "Odd\tName: x", "Odd\x01Name: x", std::string("Odd\0Name: x", 11), "Odd\x7f: x", ": x"};
 // A length in a line that continues another field.
 const std::string HiddenLength = "A: b\r\n Content-Length: 5\r\n";
 const std::string ChunkedBody = "5\r\nwrong\r\n0\r\n\r\n";
@@ -49,6 +52,13 @@
     }
 }
 
+void setAllSharded(Deployment &deployment, const std::optional<RawResponse> &response)
+{
+    for (std::size_t i = 0; i < 4; ++i) {
+        deployment.sharded(i).setRawResponse(response);
+    }
+}
+
 // Checks that a booking that all servers answer like this is told 502 at once, has run once, and that nothing of the response is passed on.
 void checkBooking(Deployment &deployment, const std::string &label, const RawResponse &response, const CallerRequest &booking)
 {
@@ -85,6 +95,11 @@
     CPPUNIT_TEST(lookupWithAnUnknownTransferCodingIsServedByAnotherServer);
     CPPUNIT_TEST(bookingIsNotToldAResponseWithAContinuedLine);
     CPPUNIT_TEST(lookupWithAContinuedLineIsServedByAnotherServer);
+    CPPUNIT_TEST(bookingIsNotToldAResponseWithAnOddFieldLine);
+    CPPUNIT_TEST(lookupWithAnOddFieldLineIsServedByAnotherServer);
+    CPPUNIT_TEST(nothingOfABrokenAnswerReachesTheCaller);
+    CPPUNIT_TEST(grantWithAnOddFieldLineIsUnanswered);
+    CPPUNIT_TEST(healthCheckWithAnOddFieldLineIsNotPassed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +152,82 @@
         Deployment deployment(1);
         checkLookups(deployment, "hidden length", makeRawResponse(HiddenLength, "p-right, and more", RawResponseTiming::AfterRunThenClose), CallerRequest());
     }
+
+    void bookingIsNotToldAResponseWithAnOddFieldLine()
+    {
+        Deployment deployment(1);
+        for (const auto &line : OddFieldLines) {
+            checkBooking(deployment, line, makeRawResponse(line + "\r\nContent-Length: 5\r\n", "wrong"), makeBooking());
+        }
+    }
+
+    void lookupWithAnOddFieldLineIsServedByAnotherServer()
+    {
+        for (const auto &line : OddFieldLines) {
+            // A server that has failed is avoided, so each line needs servers that have not.
+            Deployment deployment(1);
+            checkLookups(deployment, line, makeRawResponse(line + "\r\nContent-Length: 5\r\n", "wrong"), CallerRequest());
+        }
+    }
+
+    // What a caller receives is compared byte for byte, since a client library would hide most of it.
+    void nothingOfABrokenAnswerReachesTheCaller()
+    {
+        Deployment deployment(1);
+        std::vector<RawResponse> responses{makeRawResponse(HiddenLength, "wrong, and more"), makeRawResponse("Transfer-Encoding: gzip\r\n", ChunkedBody)};
+        for (const auto &line : OddFieldLines) {
+            responses.push_back(makeRawResponse("Wrong: x\r\n" + line + "\r\nContent-Length: 5\r\n", "wrong"));
+        }
+        int number = 0;
+        for (const auto &response : responses) {
+            CPPUNIT_ASSERT(deployment.awaitServing());
+            setAllPlain(deployment, response);
+            const std::string id = "broken-" + std::to_string(++number);
+            const auto received = sendAndReceiveAll(deployment.instance(0).callerPort(),
+                                                    "POST /book/x HTTP/1.1\r\nHost: plain.example\r\nGoldcrestwall-Request-Id: " + id
+                                                        + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+            const std::string expected = "HTTP/1.1 502 Bad Gateway\r\nGoldcrestwall-Request-Id: " + id + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(response.bytes_, expected, received);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.recorder().runsOf(id));
+            setAllPlain(deployment, std::nullopt);
+        }
+    }
+
+    void grantWithAnOddFieldLineIsUnanswered()
+    {
+        Deployment deployment(1);
+        for (const auto &line : OddFieldLines) {
+            CPPUNIT_ASSERT(deployment.awaitServing());
+            const auto before = deployment.linesContaining("\"event\":\"grant-failed\"").size();
+            setAllSharded(deployment, RawResponse{"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n"});
+            CPPUNIT_ASSERT(Deployment::eventually([&] {
+                return deployment.linesContaining("\"event\":\"grant-failed\"").size() > before;
+            }));
+            const auto failed = deployment.linesContaining("\"event\":\"grant-failed\"").back();
+            CPPUNIT_ASSERT_MESSAGE(failed, failed.find("\"outcome\":\"unanswered\"") != std::string::npos);
+            setAllSharded(deployment, std::nullopt);
+        }
+        checkNoViolations(deployment);
+    }
+
+    void healthCheckWithAnOddFieldLineIsNotPassed()
+    {
+        Deployment deployment(1);
+        CPPUNIT_ASSERT(deployment.awaitServing());
+        auto &server = deployment.plain(0);
+        for (const auto &line : OddFieldLines) {
+            server.setRawResponse(RawResponse{"HTTP/1.1 200 OK\r\nGoldcrestwall-Instance-Id: {id}\r\n" + line + "\r\nContent-Length: 0\r\n\r\n"});
+            server.restart();
+            const auto before = deployment.linesContaining("\"event\":\"health-checked\"").size();
+            server.registerEntry();
+            CPPUNIT_ASSERT(Deployment::eventually([&] {
+                return deployment.linesContaining("\"event\":\"health-checked\"").size() > before;
+            }));
+            const auto checked = deployment.linesContaining("\"event\":\"health-checked\"").at(before);
+            CPPUNIT_ASSERT_MESSAGE(checked, checked.find("\"outcome\":\"malformed\"") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(checked, checked.find("\"healthy\":false") != std::string::npos);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBrokenAnswers);
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -45,7 +45,7 @@
     CPPUNIT_TEST(compactedHistoryIsReported);
     CPPUNIT_TEST(leasesEndWithTheirKeys);
     CPPUNIT_TEST(faultsMapToOutcomes);
-    CPPUNIT_TEST(statusThatIsNoneOfTheProtocolIsNotWaitedFor);
+    CPPUNIT_TEST(responseThatViolatesTheProtocolIsNotWaitedFor);
     CPPUNIT_TEST(unreadableItemDoesNotHideItsNeighbours);
     CPPUNIT_TEST(responsesStayWithinTheMemory);
     CPPUNIT_TEST_SUITE_END();
@@ -135,13 +135,17 @@
     }
 
     // Guards against a call that waits for another response until its time limit, and against a write that is taken to be done or not done.
-    void statusThatIsNoneOfTheProtocolIsNotWaitedFor()
+    void responseThatViolatesTheProtocolIsNotWaitedFor()
     {
         // Less than half of the time limit of a call.
         constexpr Duration MaxWait = 500ms;
         const auto lease = await(loop_, store_.grantLease(10s));
         CPPUNIT_ASSERT(lease.outcome_ == StoreOutcome::Done);
-        for (const auto fault : {PlatformStoreFault::SendsInvalidStatus, PlatformStoreFault::SwitchesProtocols}) {
+        for (const auto fault : {PlatformStoreFault::SendsInvalidStatus,
+                                 PlatformStoreFault::SwitchesProtocols,
+                                 PlatformStoreFault::SendsOddFieldName,
+                                 PlatformStoreFault::SendsUnknownCoding,
+                                 PlatformStoreFault::HidesLength}) {
             const auto label = std::to_string(static_cast<int>(fault));
             standIn_.setFault(fault);
             const auto expectUnknown = [&](const std::string &call, const auto &send) {
