LibBackend: Take a head that violates the protocol for no answer

The caller of a booking got 200 with that line passed on. The same with a name that held a control byte or a NUL, with an empty name, with control bytes in a value; a line without a colon was left out. Of two lengths that differ the first was believed, of a length beside chunks the length, "+5" was a length; HTTP/1.9, bare line feeds and a control byte in the reason were taken. A statement "Goldcrestwall-Refused" in such a head counted as proof that the request had not run, and a grant with such a response as accepted.

Cause: the head is parsed by POCO, which checks none of it; only its end, version and status were checked here.

Change: one place judges the heads for both clients. checkReceivedHead parses the head as read with the parser that HttpClient uses and makes HttpClient's further checks (status, transfer coding, continued lines); a head that fails is no response. Whole responses of HTTP/1.0 and 1.1 are answers as before.

--- a/Libraries/LibBackend/BackendClient.cpp
+++ b/Libraries/LibBackend/BackendClient.cpp
@@ -1,6 +1,8 @@
 // Backend client: connection pool, requests, grants, probes and cancellations.
 #include <LibBackend/BackendClient.h>
 
+#include <LibHttp/LibHttp.h>
+
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
@@ -25,15 +27,14 @@
 constexpr std::streamsize MaxResponseBytes = 16 * 1024 * 1024;
 // Maximum number of interim responses that are skipped.
 constexpr int MaxInterimResponses = 8;
-constexpr int HighestStatus = 599;
 
 Poco::Timespan toTimespan(Duration duration)
 {
     return Poco::Timespan(std::max<Duration>(duration, 1ms).count());
 }
 
-// A final response whose head is read to its end or not at all. Poco takes the end of the connection for the end of the head, so that a head
-// which was cut off would look complete, and takes any number for a status.
+// A final response whose head is read to its end and obeys the protocol, or is not read at all. Poco takes the end of the connection for the end of
+// the head, so that a head which was cut off would look complete, and checks neither names and values nor lengths and the status.
 class CompleteResponse : public Poco::Net::HTTPResponse
 {
 public:
@@ -48,27 +49,25 @@
         if (!isComplete) {
             throw Poco::Net::MessageException("the response's head is too long or has no end");
         }
+        if (const auto error = Gateway::checkReceivedHead(head)) {
+            throw Poco::Net::MessageException("the response's head violates the protocol", error.message());
+        }
         std::istringstream whole(head);
         Poco::Net::HTTPResponse::read(whole);
-        checkStatusLine();
+        skipIfInterim();
     }
 
 private:
-    void checkStatusLine()
+    void skipIfInterim()
     {
-        const int status = getStatus();
-        const bool isOfProtocol = getVersion().starts_with("HTTP/1.") && status >= HTTP_CONTINUE && status <= HighestStatus;
-        // This client never asks a server to switch protocols.
-        if (!isOfProtocol || status == HTTP_SWITCHING_PROTOCOLS) {
-            throw Poco::Net::MessageException("the response's version or status is none of the protocol");
+        if (getStatus() >= HTTP_OK) {
+            return;
         }
-        if (status < HTTP_OK) {
-            if (++interimResponses_ > MaxInterimResponses) {
-                throw Poco::Net::MessageException("too many interim responses");
-            }
-            // The session reads on after a response with this status only.
-            setStatus(HTTP_CONTINUE);
+        if (++interimResponses_ > MaxInterimResponses) {
+            throw Poco::Net::MessageException("too many interim responses");
         }
+        // The session reads on after a response with this status only.
+        setStatus(HTTP_CONTINUE);
     }
 
     int interimResponses_ = 0;
--- a/StandIns/BackendStandIn.cpp
+++ b/StandIns/BackendStandIn.cpp
@@ -62,14 +62,15 @@
 
 BackendFault parseFault(const std::string &name)
 {
-    return name == "frozen"      ? BackendFault::Suspended
-        : name == "truncates"    ? BackendFault::Truncates
-        : name == "silent"       ? BackendFault::Unresponsive
-        : name == "out-of-order" ? BackendFault::OutOfOrder
-        : name == "straggles"    ? BackendFault::RespondsSlowly
-        : name == "draining"     ? BackendFault::Draining
-        : name == "sheds"        ? BackendFault::Sheds
-                                 : BackendFault::None;
+    return name == "frozen"        ? BackendFault::Suspended
+        : name == "truncates"      ? BackendFault::Truncates
+        : name == "silent"         ? BackendFault::Unresponsive
+        : name == "out-of-order"   ? BackendFault::OutOfOrder
+        : name == "straggles"      ? BackendFault::RespondsSlowly
+        : name == "draining"       ? BackendFault::Draining
+        : name == "sheds"          ? BackendFault::Sheds
+        : name == "odd-field-name" ? BackendFault::SendsOddFieldName
+                                   : BackendFault::None;
 }
 
 } // namespace
@@ -283,6 +284,13 @@
         static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket().close();
         return;
     }
+    if (fault == BackendFault::SendsOddFieldName) {
+        const std::string bytes = "HTTP/1.1 200 OK\r\nGoldcrestwall-Correlation: " + correlation
+            + "\r\nOdd Name: wrong\r\nContent-Length: " + std::to_string(answer.size()) + "\r\n\r\n" + answer;
+        // Bypasses the response object, so that the connection stays open.
+        static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        return;
+    }
     if (fault == BackendFault::Truncates) {
         response.setContentLength(static_cast<std::streamsize>(answer.size()));
         response.send() << answer.substr(0, answer.size() / 2) << std::flush;
--- a/StandIns/BackendStandIn.h
+++ b/StandIns/BackendStandIn.h
@@ -47,6 +47,8 @@
     Draining,
     // Rejects requests because of overload.
     Sheds,
+    // Runs requests and responds with a field whose name has a blank.
+    SendsOddFieldName,
 };
 
 // A request that was run.
--- a/Tests/LibBackend/TestBackendClient.cpp
+++ b/Tests/LibBackend/TestBackendClient.cpp
@@ -37,6 +37,41 @@
 // 101 responds to a request to switch protocols, which nobody has made.
 const std::vector<std::string> OddStatuses{"000", "001", "099", "101", "600", "999", "1000", "0200", "20", "2", "", "-20", "+20", "2x0"};
 
+// Lines of a head whose field's name has a blank or a control byte or is none, or whose value has a control byte.
+const std::vector<std::string> OddFieldLines{
+    "Odd Name: x",
+    "Odd-Name : x",
+    "Odd\tName: x",
+    "Odd\x01Name: x",
+    "Odd\x7fName: x",
+    std::string("Odd\0Name: x", 11),
+    "Odd\rName: x",
+    "Odd\xc3\xa4: x",
+    ": x",
+    "no colon",
+    " Leading: x",
+    "A: b\r\n Continued: c",
+    "A: b\x01"
+    "c",
+    std::string("A: b\0c", 6),
+    "A: b\rc",
+};
+// Lines that leave it open where the body ends. The body has five bytes.
+const std::vector<std::string> OddFramings{
+    "Content-Length: 5\r\nContent-Length: 7",
+    "Content-Length: 7\r\nContent-Length: 5",
+    "Content-Length: 5\r\nContent-Length : 7",
+    "Content-Length: 5\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked\r\nContent-Length: 5",
+    "Content-Length: 5\r\nTransfer-Encoding: gzip",
+    "Content-Length: 5\r\nTransfer-Encoding : chunked",
+    "Content-Length: +5",
+    "Content-Length: 5x",
+    "Content-Length: 0x5",
+    "Content-Length: -5",
+    "Content-Length: 5\r\nA: b\r\n Content-Length: 7",
+};
+
 const HttpRequestContent Request{"POST", "/visits", {}, "body"};
 
 } // namespace
@@ -54,6 +89,8 @@
     CPPUNIT_TEST(versionThatIsNoneOfTheProtocolIsNoAnswer);
     CPPUNIT_TEST(interimResponsesAreSkipped);
     CPPUNIT_TEST(grantWithAnOddStatusIsUnanswered);
+    CPPUNIT_TEST(headThatViolatesTheProtocolIsNoAnswer);
+    CPPUNIT_TEST(grantWithAHeadThatViolatesTheProtocolIsUnanswered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,6 +220,42 @@
         CPPUNIT_ASSERT(reply.isAnswered_ && reply.isAccepted_);
     }
 
+    // Guards against a field that is passed on under a name that is none, and against a body that is not the server's.
+    void headThatViolatesTheProtocolIsNoAnswer()
+    {
+        const std::string begin = "HTTP/1.1 200 OK\r\nGoldcrestwall-Correlation: a\r\n";
+        for (const auto &line : OddFieldLines) {
+            expectLost(begin + line + "\r\nContent-Length: 5\r\n\r\nhello");
+            expectLost(begin + "Content-Length: 5\r\n" + line + "\r\n\r\nhello");
+            expectLost("HTTP/1.1 503 Busy\r\nGoldcrestwall-Correlation: a\r\nGoldcrestwall-Refused: shed\r\nContent-Length: 0\r\n" + line + "\r\n\r\n");
+        }
+        for (const auto &framing : OddFramings) {
+            expectLost(begin + framing + "\r\n\r\nhello");
+        }
+        const std::string rest = "Goldcrestwall-Correlation: a\r\nContent-Length: 5\r\n\r\nhello";
+        for (const std::string line :
+             {"HTTP/1.9 200 OK", "HTTP/1.10 200 OK", "HTTP/1. 200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK"}) {
+            expectLost(line + "\r\n" + rest);
+        }
+        expectLost("HTTP/1.1 200 OK\nGoldcrestwall-Correlation: a\nContent-Length: 5\n\nhello");
+        // Responses of either version that obey the protocol are answers.
+        for (const std::string line : {"HTTP/1.0 200 OK", "HTTP/1.1 200 OK", "HTTP/1.1 200 "}) {
+            const auto reply = sendTo("POST", line + "\r\n" + rest);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(line, static_cast<int>(AttemptResult::Answered), static_cast<int>(reply.result_));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(line, std::string("hello"), reply.answer_.body_);
+        }
+    }
+
+    void grantWithAHeadThatViolatesTheProtocolIsUnanswered()
+    {
+        for (const auto &line : OddFieldLines) {
+            const auto reply = withServer({"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n"}, [](BackendClient &client) {
+                return client.grant(1, 300ms);
+            });
+            CPPUNIT_ASSERT_MESSAGE(line, !reply.isAnswered_ && !reply.isAccepted_);
+        }
+    }
+
     void unreachableServerIsNotWritten()
     {
         std::string address;
@@ -196,6 +269,14 @@
     }
 
 private:
+    // Checks that a request with this response may have run, and that nothing of the response is kept.
+    static void expectLost(const std::string &response)
+    {
+        const auto reply = sendTo("POST", response);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, static_cast<int>(AttemptResult::Lost), static_cast<int>(reply.result_));
+        CPPUNIT_ASSERT_MESSAGE(response, reply.answer_ == HttpResponseContent());
+    }
+
     // Sends a request to a server that answers a health check, then sends these bytes and closes the connection.
     static BackendReply sendTo(const std::string &method, const std::string &bytes)
     {
