--- a/Tests/LibHttp/TestBrokenAnswers.cpp
+++ b/Tests/LibHttp/TestBrokenAnswers.cpp
@@ -237,24 +237,21 @@
             "Bad-Name : x",
             "Content-Length : 2",
             "Bad\tName: x",
-            "Bad\x01Name: x",
-            "Bad\x7fName: x",
-            std::string("Bad\0Name: x", 11),
+            "Bad\001Name: x",
+            "Bad\177Name: x",
+            std::string("Bad\000Name: x", 11),
             "Bad\rName: x",
-            "B\xc3\xa4"
-            "d: x",
+            "B\303\244d: x",
             ": x",
             "no colon",
             "Bad\"Name: x",
             "(Bad): x",
-            "A: b\x01c",
-            std::string("A: b\0c", 6),
-            "A: b\x7f"
-            "c",
+            "A: b\001c",
+            std::string("A: b\000c", 6),
+            "A: b\177c",
             "A: b\rc",
             "A: b\n C: d",
-            "\x0b"
-            "A: b",
+            "\013A: b",
             "Transfer-Encoding : chunked",
         };
         for (const auto &line : lines) {
