LibPlatform: Take a response of the store that is broken for no answer

A document that was cut off itself was no answer before either: it cannot be parsed.

Evidence: TestStoreClient::responseCutOffAtAnyByteIsNoAnswer (chunks without the last one: read) and headThatViolatesTheProtocolIsNoAnswer ("Odd Name": done) failed before.

Change: StoreClient reads its responses with SessionReader. A read is then unavailable and a swap unknown, which is read back.

--- a/Libraries/LibPlatform/StoreClient.cpp
+++ b/Libraries/LibPlatform/StoreClient.cpp
@@ -1,6 +1,8 @@
 // Implements the calls to the key-value service; keys and values are Base64 in JSON.
 #include <LibPlatform/StoreClient.h>
 
+#include <LibHttp/LibHttp.h>
+
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Array.h>
@@ -8,7 +10,6 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
 
@@ -21,6 +22,9 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+// A list of all records has their keys only.
+constexpr std::uint64_t MaxResponseBytes = 64U << 20U;
+
 std::string toBase64(const std::string &bytes)
 {
     std::ostringstream stream;
@@ -235,13 +239,11 @@
         std::ostream &output = session.sendRequest(request);
         exchange.isSent_ = true;
         output << body << std::flush;
-        Poco::Net::HTTPResponse response;
-        std::istream &input = session.receiveResponse(response);
-        std::string text;
-        Poco::StreamCopier::copyToString(input, text);
-        const bool isComplete = !response.hasContentLength() || static_cast<std::streamsize>(text.size()) == response.getContentLength();
-        if (response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK && isComplete) {
-            exchange.body_ = std::move(text);
+        Gateway::SessionReader reader(session, Gateway::ExpectedBody::Any, MaxResponseBytes);
+        reader.readHead();
+        reader.readBody();
+        if (reader.response().result() == Gateway::http::status::ok) {
+            exchange.body_ = reader.response().body();
             return exchange;
         }
     } catch (const Poco::Exception &) {
--- a/Tests/LibBackend/TestBackendClient.cpp
+++ b/Tests/LibBackend/TestBackendClient.cpp
@@ -1,14 +1,10 @@
 // Tests of BackendClient against the backend stand-in with injected faults.
 #include <LibBackend/LibBackend.h>
 #include <StandIns/BackendStandIn.h>
-
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
+#include <StandIns/ScriptedResponder.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <thread>
-
 using namespace Goldcrestwall;
 
 namespace {
@@ -34,12 +30,6 @@
     return {correlation, token, {}, RequestId("r"), "k", 300ms, unixNow() + 300};
 }
 
-// How a scripted server ends its connection.
-enum class ConnectionEnd {
-    Orderly,
-    Reset,
-};
-
 // 101 responds to a request to switch protocols, which nobody has made.
 const std::vector<std::string> OddStatuses{"000", "001", "099", "101", "600", "999", "1000", "0200", "20", "2", "", "-20", "+20", "2x0"};
 
@@ -262,8 +252,8 @@
     {
         const std::string begin = "HTTP/1.1 200 OK\r\nGoldcrestwall-Correlation: a\r\n";
         for (const auto &line : OddFieldLines) {
-            expectLost(begin + line + "\r\nContent-Length: 5\r\n\r\nhello");
-            expectLost(begin + "Content-Length: 5\r\n" + line + "\r\n\r\nhello");
+            expectLost(std::string(begin).append(line).append("\r\nContent-Length: 5\r\n\r\nhello"));
+            expectLost(std::string(begin).append("Content-Length: 5\r\n").append(line).append("\r\n\r\nhello"));
             expectLost("HTTP/1.1 503 Busy\r\nGoldcrestwall-Correlation: a\r\nGoldcrestwall-Refused: shed\r\nContent-Length: 0\r\n" + line + "\r\n\r\n");
         }
         for (const auto &framing : OddFramings) {
@@ -328,30 +318,9 @@
     static std::invoke_result_t<Call, BackendClient &>
     withServer(const std::vector<std::string> &responses, Call call, ConnectionEnd end = ConnectionEnd::Orderly)
     {
-        Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
-        std::thread server([&listener, &responses, end] {
-            auto socket = listener.acceptConnection();
-            for (const auto &response : responses) {
-                receiveHead(socket);
-                socket.sendBytes(response.data(), static_cast<int>(response.size()));
-            }
-            if (end == ConnectionEnd::Reset) {
-                socket.setLinger(true, 0);
-            }
-        });
-        BackendClient client(listener.address().toString(), 10);
-        auto reply = call(client);
-        server.join();
-        return reply;
-    }
-
-    static void receiveHead(Poco::Net::StreamSocket &socket)
-    {
-        std::string head;
-        char byte = 0;
-        while (!head.ends_with("\r\n\r\n") && socket.receiveBytes(&byte, 1) == 1) {
-            head += byte;
-        }
+        const ScriptedResponder server(responses, end);
+        BackendClient client(server.address(), 10);
+        return call(client);
     }
 };
 
--- a/Tests/LibPlatform/TestStoreClient.cpp
+++ b/Tests/LibPlatform/TestStoreClient.cpp
@@ -1,19 +1,22 @@
 // Tests the client of the key-value service against the stand-in, including its faults.
 #include <LibPlatform/LibPlatform.h>
+#include <StandIns/ScriptedResponder.h>
 #include <StandIns/StoreStandIn.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sstream>
 #include <thread>
 
 using namespace Goldcrestwall;
 
 namespace {
 
-StoreSettings settingsFor(const StoreStandIn &store)
+template<typename Server>
+StoreSettings settingsFor(const Server &server)
 {
     StoreSettings settings;
-    settings.address_ = store.address();
+    settings.address_ = server.address();
     settings.timeout_ = 300ms;
     return settings;
 }
@@ -44,6 +47,8 @@
     CPPUNIT_TEST(everyFaultHasItsStatus);
     CPPUNIT_TEST(listsAndInstances);
     CPPUNIT_TEST(unreachableServiceHasNoEffect);
+    CPPUNIT_TEST(responseCutOffAtAnyByteIsNoAnswer);
+    CPPUNIT_TEST(headThatViolatesTheProtocolIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,6 +108,65 @@
         CPPUNIT_ASSERT(client.swap({1, "cluster", 0, "value"}).status_ == StoreStatus::Unavailable);
         CPPUNIT_ASSERT(client.read({2, "cluster"}).status_ == StoreStatus::Unavailable);
     }
+
+    // Guards against a record that is taken to be missing, and against a swap that is taken to be done or not done.
+    void responseCutOffAtAnyByteIsNoAnswer()
+    {
+        const std::string json = R"({"kvs":[{"key":"Y2x1c3Rlcg==","version":"1","value":"YQ=="}],"succeeded":true})";
+        const std::vector<std::string> responses{
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(json.size()) + "\r\n\r\n" + json,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + makeChunk(json.substr(0, 20)) + makeChunk(json.substr(20)) + "0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n\r\n" + json,
+        };
+        for (const auto &response : responses) {
+            for (std::size_t length = 0; length < response.size(); ++length) {
+                for (const auto end : {ConnectionEnd::Orderly, ConnectionEnd::Reset}) {
+                    expectNoAnswer(response.substr(0, length), end);
+                }
+            }
+            const ScriptedResponder store({response});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(response, std::string("a"), StoreClient(settingsFor(store)).read({1, "cluster"}).record_.value_);
+        }
+        // Without a length, the end of the connection is the end of the body, unless it is a reset.
+        expectNoAnswer(responses.back(), ConnectionEnd::Reset);
+    }
+
+    void headThatViolatesTheProtocolIsNoAnswer()
+    {
+        const std::string end = "Content-Length: 18\r\n\r\n{\"succeeded\":true}";
+        for (const std::string head : {"HTTP/1.1 200 OK\r\nOdd Name: x\r\n",
+                                       "HTTP/1.1 200 OK\r\nOdd\001Name: x\r\n",
+                                       "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+                                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+                                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+                                       "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n",
+                                       "HTTP/2.0 200 OK\r\n",
+                                       "HTTP/1.1 0200 OK\r\n",
+                                       "HTTP/1.1 000 OK\r\n"}) {
+            expectNoAnswer(head + end, ConnectionEnd::Orderly);
+        }
+    }
+
+private:
+    static std::string makeChunk(const std::string &bytes)
+    {
+        std::ostringstream chunk;
+        chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+        return chunk.str();
+    }
+
+    // Checks that a read with this response has no result, and that a swap with it may have been executed.
+    static void expectNoAnswer(const std::string &response, ConnectionEnd end)
+    {
+        {
+            const ScriptedResponder store({response}, end);
+            const auto read = StoreClient(settingsFor(store)).read({1, "cluster"});
+            CPPUNIT_ASSERT_MESSAGE(response, read.status_ == StoreStatus::Unavailable);
+        }
+        const ScriptedResponder store({response}, end);
+        const auto swap = StoreClient(settingsFor(store)).swap({2, "cluster", 0, "a"});
+        CPPUNIT_ASSERT_MESSAGE(response, swap.status_ == StoreStatus::Unknown);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreClient);
