query: Print no part of an answer that is cut off

Cause: as in `serve`: POCO's streams end without an error where a body is cut off, and its heads are not checked.

Change: the answer is read with SessionReader and printed when it is whole. An instance that was not reached ends with 3 as before.

--- a/Services/goldcrestwall/Commands.cpp
+++ b/Services/goldcrestwall/Commands.cpp
@@ -1,6 +1,7 @@
 // Implements the subcommands `serve`, `query` and `check`.
 #include "Commands.h"
 
+#include <LibHttp/LibHttp.h>
 #include <LibOperator/LibOperator.h>
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -17,6 +18,8 @@
 
 namespace {
 
+constexpr std::uint64_t MaxAnswerBytes = 64U << 20U;
+
 volatile std::sig_atomic_t isStopRequested = 0;
 
 void requestStop(int)
@@ -33,32 +36,47 @@
     }
 }
 
+Poco::Net::HTTPRequest makeStatementRequest(const QueryTarget &target, const std::string &statement)
+{
+    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, "/statement", Poco::Net::HTTPMessage::HTTP_1_1);
+    request.set("Goldcrestwall-Operator", target.operator_);
+    request.set("Authorization", "Bearer " + target.token_);
+    request.set("Accept", target.isJson_ ? "application/json" : "text/plain");
+    request.setContentLength(static_cast<std::streamsize>(statement.size()));
+    return request;
+}
+
+ExitStatus exitStatusOf(unsigned status)
+{
+    switch (status) {
+    case Poco::Net::HTTPResponse::HTTP_OK:
+        return ExitStatus::Success;
+    case Poco::Net::HTTPResponse::HTTP_ACCEPTED:
+        return ExitStatus::Unknown;
+    default:
+        return ExitStatus::Refused;
+    }
+}
+
 ExitStatus sendStatement(const QueryTarget &target, const std::string &statement)
 {
+    bool isSent = false;
     try {
         Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(target.address_)};
         session.setTimeout(Poco::Timespan(15, 0));
-        Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, "/statement", Poco::Net::HTTPMessage::HTTP_1_1);
-        request.set("Goldcrestwall-Operator", target.operator_);
-        request.set("Authorization", "Bearer " + target.token_);
-        request.set("Accept", target.isJson_ ? "application/json" : "text/plain");
-        request.setContentLength(static_cast<std::streamsize>(statement.size()));
-        session.sendRequest(request) << statement << std::flush;
-        Poco::Net::HTTPResponse response;
-        std::istream &body = session.receiveResponse(response);
-        Poco::StreamCopier::copyStream(body, std::cout);
-        std::cout << std::flush;
-        switch (response.getStatus()) {
-        case Poco::Net::HTTPResponse::HTTP_OK:
-            return ExitStatus::Success;
-        case Poco::Net::HTTPResponse::HTTP_ACCEPTED:
-            return ExitStatus::Unknown;
-        default:
-            return ExitStatus::Refused;
-        }
+        auto request = makeStatementRequest(target, statement);
+        std::ostream &output = session.sendRequest(request);
+        isSent = true;
+        output << statement << std::flush;
+        Gateway::SessionReader reader(session, Gateway::ExpectedBody::Any, MaxAnswerBytes);
+        reader.readHead();
+        reader.readBody();
+        std::cout << reader.response().body() << std::flush;
+        return exitStatusOf(reader.response().result_int());
     } catch (const Poco::Exception &exception) {
-        std::cerr << "no response from " << target.address_ << ": " << exception.displayText() << '\n';
-        return ExitStatus::Unavailable;
+        const char *problem = isSent ? "no complete response from " : "cannot reach ";
+        std::cerr << problem << target.address_ << ": " << exception.displayText() << '\n';
+        return isSent ? ExitStatus::Unknown : ExitStatus::Unavailable;
     }
 }
 
