--- a/Tests/LibPeer/TestPeerAnswers.cpp
+++ b/Tests/LibPeer/TestPeerAnswers.cpp
@@ -85,7 +85,7 @@
         }
     });
     std::promise<PeerReply> reply;
-    auto transport = PeerTransport::create("127.0.0.1:0", {}, [](PeerChannel, std::string, const PeerTransport::Responder &) {});
+    auto transport = PeerTransport::create("127.0.0.1:0", {}, [](PeerChannel, const std::string &, const PeerTransport::Responder &) {});
     CPPUNIT_ASSERT(transport.isOk());
     transport.value()->call(listener.address().toString(), PeerChannel::Dispatch, "call", 2s, [&reply](PeerReply received) {
         reply.set_value(std::move(received));
