--- a/StandIns/ScriptedResponder.cpp
+++ b/StandIns/ScriptedResponder.cpp
@@ -1,12 +1,13 @@
 // Implements the server that sends given bytes.
 #include "ScriptedResponder.h"
 
-#include <Poco/Net/StreamSocket.h>
-
 namespace Goldcrestwall {
 
 namespace {
 
+// Long enough for an upload to fill the buffers of the connection.
+constexpr auto UploadCutDelay = std::chrono::milliseconds(30);
+
 // Reads one byte; returns false at the end of the connection.
 bool receiveByte(Poco::Net::StreamSocket &socket, std::string &received)
 {
@@ -18,11 +19,16 @@
     return true;
 }
 
-// Reads a request with its body, since bytes that are left unread would reset the connection at its end.
-void receiveRequest(Poco::Net::StreamSocket &socket)
+std::string receiveHead(Poco::Net::StreamSocket &socket)
 {
     std::string head;
     while (!head.ends_with("\r\n\r\n") && receiveByte(socket, head)) { }
+    return head;
+}
+
+// Reads the body of a request, since bytes that are left unread would reset the connection at its end.
+void receiveBody(Poco::Net::StreamSocket &socket, const std::string &head)
+{
     const std::string lengthField = "Content-Length: ";
     const auto field = head.find(lengthField);
     const std::size_t length = field == std::string::npos ? 0 : std::stoul(head.substr(field + lengthField.size()));
@@ -50,13 +56,25 @@
 void ScriptedResponder::run()
 {
     auto socket = listener_.acceptConnection();
-    for (const auto &response : responses_) {
-        receiveRequest(socket);
-        socket.sendBytes(response.data(), static_cast<int>(response.size()));
+    for (std::size_t i = 0; i < responses_.size(); ++i) {
+        respond(socket, responses_[i], i + 1 == responses_.size());
     }
-    if (end_ == ConnectionEnd::Reset) {
+    if (end_ != ConnectionEnd::Orderly) {
         socket.setLinger(true, 0);
     }
 }
 
+void ScriptedResponder::respond(Poco::Net::StreamSocket &socket, const std::string &response, bool isLast) const
+{
+    const auto head = receiveHead(socket);
+    const bool isEarly = isLast && end_ == ConnectionEnd::ResetDuringUpload;
+    if (!isEarly) {
+        receiveBody(socket, head);
+    }
+    socket.sendBytes(response.data(), static_cast<int>(response.size()));
+    if (isEarly) {
+        std::this_thread::sleep_for(UploadCutDelay);
+    }
+}
+
 } // namespace Goldcrestwall
--- a/StandIns/ScriptedResponder.h
+++ b/StandIns/ScriptedResponder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <string>
 #include <thread>
@@ -13,6 +14,8 @@
 enum class ConnectionEnd {
     Orderly,
     Reset,
+    // Responds once the head of the last request has been read, and resets the connection soon after, while the body is still being sent.
+    ResetDuringUpload,
 };
 
 // Accepts one connection, sends one of the responses for each request, in order, and then ends the connection.
@@ -32,6 +35,7 @@
 
 private:
     void run();
+    void respond(Poco::Net::StreamSocket &socket, const std::string &response, bool isLast) const;
 
     std::vector<std::string> responses_;
     ConnectionEnd end_;
--- a/Tests/LibPlatform/TestStoreClient.cpp
+++ b/Tests/LibPlatform/TestStoreClient.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(listsAndInstances);
     CPPUNIT_TEST(unreachableServiceHasNoEffect);
     CPPUNIT_TEST(responseCutOffAtAnyByteIsNoAnswer);
+    CPPUNIT_TEST(responseDuringAWriteThatIsResetIsNoAnswer);
     CPPUNIT_TEST(headThatViolatesTheProtocolIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -131,6 +132,16 @@
         expectNoAnswer(responses.back(), ConnectionEnd::Reset);
     }
 
+    void responseDuringAWriteThatIsResetIsNoAnswer()
+    {
+        const std::string value(16U << 20U, 'v');
+        const std::string json = R"({"succeeded":true})";
+        for (const std::string fields : {"", "Connection: close\r\n"}) {
+            const ScriptedResponder store({"HTTP/1.1 200 OK\r\n" + fields + "\r\n" + json}, ConnectionEnd::ResetDuringUpload);
+            CPPUNIT_ASSERT_MESSAGE(fields, StoreClient(settingsFor(store)).swap({1, "cluster", 0, value}).status_ == StoreStatus::Unknown);
+        }
+    }
+
     void headThatViolatesTheProtocolIsNoAnswer()
     {
         const std::string end = "Content-Length: 18\r\n\r\n{\"succeeded\":true}";
