--- a/Libraries/LibHttp/InputBuffer.h
+++ b/Libraries/LibHttp/InputBuffer.h
@@ -47,8 +47,8 @@
         co_return error;
     }
 
-    // Reads and parses up to the end of the head of a message. `checkLines` judges the bytes of each part that has been parsed: whole lines, as
-    // received. Errors: those of `readSome` and of `checkLines`.
+    // Reads and parses up to the end of the head of a message. `checkLines` returns an error or none for each part that has been parsed: one or more
+    // whole lines, as received. Errors: those of `readSome` and of `checkLines`.
     template<typename Stream, typename Parser, typename CheckLines>
     Task<ErrorCode> readHead(Stream &stream, Parser &parser, std::size_t maxSize, CheckLines checkLines)
     {
@@ -88,20 +88,21 @@
     static constexpr std::size_t Slack = 512;
     static constexpr std::size_t MaxReadBytes = 65536;
 
-    // Receives the next bytes, without parsing them.
+    // Receives the next bytes, without parsing them. Errors: those of `readSome`.
     template<typename Stream, typename Parser>
     Task<ErrorCode> receive(Stream &stream, const Parser &parser, std::size_t maxSize)
     {
         limitToReserved();
-        std::size_t room = beast::read_size(buffer_, MaxReadBytes);
-        if (room == 0 && reservedSize() >= maxSize) {
-            co_return http::error::buffer_overflow;
-        }
-        if (room == 0 && !reserveMore(maxSize)) {
-            co_return asio::error::no_memory;
+        if (beast::read_size(buffer_, MaxReadBytes) == 0) {
+            if (reservedSize() >= maxSize) {
+                co_return http::error::buffer_overflow;
+            }
+            if (!reserveMore(maxSize)) {
+                co_return asio::error::no_memory;
+            }
+            limitToReserved();
         }
-        limitToReserved();
-        room = beast::read_size(buffer_, MaxReadBytes);
+        const std::size_t room = beast::read_size(buffer_, MaxReadBytes);
         ErrorCode error;
         const std::size_t size = co_await stream.async_read_some(buffer_.prepare(room), redirectErrorTo(error));
         buffer_.commit(size);
--- a/Libraries/LibHttp/ResponseHead.h
+++ b/Libraries/LibHttp/ResponseHead.h
@@ -1,4 +1,4 @@
-// What the head of a response must be, beyond what the parser checks.
+// Checks of a response's head that the parser does not make.
 #pragma once
 
 #include <LibHttp/Asio.h>
@@ -7,13 +7,12 @@
 
 namespace Goldcrestwall::Gateway {
 
-// Checks the parsed head of a response. Errors: bad_status if the status is none that a request of ours can have, bad_transfer_encoding if the body
-// is in another coding than chunks, so that it cannot be read (RFC 9112, section 6.1).
+// Checks the parsed head of a response. Errors: bad_status if the status is none that a response to a client of ours can have,
+// bad_transfer_encoding if the body is in another coding than chunks, so that it cannot be read (RFC 9112, section 6.1).
 ErrorCode checkResponseHead(const http::response_header<> &head);
 
-// Checks lines of a head as received, from the begin of a line to the end of one. Errors: bad_obs_fold if a line begins with a blank or a tab. The
-// parser joins such a line to the field before it, so that a field whose name follows a blank vanishes; RFC 9112, section 5.2, lets a proxy reject
-// the response.
+// Checks one or more whole lines of a head, as received. Errors: bad_obs_fold if a line begins with a blank or a tab. The parser joins such a line
+// to the field before it, so that a field whose name follows a blank vanishes; RFC 9112, section 5.2, lets a proxy reject the response.
 ErrorCode checkHeadLines(std::string_view lines);
 
 } // namespace Goldcrestwall::Gateway
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -267,6 +267,12 @@
     rawResponse_ = std::move(response);
 }
 
+std::optional<RawResponse> PlatformServerStandIn::rawResponse() const
+{
+    const std::lock_guard lock(announcementMutex_);
+    return rawResponse_;
+}
+
 void PlatformServerStandIn::recordArrival()
 {
     ++arrivalCount_;
@@ -734,11 +740,7 @@
 
 bool PlatformServerStandIn::sendRawResponse(Poco::Net::HTTPServerRequest &request)
 {
-    std::optional<RawResponse> raw;
-    {
-        const std::lock_guard lock(announcementMutex_);
-        raw = rawResponse_;
-    }
+    const auto raw = rawResponse();
     if (!raw || raw->timing_ == RawResponseTiming::DuringUpload) {
         return false;
     }
@@ -754,11 +756,7 @@
 
 bool PlatformServerStandIn::respondDuringUpload(Poco::Net::HTTPServerRequest &request)
 {
-    std::optional<RawResponse> raw;
-    {
-        const std::lock_guard lock(announcementMutex_);
-        raw = rawResponse_;
-    }
+    const auto raw = rawResponse();
     const std::string requestId = request.get("Goldcrestwall-Request-Id", "");
     if (!raw || raw->timing_ != RawResponseTiming::DuringUpload || requestId.empty()) {
         return false;
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -277,6 +277,7 @@
     void sendRaw(Poco::Net::HTTPServerRequest &request, const std::string &bytes, bool isReset);
     // Sends the response, with the status or the bytes that have been set for all.
     void sendResponse(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
+    std::optional<RawResponse> rawResponse() const;
     // Sends the bytes that have been set for all; returns whether there are any.
     bool sendRawResponse(Poco::Net::HTTPServerRequest &request);
     // Runs a request without reading its body, if the response that has been set is sent then; returns whether that is so.
--- a/Tests/LibPlatform/TestStoreClient.cpp
+++ b/Tests/LibPlatform/TestStoreClient.cpp
@@ -137,7 +137,8 @@
         const std::string value(16U << 20U, 'v');
         const std::string json = R"({"succeeded":true})";
         for (const std::string fields : {"", "Connection: close\r\n"}) {
-            const ScriptedResponder store({"HTTP/1.1 200 OK\r\n" + fields + "\r\n" + json}, ConnectionEnd::ResetDuringUpload);
+            const auto response = std::string("HTTP/1.1 200 OK\r\n").append(fields).append("\r\n").append(json);
+            const ScriptedResponder store({response}, ConnectionEnd::ResetDuringUpload);
             CPPUNIT_ASSERT_MESSAGE(fields, StoreClient(settingsFor(store)).swap({1, "cluster", 0, value}).status_ == StoreStatus::Unknown);
         }
     }
