StandIns: End a stand-in only after its running requests

Cause: POCO's HTTPServer::stopAll waits for no handler. A stand-in's members were destroyed while its requests were still running, and these went on to lock its mutexes and to change its tables; servers of sharded services asked destroyed siblings which keys they hold.

Change: the stand-ins share one request handler, which counts the requests that are running; a stand-in takes no further ones and waits for these before it ends. A deployment stops all sharded servers before the first is destroyed. A watch that begins while the store stand-in ends returns at once. The handlers, of which each stand-in had its own, are gone.

--- a/StandIns/BackendStandIn.cpp
+++ b/StandIns/BackendStandIn.cpp
@@ -1,8 +1,6 @@
 // Implements the stand-in for a backend server, and its /standin/ paths that set faults and return the log.
 #include "BackendStandIn.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -28,38 +26,6 @@
     return std::stoull(request.get(header, "0"));
 }
 
-class Handler final : public Poco::Net::HTTPRequestHandler
-{
-public:
-    explicit Handler(BackendStandIn &backend)
-        : backend_(backend)
-    {
-    }
-    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
-    {
-        backend_.handle(request, response);
-    }
-
-private:
-    BackendStandIn &backend_;
-};
-
-class Factory final : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit Factory(BackendStandIn &backend)
-        : backend_(backend)
-    {
-    }
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
-    {
-        return new Handler(backend_);
-    }
-
-private:
-    BackendStandIn &backend_;
-};
-
 BackendFault parseFault(const std::string &name)
 {
     return name == "frozen"        ? BackendFault::Suspended
@@ -86,7 +52,7 @@
     parameters->setMaxQueued(static_cast<int>(behaviour.connections_));
     parameters->setKeepAliveTimeout(Poco::Timespan(60, 0));
     parameters->setMaxKeepAliveRequests(0);
-    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), socket, parameters);
+    server_ = std::make_unique<Poco::Net::HTTPServer>(new RequestHandlers<BackendStandIn>(*this, runningRequests_), socket, parameters);
     server_->start();
 }
 
@@ -94,6 +60,7 @@
 {
     setFault(BackendFault::None);
     server_->stopAll(true);
+    runningRequests_->closeAndWait();
 }
 
 std::string BackendStandIn::address() const
--- a/StandIns/BackendStandIn.h
+++ b/StandIns/BackendStandIn.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <LibBase/LibBase.h>
+#include <StandIns/RequestHandlers.h>
 
 #include <Poco/Net/HTTPServer.h>
 
@@ -117,6 +118,7 @@
     std::set<std::string> startedCorrelations_;
     std::string lastCorrelation_;
     std::vector<ExecutionEntry> log_;
+    std::shared_ptr<RunningRequests> runningRequests_ = std::make_shared<RunningRequests>();
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
 
--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -1,8 +1,6 @@
 // Implements the stand-in for a backend server of the platform.
 #include "PlatformServerStandIn.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
@@ -30,38 +28,6 @@
 constexpr double ColdRateFactor = 1.5;
 constexpr double ColdRateAllowance = 5;
 
-class Handler : public Poco::Net::HTTPRequestHandler
-{
-public:
-    explicit Handler(PlatformServerStandIn &server)
-        : server_(server)
-    {
-    }
-    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
-    {
-        server_.handle(request, response);
-    }
-
-private:
-    PlatformServerStandIn &server_;
-};
-
-class Factory : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit Factory(PlatformServerStandIn &server)
-        : server_(server)
-    {
-    }
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
-    {
-        return new Handler(server_);
-    }
-
-private:
-    PlatformServerStandIn &server_;
-};
-
 Poco::ThreadPool &threadPool()
 {
     static Poco::ThreadPool threads(4, MaxThreads);
@@ -168,14 +134,20 @@
     parameters->setMaxQueued(MaxThreads);
     parameters->setKeepAliveTimeout(Poco::Timespan(5, 0));
     Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), threadPool(), socket, parameters);
+    server_ = std::make_unique<Poco::Net::HTTPServer>(new RequestHandlers<PlatformServerStandIn>(*this, runningRequests_), threadPool(), socket, parameters);
     server_->start();
 }
 
 PlatformServerStandIn::~PlatformServerStandIn()
+{
+    stop();
+}
+
+void PlatformServerStandIn::stop()
 {
     setFault(PlatformServerFault::None);
     server_->stopAll(true);
+    runningRequests_->closeAndWait();
 }
 
 std::string PlatformServerStandIn::address() const
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -4,6 +4,7 @@
 
 #include <StandIns/LimitMeter.h>
 #include <StandIns/PlatformStoreStandIn.h>
+#include <StandIns/RequestHandlers.h>
 
 #include <optional>
 #include <set>
@@ -175,10 +176,13 @@
 {
 public:
     PlatformServerStandIn(std::string id, PlatformServerBehaviour behaviour, PlatformStoreStandIn &store, PlatformRunRecorder &recorder);
+    // Stops the server.
     ~PlatformServerStandIn();
     PlatformServerStandIn(const PlatformServerStandIn &) = delete;
     PlatformServerStandIn &operator=(const PlatformServerStandIn &) = delete;
 
+    // Accepts no further requests, and waits until those that are running have ended.
+    void stop();
     const std::string &id() const
     {
         return id_;
@@ -329,6 +333,7 @@
     std::atomic<std::size_t> grantCount_ = 0;
     std::atomic<std::size_t> lateGrantCount_ = 0;
     std::atomic<std::size_t> closedEndlessCount_ = 0;
+    std::shared_ptr<RunningRequests> runningRequests_ = std::make_shared<RunningRequests>();
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
 
--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -3,8 +3,6 @@
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
@@ -46,38 +44,6 @@
     return bytes;
 }
 
-class Handler : public Poco::Net::HTTPRequestHandler
-{
-public:
-    explicit Handler(PlatformStoreStandIn &store)
-        : store_(store)
-    {
-    }
-    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
-    {
-        store_.handle(request, response);
-    }
-
-private:
-    PlatformStoreStandIn &store_;
-};
-
-class Factory : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit Factory(PlatformStoreStandIn &store)
-        : store_(store)
-    {
-    }
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
-    {
-        return new Handler(store_);
-    }
-
-private:
-    PlatformStoreStandIn &store_;
-};
-
 // The head of a response, up to its empty line, that violates the protocol as the fault says; nothing with another fault.
 std::optional<std::string> makeOddHead(PlatformStoreFault fault, std::size_t bodySize)
 {
@@ -107,7 +73,7 @@
     parameters->setMaxQueued(MaxThreads);
     static Poco::ThreadPool threads(4, MaxThreads);
     Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
-    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), threads, socket, parameters);
+    server_ = std::make_unique<Poco::Net::HTTPServer>(new RequestHandlers<PlatformStoreStandIn>(*this, runningRequests_), threads, socket, parameters);
     server_->start();
     expiryThread_ = std::make_unique<std::thread>([this] {
         runExpiryLoop();
@@ -123,6 +89,7 @@
     }
     expiryThread_->join();
     server_->stopAll(true);
+    runningRequests_->closeAndWait();
 }
 
 std::string PlatformStoreStandIn::address() const
@@ -428,6 +395,9 @@
         if (!document["events"].empty()) {
             return {200, document.dump()};
         }
+        if (isStopping_) {
+            return {0, {}};
+        }
         ++waitingWatches_;
         const auto waited = changed_.wait_until(lock, until);
         --waitingWatches_;
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibBase/LibBase.h>
+#include <StandIns/RequestHandlers.h>
 
 #include <Poco/Net/HTTPServer.h>
 
@@ -148,6 +149,7 @@
     bool isStopping_ = false;
     PlatformStoreFault fault_ = PlatformStoreFault::None;
     std::atomic<std::uint64_t> calls_ = 0;
+    std::shared_ptr<RunningRequests> runningRequests_ = std::make_shared<RunningRequests>();
     std::unique_ptr<Poco::Net::HTTPServer> server_;
     std::unique_ptr<std::thread> expiryThread_;
 };
--- a/StandIns/StoreStandIn.cpp
+++ b/StandIns/StoreStandIn.cpp
@@ -5,8 +5,6 @@
 #include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -42,83 +40,62 @@
     return bytes;
 }
 
-class Handler final : public Poco::Net::HTTPRequestHandler
+struct FaultRequest
 {
-public:
-    explicit Handler(StoreStandIn &store)
-        : store_(store)
-    {
-    }
-
-    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
-    {
-        std::string body;
-        Poco::StreamCopier::copyToString(request.stream(), body);
-        const Poco::URI uri(request.getURI());
-        if (uri.getPath() == "/standin/fault") {
-            setFault(uri);
-            response.sendBuffer("", 0);
-            return;
-        }
-        const auto answer = store_.handle(uri.getPath(), body);
-        if (!answer) {
-            static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket().close();
-            return;
-        }
-        response.setStatus(answer->empty() ? Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE : Poco::Net::HTTPResponse::HTTP_OK);
-        response.sendBuffer(answer->data(), answer->size());
-    }
-
-private:
-    void setFault(const Poco::URI &uri)
-    {
-        StoreFault fault = StoreFault::None;
-        Duration delay{};
-        for (const auto &[name, value] : uri.getQueryParameters()) {
-            if (name == "mode") {
-                fault = value == "down"       ? StoreFault::Down
-                    : value == "slow"         ? StoreFault::Slow
-                    : value == "lose-answers" ? StoreFault::LosesAnswers
-                                              : StoreFault::None;
-            }
-            if (name == "ms") {
-                delay = std::chrono::milliseconds(std::stol(value));
-            }
-        }
-        store_.setFault(fault, delay);
-    }
-
-    StoreStandIn &store_;
+    StoreFault fault_ = StoreFault::None;
+    Duration delay_{};
 };
 
-class Factory final : public Poco::Net::HTTPRequestHandlerFactory
+FaultRequest parseFault(const Poco::URI &uri)
 {
-public:
-    explicit Factory(StoreStandIn &store)
-        : store_(store)
-    {
-    }
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
-    {
-        return new Handler(store_);
+    FaultRequest result;
+    for (const auto &[name, value] : uri.getQueryParameters()) {
+        if (name == "mode") {
+            result.fault_ = value == "down" ? StoreFault::Down
+                : value == "slow"           ? StoreFault::Slow
+                : value == "lose-answers"   ? StoreFault::LosesAnswers
+                                            : StoreFault::None;
+        }
+        if (name == "ms") {
+            result.delay_ = std::chrono::milliseconds(std::stol(value));
+        }
     }
-
-private:
-    StoreStandIn &store_;
-};
+    return result;
+}
 
 } // namespace
 
 StoreStandIn::StoreStandIn(std::uint16_t port)
 {
     const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
-    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), socket, new Poco::Net::HTTPServerParams);
+    server_ = std::make_unique<Poco::Net::HTTPServer>(new RequestHandlers<StoreStandIn>(*this, runningRequests_), socket, new Poco::Net::HTTPServerParams);
     server_->start();
 }
 
 StoreStandIn::~StoreStandIn()
 {
     server_->stopAll(true);
+    runningRequests_->closeAndWait();
+}
+
+void StoreStandIn::handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    std::string body;
+    Poco::StreamCopier::copyToString(request.stream(), body);
+    const Poco::URI uri(request.getURI());
+    if (uri.getPath() == "/standin/fault") {
+        const auto fault = parseFault(uri);
+        setFault(fault.fault_, fault.delay_);
+        response.sendBuffer("", 0);
+        return;
+    }
+    const auto answer = execute(uri.getPath(), body);
+    if (!answer) {
+        static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket().close();
+        return;
+    }
+    response.setStatus(answer->empty() ? Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE : Poco::Net::HTTPResponse::HTTP_OK);
+    response.sendBuffer(answer->data(), answer->size());
 }
 
 std::string StoreStandIn::address() const
@@ -161,7 +138,7 @@
     return entry == entries_.end() ? 0 : entry->second.version_;
 }
 
-std::optional<std::string> StoreStandIn::handle(const std::string &path, const std::string &body)
+std::optional<std::string> StoreStandIn::execute(const std::string &path, const std::string &body)
 {
     ++calls_;
     StoreFault fault = StoreFault::None;
--- a/StandIns/StoreStandIn.h
+++ b/StandIns/StoreStandIn.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <LibBase/LibBase.h>
+#include <StandIns/RequestHandlers.h>
 
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPServer.h>
@@ -49,9 +50,8 @@
         return calls_;
     }
 
-    // Processes one gateway call; called by the HTTP request handler. Returns the response body, which is empty after an error, or
-    // nothing if the connection is to be closed without a response.
-    std::optional<std::string> handle(const std::string &path, const std::string &body);
+    // Called for each request.
+    void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
 
 private:
     struct Entry
@@ -61,6 +61,9 @@
         std::int64_t lease_ = 0;
     };
 
+    // Processes one gateway call. Returns the response body, which is empty after an error, or nothing if the connection is to be closed without a
+    // response.
+    std::optional<std::string> execute(const std::string &path, const std::string &body);
     Poco::JSON::Object::Ptr range(const Poco::JSON::Object &request);
     Poco::JSON::Object::Ptr transact(const Poco::JSON::Object &request);
     Poco::JSON::Object::Ptr write(const Poco::JSON::Object &request);
@@ -75,6 +78,7 @@
     StoreFault fault_ = StoreFault::None;
     Duration delay_{};
     std::atomic<std::uint64_t> calls_ = 0;
+    std::shared_ptr<RunningRequests> runningRequests_ = std::make_shared<RunningRequests>();
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
 
--- a/Tests/OnPlatform/Deployment.cpp
+++ b/Tests/OnPlatform/Deployment.cpp
@@ -248,6 +248,10 @@
 Deployment::~Deployment()
 {
     instances_.clear();
+    // Each asks the others which keys they hold.
+    for (const auto &server : sharded_) {
+        server->stop();
+    }
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
