Tests: Keep the acceptor of FixedCoordinator apart from its connections

The acceptor appended to the vector that held its own thread while the destructor waited on the first element, so a connection that came at this moment could move the element away under the wait. By reading; not seen in a run.

--- a/Tests/OnPlatform/FixedCoordinator.cpp
+++ b/Tests/OnPlatform/FixedCoordinator.cpp
@@ -49,7 +49,7 @@
     const Gateway::MemberEntry self{Name, "1", listener_.address().toString(), "north", CpuMillicores};
     deployment.store().put(Gateway::memberKey(Name), Gateway::encodeMember(self));
     deployment.store().put(Gateway::coordinatorKey(service_), Gateway::encodeMember(self));
-    threads_.emplace_back([this] {
+    acceptor_ = std::thread([this] {
         accept();
     });
 }
@@ -57,10 +57,9 @@
 FixedCoordinator::~FixedCoordinator()
 {
     isStopped_ = true;
-    // The first thread starts the others and has to end first.
-    threads_.front().join();
-    for (std::size_t i = 1; i < threads_.size(); ++i) {
-        threads_[i].join();
+    acceptor_.join();
+    for (auto &connection : connections_) {
+        connection.join();
     }
 }
 
@@ -74,7 +73,7 @@
 {
     while (!isStopped_) {
         if (listener_.poll(Poco::Timespan(PollMicroseconds), Poco::Net::Socket::SELECT_READ)) {
-            threads_.emplace_back([this, socket = listener_.acceptConnection()] {
+            connections_.emplace_back([this, socket = listener_.acceptConnection()] {
                 serve(socket);
             });
         }
--- a/Tests/OnPlatform/FixedCoordinator.h
+++ b/Tests/OnPlatform/FixedCoordinator.h
@@ -51,7 +51,9 @@
     std::atomic<Platform::Revision> configurationRevision_ = 0;
     mutable std::mutex mutex_;
     std::vector<Gateway::FinishMessage> reports_;
-    std::vector<std::thread> threads_;
+    // Filled by the acceptor only.
+    std::vector<std::thread> connections_;
+    std::thread acceptor_;
 };
 
 } // namespace Goldcrestwall::OnPlatform
