Tests: Look for a held key within the key space only

keysMoveFromAnnouncedHolderThatIgnoresReleases looked for a key of the first server without an end: it would have run until the time limit of the whole program if the server held none. TestLimitedServers had a search with a check; it is in Callers now and used by both.

--- a/Tests/OnPlatform/Callers.cpp
+++ b/Tests/OnPlatform/Callers.cpp
@@ -35,6 +35,16 @@
     return request;
 }
 
+std::uint32_t keyHeldBy(Deployment &deployment, std::size_t sharded)
+{
+    std::uint32_t key = 0;
+    while (key < KeyCount && !deployment.sharded(sharded).holds(key)) {
+        ++key;
+    }
+    CPPUNIT_ASSERT_MESSAGE("the server holds no keys", key < KeyCount);
+    return key;
+}
+
 RawConnection::RawConnection(std::uint16_t port)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -156,7 +166,7 @@
 void Load::run(Deployment &deployment, std::size_t instance, int kind)
 {
     for (std::uint32_t i = 0; !isStopped_; ++i) {
-        const auto request = kind == 0 ? CallerRequest() : kind == 1 ? makeBooking() : makeKeyed(i * 6151 % 65536);
+        const auto request = kind == 0 ? CallerRequest() : kind == 1 ? makeBooking() : makeKeyed(i * 6151 % KeyCount);
         const auto answer = deployment.call(instance, request);
         const std::lock_guard lock(mutex_);
         ++statuses_[answer.status_];
--- a/Tests/OnPlatform/Callers.h
+++ b/Tests/OnPlatform/Callers.h
@@ -12,6 +12,10 @@
 CallerRequest makeBooking();
 // A request to the sharded service.
 CallerRequest makeKeyed(std::uint32_t key);
+// The number of keys of the sharded service.
+constexpr std::uint32_t KeyCount = 65536;
+// Returns the lowest key that a server of the sharded service holds; the test fails if it holds none.
+std::uint32_t keyHeldBy(Deployment &deployment, std::size_t sharded);
 
 // A TCP connection that sends bytes unchanged.
 class RawConnection
--- a/Tests/OnPlatform/TestLeavingServers.cpp
+++ b/Tests/OnPlatform/TestLeavingServers.cpp
@@ -113,10 +113,7 @@
     {
         Deployment deployment(1);
         CPPUNIT_ASSERT(deployment.awaitServing());
-        std::uint32_t key = 0;
-        while (!deployment.sharded(0).holds(key)) {
-            ++key;
-        }
+        const auto key = keyHeldBy(deployment, 0);
         deployment.sharded(0).setFault(PlatformServerFault::IgnoresReleases);
         deployment.sharded(0).setLeavingHeader("1");
         CPPUNIT_ASSERT_EQUAL(200, deployment.call(0, makeKeyed(key)).status_);
--- a/Tests/OnPlatform/TestLimitedServers.cpp
+++ b/Tests/OnPlatform/TestLimitedServers.cpp
@@ -15,7 +15,6 @@
 constexpr auto LimitedTime = 9s;
 // Callers return after this time at most, although they were told a later one.
 constexpr double MaxReturnSeconds = 0.3;
-constexpr std::uint32_t KeyCount = 65536;
 
 // Callers of one request that send it again and again, and wait as told after a rejection.
 class Callers
@@ -85,16 +84,6 @@
     std::vector<std::thread> threads_;
 };
 
-std::uint32_t keyHeldBy(Deployment &deployment, std::size_t sharded)
-{
-    std::uint32_t key = 0;
-    while (key < KeyCount && !deployment.sharded(sharded).holds(key)) {
-        ++key;
-    }
-    CPPUNIT_ASSERT_MESSAGE("the server holds no keys", key < KeyCount);
-    return key;
-}
-
 } // namespace
 
 class TestLimitedServers : public CppUnit::TestFixture
