Tests: Hold back a grant for certain in TestKeyOwners

Cause, from the logs of the runs: the first key is asked for by each check that the deployment serves, so it may move off the first server a tenth of a second later. The release opens a connection, and the renewals of the other keys go over that one, which is not held back: they are accepted, as they should be. That release had no unanswered grant, so its line has no countedForMs, which the other test asked of all lines.

Change: open connections are held back until a grant is unanswered; the key is chosen after that; the lines that are checked are those of the releases after the drain, and the test waits for a release after it. The checks are the same; the search for a key has an end.

--- a/Tests/OnPlatform/TestKeyOwners.cpp
+++ b/Tests/OnPlatform/TestKeyOwners.cpp
@@ -20,29 +20,39 @@
     return deployment.sharded(1).holds(key) || deployment.sharded(2).holds(key) || deployment.sharded(3).holds(key);
 }
 
-// Some key that the first server holds.
-std::uint32_t findKeyOfFirst(Deployment &deployment)
+// Lines that tell of keys of the first server.
+std::vector<std::string> findLines(const Deployment &deployment, const std::string &event, const std::string &outcome)
 {
-    std::uint32_t key = 0;
-    while (!deployment.sharded(0).holds(key)) {
-        ++key;
-    }
-    return key;
+    auto lines = deployment.linesContaining("\"event\":\"" + event + "\"");
+    std::erase_if(lines, [&](const std::string &line) {
+        return line.find("\"server\":\"s-0\"") == std::string::npos || line.find("\"outcome\":\"" + outcome + "\"") == std::string::npos;
+    });
+    return lines;
 }
 
-std::size_t countLines(const Deployment &deployment, const std::string &event, const std::string &outcome)
+// Holds back what is on its way to the first server over open connections, until a grant is unanswered. Keys that move at this moment open another
+// connection, over which the next grants would go.
+void holdAGrantOfFirst(Deployment &deployment)
 {
-    const auto lines = deployment.linesContaining("\"event\":\"" + event + "\"");
-    return static_cast<std::size_t>(std::ranges::count_if(lines, [&](const std::string &line) {
-        return line.find("\"server\":\"s-0\"") != std::string::npos && line.find("\"outcome\":\"" + outcome + "\"") != std::string::npos;
+    CPPUNIT_ASSERT(Deployment::eventually([&] {
+        deployment.shardedProxy(0).holdOpenConnections(ProxyDirection::ToTarget);
+        return !findLines(deployment, "grant-failed", "unanswered").empty();
     }));
 }
 
-bool awaitLine(const Deployment &deployment, const std::string &event, const std::string &outcome)
+// Drains the first server, waits until it has released keys, and returns the lines of these releases.
+std::vector<std::string> releaseKeysOfFirst(Deployment &deployment)
 {
-    return Deployment::eventually([&] {
-        return countLines(deployment, event, outcome) > 0;
-    });
+    // A key that is asked for more often than others may have moved before.
+    const auto before = findLines(deployment, "keys-released", "accepted").size();
+    deployment.sharded(0).registerEntry("draining");
+    std::vector<std::string> lines;
+    CPPUNIT_ASSERT(Deployment::eventually([&] {
+        lines = findLines(deployment, "keys-released", "accepted");
+        return lines.size() > before;
+    }));
+    lines.erase(lines.begin(), lines.begin() + static_cast<std::ptrdiff_t>(before));
+    return lines;
 }
 
 // Checks all the time that the first server does not hold the key together with another one.
@@ -109,7 +119,6 @@
         }
     }
 
-    static constexpr std::uint32_t KeyCount = 65536;
     static constexpr std::uint32_t KeyStep = 4096;
     static constexpr std::size_t ShardedServerCount = 4;
 
@@ -182,17 +191,15 @@
     {
         Deployment deployment(1, DeploymentNetwork::Proxies);
         CPPUNIT_ASSERT(deployment.awaitServing());
-        CPPUNIT_ASSERT(countLines(deployment, "keys-granted", "accepted") == 1);
-        deployment.shardedProxy(0).holdOpenConnections(ProxyDirection::ToTarget);
-        CPPUNIT_ASSERT(awaitLine(deployment, "grant-failed", "unanswered"));
-        deployment.sharded(0).registerEntry("draining");
-        CPPUNIT_ASSERT(awaitLine(deployment, "keys-released", "accepted"));
+        CPPUNIT_ASSERT(findLines(deployment, "keys-granted", "accepted").size() == 1);
+        holdAGrantOfFirst(deployment);
+        const auto releases = releaseKeysOfFirst(deployment);
         for (const auto &line : deployment.linesContaining("\"event\":\"grant-failed\"")) {
             for (const char *field : {"sentBeforeMs", "\"newConnection\":false", "\"connection\":", "countedForMs"}) {
                 CPPUNIT_ASSERT_MESSAGE(line, line.find(field) != std::string::npos);
             }
         }
-        for (const auto &line : deployment.linesContaining("\"event\":\"keys-released\"")) {
+        for (const auto &line : releases) {
             for (const char *field : {"sentBeforeMs", "\"newConnection\":true", "\"unansweredGrants\":", "countedForMs"}) {
                 CPPUNIT_ASSERT_MESSAGE(line, line.find(field) != std::string::npos);
             }
@@ -205,11 +212,9 @@
     {
         Deployment deployment(1, DeploymentNetwork::Proxies);
         CPPUNIT_ASSERT(deployment.awaitServing());
-        const auto key = findKeyOfFirst(deployment);
-        deployment.shardedProxy(0).holdOpenConnections(ProxyDirection::ToTarget);
-        CPPUNIT_ASSERT(awaitLine(deployment, "grant-failed", "unanswered"));
-        deployment.sharded(0).registerEntry("draining");
-        CPPUNIT_ASSERT(awaitLine(deployment, "keys-released", "accepted"));
+        holdAGrantOfFirst(deployment);
+        const auto key = keyHeldBy(deployment, 0);
+        releaseKeysOfFirst(deployment);
         // The renewal arrives shortly before the time until which an unanswered one is counted.
         checkOneHolder(deployment, key, 3s);
         const auto grantsBefore = deployment.sharded(0).grantCount();
