--- a/StandIns/ScriptedResponder.cpp
+++ b/StandIns/ScriptedResponder.cpp
@@ -7,6 +7,8 @@
 
 // Long enough for an upload to fill the buffers of the connection.
 constexpr auto UploadCutDelay = std::chrono::milliseconds(30);
+// A client that neither connects nor goes on within this time has failed, and the test must not wait for it. In seconds.
+constexpr long MaxClientWait = 30;
 
 // Reads one byte; returns false at the end of the connection.
 bool receiveByte(Poco::Net::StreamSocket &socket, std::string &received)
@@ -55,9 +57,18 @@
 
 void ScriptedResponder::run()
 {
+    const Poco::Timespan maxWait(MaxClientWait, 0);
+    if (!listener_.poll(maxWait, Poco::Net::Socket::SELECT_READ)) {
+        return;
+    }
     auto socket = listener_.acceptConnection();
-    for (std::size_t i = 0; i < responses_.size(); ++i) {
-        respond(socket, responses_[i], i + 1 == responses_.size());
+    socket.setReceiveTimeout(maxWait);
+    try {
+        for (std::size_t i = 0; i < responses_.size(); ++i) {
+            respond(socket, responses_[i], i + 1 == responses_.size());
+        }
+    } catch (const Poco::Exception &) {
+        // The client has reset the connection or is silent.
     }
     if (end_ != ConnectionEnd::Orderly) {
         socket.setLinger(true, 0);
--- a/StandIns/ScriptedResponder.h
+++ b/StandIns/ScriptedResponder.h
@@ -23,7 +23,7 @@
 {
 public:
     ScriptedResponder(std::vector<std::string> responses, ConnectionEnd end = ConnectionEnd::Orderly);
-    // Waits until the connection has ended, so a client must have connected.
+    // Waits until the connection has ended, or has been silent for half a minute.
     ~ScriptedResponder();
     ScriptedResponder(const ScriptedResponder &) = delete;
     ScriptedResponder &operator=(const ScriptedResponder &) = delete;
