--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -15,7 +15,11 @@
 if [ "$status" -ne 0 ]; then
     cat "$log"
 fi
-# Failures listed in KNOWN-RED.txt are printed, not silently ignored.
+# The test in which a program was that did not end in time or crashed, since the last lines of a log are what is kept of it.
+grep -E '^ *[0-9]+/[0-9]+ Test +#[0-9]+: .*\*\*\*' "$log" | while read -r result; do
+    number=$(sed -E 's/^[^#]*#([0-9]+):.*$/\1/' <<<"$result")
+    echo "last line of $(sed -E 's/^[^#]*(#.*)$/\1/' <<<"$result"): $(grep -E "^$number: " "$log" | tail -1)"
+done
 grep -E 'MISSED|KNOWN-RED' "$log" || true
 passed=$(sed -nE 's/^.*: ([0-9]+) passed, [0-9]+ failed$/\1/p' "$log" | awk '{sum += $1} END {print sum + 0}')
 failed=$(sed -nE 's/^.*: [0-9]+ passed, ([0-9]+) failed$/\1/p' "$log" | awk '{sum += $1} END {print sum + 0}')
