review: Case 8, bookings that run behind a part of an earlier refusal

Targets send the beginning of an earlier refusal once more before a whole answer. The two are read as one refusal: bookings run twice (TWICE) or are told 503 and have run (REFUSED).

--- a/review/programs-2/Connections.cpp
+++ b/review/programs-2/Connections.cpp
@@ -48,6 +48,10 @@
             static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().shutdown();
             return;
         }
+        if (!reply.rawBytes_.empty()) {
+            static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().sendBytes(reply.rawBytes_.data(), static_cast<int>(reply.rawBytes_.size()));
+            return;
+        }
         response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status_));
         for (const auto &[name, value] : reply.headers_) {
             response.set(name, value);
--- a/review/programs-2/Connections.h
+++ b/review/programs-2/Connections.h
@@ -19,6 +19,8 @@
     int status_ = 200;
     std::map<std::string, std::string> headers_ = {};
     std::string body_ = {};
+    // Sent as they are in place of the answer, if there are any; the connection stays open.
+    std::string rawBytes_ = {};
 };
 
 // A request as a stand-in gets it.
