--- a/review/programs-2/Target.cpp
+++ b/review/programs-2/Target.cpp
@@ -77,6 +77,9 @@
     Json entry;
     {
         const std::lock_guard lock(mutex_);
+        if (hasLeft_) {
+            return;
+        }
         entry = {{"service", description_.service_},
                  {"address", listener_->address()},
                  {"zone", description_.zone_},
@@ -86,8 +89,16 @@
                  {"warmupLeftS", 0},
                  {"sequence", ++sequence_},
                  {"born", born_}};
+        store_.put("servers/" + description_.id_, entry.dump());
     }
-    store_.put("servers/" + description_.id_, entry.dump());
+}
+
+void Target::leave()
+{
+    const std::lock_guard lock(mutex_);
+    hasLeft_ = true;
+    store_.remove("servers/" + description_.id_);
+    record_.write("target " + description_.id_ + " leaves: its entry is removed, and it goes on serving");
 }
 
 void Target::runHeartbeat()
--- a/review/programs-2/Target.h
+++ b/review/programs-2/Target.h
@@ -58,8 +58,14 @@
     {
         return description_.id_;
     }
-    // Writes its entry now.
+    std::string address() const
+    {
+        return listener_->address();
+    }
+    // Writes its entry now, unless it has left.
     void beat();
+    // Has its entry removed and writes none any more. It goes on serving.
+    void leave();
 
 private:
     Reply handle(const Request &request);
@@ -78,6 +84,7 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     bool isStopping_ = false;
+    bool hasLeft_ = false;
     std::uint64_t sequence_ = 0;
     int running_ = 0;
     int waiting_ = 0;
