--- a/review/programs-2/EntryWithoutStart.cpp
+++ b/review/programs-2/EntryWithoutStart.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr std::size_t RouterCount = 3;
-constexpr std::size_t CallersOfEach = 2;
-constexpr Duration CallPause = 20ms;
+constexpr std::size_t CallersOfEach = 4;
+constexpr Duration CallPause = 10ms;
 constexpr Duration SettleTime = 3s;
 // From the removal of the target's entry to the entry of the other writer.
 constexpr Duration UntilEntry = 500ms;
--- a/review/programs-2/Record.cpp
+++ b/review/programs-2/Record.cpp
@@ -7,12 +7,6 @@
 
 namespace Review {
 
-namespace {
-
-constexpr std::size_t MaxBreaksInFull = 40;
-
-} // namespace
-
 Record::Record(const std::filesystem::path &folder)
     : file_(folder / "record.txt", std::ios::trunc)
     , startedAt_(Clock::now())
@@ -36,9 +30,7 @@
 {
     const std::lock_guard lock(mutex_);
     ++breaks_;
-    if (breaks_ <= MaxBreaksInFull) {
-        writeLocked("BREAK " + line);
-    }
+    writeLocked("BREAK " + line);
 }
 
 std::size_t Record::breakCount() const
--- a/review/programs-2/Record.h
+++ b/review/programs-2/Record.h
@@ -27,7 +27,7 @@
 
     // Writes a line with the time since the start of the case.
     void write(const std::string &line);
-    // Writes a line about what breaks the rule. Only the first ones are written in full.
+    // Writes a line about what breaks the rule.
     void writeBreak(const std::string &line);
     std::size_t breakCount() const;
     // Writes how the case has ended, and returns the exit status.
