review: Case 10, bookings at a target that drains after a drill of the store

The store comes back from a copy that is 8 s old. A target that reports 3.5 s later that it is draining gets bookings that were sent more than drainS after the acknowledgement (DRAIN). Processes of a case end with it.

--- a/review/programs-2/Router.cpp
+++ b/review/programs-2/Router.cpp
@@ -4,6 +4,7 @@
 #include "Caller.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -85,6 +86,8 @@
     const std::string variable = "GOLDCRESTWALL_NODE_FILE=" + settingsPath_.string();
     pid_ = ::fork();
     if (pid_ == 0) {
+        // The process must not outlive the case, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = ::open(logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
--- a/review/programs-2/Target.cpp
+++ b/review/programs-2/Target.cpp
@@ -85,7 +85,7 @@
                  {"zone", description_.zone_},
                  {"version", "v1"},
                  {"capacity", description_.slots_},
-                 {"state", "ready"},
+                 {"state", isDraining_ ? "draining" : "ready"},
                  {"warmupLeftS", 0},
                  {"sequence", ++sequence_},
                  {"born", born_}};
@@ -93,6 +93,16 @@
     }
 }
 
+void Target::drain()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        isDraining_ = true;
+    }
+    beat();
+    record_.write("the store acknowledges that target " + description_.id_ + " is draining");
+}
+
 void Target::leave()
 {
     const std::lock_guard lock(mutex_);
@@ -135,7 +145,8 @@
     }
     if (request.target_ == "/health") {
         const std::lock_guard lock(mutex_);
-        return {200, {{"Goldcrestwall-Instance-Id", description_.id_}, {"Goldcrestwall-Warmup-Ms", "0"}, {"Goldcrestwall-Server-Load", load()}}};
+        return {isDraining_ ? 503 : 200,
+                {{"Goldcrestwall-Instance-Id", description_.id_}, {"Goldcrestwall-Warmup-Ms", "0"}, {"Goldcrestwall-Server-Load", load()}}};
     }
     if (request.target_ == "/-/grant") {
         return grant(request.body_);
--- a/review/programs-2/Target.h
+++ b/review/programs-2/Target.h
@@ -64,6 +64,8 @@
     }
     // Writes its entry now, unless it has left.
     void beat();
+    // From now on its entry says that it is draining. It goes on serving.
+    void drain();
     // Has its entry removed and writes none any more. It goes on serving.
     void leave();
 
@@ -85,6 +87,7 @@
     std::condition_variable changed_;
     bool isStopping_ = false;
     bool hasLeft_ = false;
+    bool isDraining_ = false;
     std::uint64_t sequence_ = 0;
     int running_ = 0;
     int waiting_ = 0;
