--- a/review/programs-2/StoreDrillDraining.cpp
+++ b/review/programs-2/StoreDrillDraining.cpp
@@ -16,10 +16,10 @@
 constexpr Duration CallPause = 15ms;
 constexpr Duration SettleTime = 3s;
 // Between the copy and the moment at which the store goes away.
-constexpr Duration CopyAge = 8s;
+constexpr Duration CopyAge = 10s;
 constexpr Duration Absence = 800ms;
 // From the return of the store to the target's report. Longer than `contactS`.
-constexpr Duration UntilReport = 3500ms;
+constexpr Duration UntilReport = 3200ms;
 // `drainS`.
 constexpr Duration DrainBound = 2s;
 // How long the target goes on serving after its report.
@@ -142,5 +142,10 @@
         std::cerr << "usage: store-drill-draining FOLDER\n";
         return static_cast<int>(Verdict::NotRun);
     }
-    return Case(arguments[1]).run();
+    try {
+        return Case(arguments[1]).run();
+    } catch (const std::exception &error) {
+        std::cerr << "the case could not run: " << error.what() << '\n';
+        return static_cast<int>(Verdict::NotRun);
+    }
 }
--- a/review/programs-2/TruncatedRefusals.cpp
+++ b/review/programs-2/TruncatedRefusals.cpp
@@ -137,5 +137,10 @@
         std::cerr << "usage: truncated-refusals FOLDER\n";
         return static_cast<int>(Verdict::NotRun);
     }
-    return Case(arguments[1]).run();
+    try {
+        return Case(arguments[1]).run();
+    } catch (const std::exception &error) {
+        std::cerr << "the case could not run: " << error.what() << '\n';
+        return static_cast<int>(Verdict::NotRun);
+    }
 }
