--- a/Libraries/LibGateway/AnnouncementRecorder.cpp
+++ b/Libraries/LibGateway/AnnouncementRecorder.cpp
@@ -27,7 +27,7 @@
         metrics_.increment("goldcrestwall_limited_responses_total", {});
     }
     if (announcement.isLeaving_) {
-        notices_->recordLeaving(server, {LeavingReason::Announced, NoticeSource::Response, now, now, 0}, now);
+        notices_->recordLeaving(server, {LeavingReason::Announced, NoticeSource::Response, now, now, {}}, now);
     }
     if (announcement.retryAfter_) {
         notices_->holdBack(server, instance_, *announcement.retryAfter_, now);
--- a/Libraries/LibGateway/ChangePush.cpp
+++ b/Libraries/LibGateway/ChangePush.cpp
@@ -81,11 +81,11 @@
 
 std::optional<ViewChange> ChangePush::takeDue(const StoreView &view, TimePoint now)
 {
-    if (view.at() == pushedRevision_) {
+    if (view.at() == pushedVersion_) {
         return std::nullopt;
     }
-    auto change = pushedRevision_ == 0 ? std::nullopt : pushedPart(view.changeSince(pushedRevision_));
-    pushedRevision_ = view.at();
+    auto change = !pushedVersion_.exists() ? std::nullopt : pushedPart(view.changeSince(pushedVersion_));
+    pushedVersion_ = view.at();
     if (change) {
         remember(*change, now);
     }
@@ -94,12 +94,12 @@
 
 std::optional<ViewChange> ChangePush::receive(ViewChange change, StoreView &view, TimePoint now)
 {
-    const bool wasPushed = view.at() == pushedRevision_;
+    const bool wasPushed = view.at() == pushedVersion_;
     if (!view.apply(change, now)) {
         return std::nullopt;
     }
     if (wasPushed) {
-        pushedRevision_ = view.at();
+        pushedVersion_ = view.at();
     }
     auto passedOn = pushedPart(std::move(change));
     if (passedOn) {
@@ -116,17 +116,17 @@
     }
 }
 
-std::vector<ViewChange> ChangePush::takeMissing(Platform::Revision revision, Platform::Revision &sentRevision, TimePoint now)
+std::vector<ViewChange> ChangePush::takeMissing(StoreVersion version, StoreVersion &sentVersion, TimePoint now)
 {
     std::erase_if(recent_, [now](const Recent &recent) {
         return now - recent.at_ > MissingTimeLimit;
     });
     std::vector<ViewChange> missing;
-    const auto known = std::max(revision, sentRevision);
+    const auto known = std::max(version, sentVersion);
     for (const auto &recent : recent_) {
         if (recent.change_.to_ > known && now - recent.at_ >= MissingDelay) {
             missing.push_back(recent.change_);
-            sentRevision = std::max(sentRevision, recent.change_.to_);
+            sentVersion = std::max(sentVersion, recent.change_.to_);
         }
     }
     return missing;
--- a/Libraries/LibGateway/ChangePush.h
+++ b/Libraries/LibGateway/ChangePush.h
@@ -29,9 +29,9 @@
     std::optional<ViewChange> takeDue(const StoreView &view, TimePoint now);
     // Applies a change that a peer has pushed. Returns it, as far as it is to be passed on, if anything was new.
     std::optional<ViewChange> receive(ViewChange change, StoreView &view, TimePoint now);
-    // Late changes that an instance with a view at `revision`, which should know them by itself, has not shown to know. To be called with
-    // the revision up to which they have been sent to it, which is moved.
-    std::vector<ViewChange> takeMissing(Platform::Revision revision, Platform::Revision &sentRevision, TimePoint now);
+    // Late changes that an instance with a view at `version`, which should know them by itself, has not shown to know. To be called with
+    // the version up to which they have been sent to it, which is moved.
+    std::vector<ViewChange> takeMissing(StoreVersion version, StoreVersion &sentVersion, TimePoint now);
 
 private:
     struct Recent
@@ -42,8 +42,8 @@
 
     void remember(const ViewChange &change, TimePoint now);
 
-    // The revision of the view up to which changes have been pushed.
-    Platform::Revision pushedRevision_ = 0;
+    // The version of the view up to which changes have been pushed.
+    StoreVersion pushedVersion_;
     // The newest changes in the order in which they were pushed.
     std::deque<Recent> recent_;
 };
--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -67,14 +67,14 @@
     }
     for (const auto &service : coordinated) {
         if (!placement_.isCoordinating(service)) {
-            log_.write(LogLine("coordinating").add("service", service).add("storeRevision", view_.at()), LogImportance::State, now);
+            log_.write(LogLine("coordinating").add("service", service).add("storeVersion", view_.at()), LogImportance::State, now);
         }
     }
     std::erase_if(shards_, [&](const auto &entry) {
         if (coordinated.contains(entry.first)) {
             return false;
         }
-        log_.write(LogLine("coordination-ended").add("service", entry.first).add("storeRevision", view_.at()), LogImportance::State, now);
+        log_.write(LogLine("coordination-ended").add("service", entry.first).add("storeVersion", view_.at()), LogImportance::State, now);
         entry.second->stop();
         return true;
     });
@@ -104,7 +104,7 @@
     return grantsAllowedUntil(confirmedAt, claimsWithheldUntil(shards.standbys(), now));
 }
 
-TimePoint CoordinationManager::entryRenewedAt(const std::string &service, Platform::LeaseId lease)
+TimePoint CoordinationManager::entryRenewedAt(const std::string &service, StoreLeaseId lease)
 {
     auto &renewal = renewals_[service];
     if (renewal.lease_ != lease) {
@@ -122,7 +122,7 @@
     std::map<std::string, TimePoint> byInstance;
     for (const auto &link : network_.openLinks(now)) {
         // A peer that knows more of the store may have claimed the service, or know who has.
-        if (link->revision() <= view_.at()) {
+        if (link->version() <= view_.at()) {
             byInstance[link->instance()] = link->claimsWithheldUntil();
         }
     }
@@ -186,7 +186,7 @@
     // The previous coordinator claims first: it already has the state that a successor would have to rebuild.
     const auto rank = placement_.isCoordinating(service) ? 0 : 1 + ownClaimRank(service);
     if (now - vacant->second >= RankDelay * static_cast<Duration::rep>(rank)) {
-        startClaim(service, 0);
+        startClaim(service, {});
     }
 }
 
@@ -208,13 +208,13 @@
 {
     if (coordinator.isYielding_) {
         if (now - yieldedAt_.try_emplace(service, now).first->second >= TakeBackDelay) {
-            startClaim(service, coordinator.revision_);
+            startClaim(service, coordinator.version_);
         }
         return;
     }
     yieldedAt_.erase(service);
     const auto yielded = yielded_.find(service);
-    if (yielded != yielded_.end() && yielded->second == coordinator.revision_) {
+    if (yielded != yielded_.end() && yielded->second == coordinator.version_) {
         // The write that says so has not been seen yet.
         return;
     }
@@ -235,7 +235,7 @@
 
 void CoordinationManager::startYielding(const std::string &service, const CoordinatorEntry &coordinator)
 {
-    yielded_[service] = coordinator.revision_;
+    yielded_[service] = coordinator.version_;
     if (const auto shards = shards_.find(service); shards != shards_.end()) {
         shards->second->cancelCalls();
     }
@@ -246,11 +246,11 @@
 
 Task<void> CoordinationManager::yieldService(std::string service, CoordinatorEntry coordinator)
 {
-    const auto expectedRevision = coordinator.revision_;
+    const auto expectedVersion = coordinator.version_;
     coordinator.isYielding_ = true;
     RepeatedWrite write;
     for (;;) {
-        const auto outcome = co_await commitCoordinator(service, expectedRevision, coordinator);
+        const auto outcome = co_await commitCoordinator(service, expectedVersion, coordinator);
         log_.write(
             LogLine("coordination-yielded").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, bootNow());
         const auto state = write.record(outcome);
@@ -277,35 +277,35 @@
     }
     const auto better = betterSince_.try_emplace(service, now).first;
     if (coordinator.isYielding_ || now - better->second >= TakeoverDelay) {
-        startClaim(service, coordinator.revision_);
+        startClaim(service, coordinator.version_);
     }
 }
 
-void CoordinationManager::startClaim(const std::string &service, Platform::Revision expectedRevision)
+void CoordinationManager::startClaim(const std::string &service, StoreVersion expectedVersion)
 {
     if (!claiming_.insert(service).second) {
         return;
     }
-    spawn(loop_, log_, "claim", [this, service, expectedRevision] {
-        return claim(service, expectedRevision);
+    spawn(loop_, log_, "claim", [this, service, expectedVersion] {
+        return claim(service, expectedVersion);
     });
 }
 
-Task<Platform::StoreOutcome> CoordinationManager::commitCoordinator(std::string service, Platform::Revision expectedRevision, CoordinatorEntry coordinator)
+Task<Platform::StoreOutcome> CoordinationManager::commitCoordinator(std::string service, StoreVersion expectedVersion, CoordinatorEntry coordinator)
 {
     Platform::StoreWrite write;
-    write.conditions_.push_back({coordinatorKey(service), expectedRevision});
-    write.puts_.push_back({coordinatorKey(service), encodeCoordinator(coordinator), 0, coordinator.lease_});
+    write.conditions_.push_back({coordinatorKey(service), expectedVersion});
+    write.puts_.push_back({coordinatorKey(service), encodeCoordinator(coordinator), {}, coordinator.lease_});
     const auto commit = co_await store_.commit(std::move(write));
     co_return commit.outcome_;
 }
 
-Task<void> CoordinationManager::claim(std::string service, Platform::Revision expectedRevision)
+Task<void> CoordinationManager::claim(std::string service, StoreVersion expectedVersion)
 {
     // An entry of a granter is replaced only once it is yielding.
-    const bool hasPredecessorYielded = expectedRevision != 0;
-    const CoordinatorEntry coordinator{self_, storeLink_.lease(), false, hasPredecessorYielded, 0};
-    const auto outcome = co_await commitCoordinator(service, expectedRevision, coordinator);
+    const bool hasPredecessorYielded = expectedVersion.exists();
+    const CoordinatorEntry coordinator{self_, storeLink_.lease(), false, hasPredecessorYielded, {}};
+    const auto outcome = co_await commitCoordinator(service, expectedVersion, coordinator);
     log_.write(LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, bootNow());
     // The watch reports which instance won.
     co_await sleepFor(loop_, RankDelay);
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -32,7 +32,7 @@
     // The last renewal of the lease that a coordinator entry of this instance ends with.
     struct EntryRenewal
     {
-        Platform::LeaseId lease_ = 0;
+        StoreLeaseId lease_;
         TimePoint renewedAt_;
     };
 
@@ -41,7 +41,7 @@
     // Until when this instance may send grants of a service's keys; in the past if it may not.
     TimePoint grantsUntil(const std::string &service, const ShardService &shards, TimePoint now);
     // When the last renewal of the lease was sent that this instance's entry for a service ends with.
-    TimePoint entryRenewedAt(const std::string &service, Platform::LeaseId lease);
+    TimePoint entryRenewedAt(const std::string &service, StoreLeaseId lease);
     // Until when each instance withholds its claims; in the past if it does not or is not heard.
     std::vector<TimePoint> claimsWithheldUntil(const std::vector<std::string> &instances, TimePoint now) const;
     bool isSharded(const std::string &service) const;
@@ -57,10 +57,10 @@
     bool hasMuchBetterInstance(const std::string &service) const;
     void startYielding(const std::string &service, const CoordinatorEntry &coordinator);
     Task<void> yieldService(std::string service, CoordinatorEntry coordinator);
-    // Claims a service if its coordinator entry still has the revision; 0 if there must be none.
-    void startClaim(const std::string &service, Platform::Revision expectedRevision);
-    Task<void> claim(std::string service, Platform::Revision expectedRevision);
-    Task<Platform::StoreOutcome> commitCoordinator(std::string service, Platform::Revision expectedRevision, CoordinatorEntry coordinator);
+    // Claims a service if its coordinator entry still has the version; one that does not exist if there must be none.
+    void startClaim(const std::string &service, StoreVersion expectedVersion);
+    Task<void> claim(std::string service, StoreVersion expectedVersion);
+    Task<Platform::StoreOutcome> commitCoordinator(std::string service, StoreVersion expectedVersion, CoordinatorEntry coordinator);
     void checkSuspects(TimePoint now);
     Task<void> checkHealth(std::string service, ServerDescription server, std::string path);
 
@@ -84,8 +84,8 @@
     // Since when this instance has been much better suited to each service than its coordinator.
     std::map<std::string, TimePoint> betterSince_;
     std::set<std::string> claiming_;
-    // Services whose keys this instance no longer grants, so that another one can take over; with the revision of its coordinator entry.
-    std::map<std::string, Platform::Revision> yielded_;
+    // Services whose keys this instance no longer grants, so that another one can take over; with the version of its coordinator entry.
+    std::map<std::string, StoreVersion> yielded_;
     std::map<std::string, TimePoint> yieldedAt_;
     std::map<std::string, EntryRenewal> renewals_;
     std::map<std::string, TimePoint> healthCheckedAt_;
--- a/Libraries/LibGateway/EventLog.h
+++ b/Libraries/LibGateway/EventLog.h
@@ -37,6 +37,14 @@
         fields_[name] = value;
         return *this;
     }
+    LogLine &add(const char *name, const StoreVersion &version)
+    {
+        return add(name, version.toString());
+    }
+    LogLine &add(const char *name, const StoreLeaseId &lease)
+    {
+        return add(name, lease.toString());
+    }
     LogLine &addDuration(const char *name, Duration age)
     {
         return add(name, std::chrono::duration<double, std::milli>(age).count());
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -269,7 +269,7 @@
     }
     const bool isReadyNow = isReady(bootNow());
     if (isReadyNow && !hasBeenReady_) {
-        log_.write(LogLine("ready").add("configuration", configurationVersion_).add("storeRevision", view_.at()), LogImportance::State, bootNow());
+        log_.write(LogLine("ready").add("configuration", configurationVersion_).add("storeVersion", view_.at()), LogImportance::State, bootNow());
     }
     hasBeenReady_ = hasBeenReady_ || isReadyNow;
     return makeStatusResponse(isReadyNow ? 200 : 503, {});
@@ -284,7 +284,7 @@
         log_.write(LogLine("configuration-in-force")
                        .add("version", configuration->version_)
                        .add("routes", configuration->routes_.size())
-                       .add("storeRevision", view_.at())
+                       .add("storeVersion", view_.at())
                        .addDuration("viewAgeMs", observeChangeAge("configuration", now))
                        .addDuration("loopDelayMs", loopDelay_.delay(now)),
                    LogImportance::State,
@@ -313,13 +313,13 @@
     if (change.notice_) {
         line.add("reason", leavingReasonName(change.notice_->reason_))
             .add("from", noticeSourceName(change.notice_->source_))
-            .add("revision", change.notice_->revision_)
+            .add("leavingVersion", change.notice_->version_)
             .addDuration("bindsInMs", change.notice_->bindsFrom_ - now)
             .addDuration("viewAgeMs", observeChangeAge("leaving", now))
             .addDuration("loopDelayMs", loopDelay_.delay(now))
             .add("requestsThere", placement_.heldPlacementCount(change.server_.id_));
     }
-    log_.write(line.add("storeRevision", view_.at()), LogImportance::State, now);
+    log_.write(line.add("storeVersion", view_.at()), LogImportance::State, now);
 }
 
 void Gateway::reportLimitChange(const LimitChange &change, TimePoint now)
@@ -388,13 +388,13 @@
     const bool isRead = page.outcome_ == Platform::StoreOutcome::Done;
     log_.write(LogLine("configuration-fetched")
                    .add("outcome", Platform::storeOutcomeName(page.outcome_))
-                   .add("revision", page.at_)
+                   .add("storeVersion", page.at_)
                    .add("known", view_.at())
                    .addDuration("lateMs", lag)
                    .addDuration("tookMs", now - sentAt),
                LogImportance::State,
                now);
-    ViewChange change{0, page.at_, false, std::move(page.items_), {}};
+    ViewChange change{{}, page.at_, false, std::move(page.items_), {}};
     std::erase_if(change.items_, [](const Platform::StoreItem &item) {
         return item.key_ != Platform::ConfigurationKey;
     });
@@ -505,7 +505,7 @@
     metrics_.setGauge("goldcrestwall_server_connections_opened", {}, static_cast<double>(client_.connectionCount()));
     metrics_.setGauge("goldcrestwall_log_lines_left_out", {}, static_cast<double>(log_.droppedCount()));
     metrics_.setGauge("goldcrestwall_log_bytes", {}, static_cast<double>(log_.writtenBytes()));
-    metrics_.setGauge("goldcrestwall_store_revision", {}, static_cast<double>(view_.at()));
+    metrics_.setGauge("goldcrestwall_store_revision", {}, static_cast<double>(view_.at().revision_));
     metrics_.setGauge("goldcrestwall_configuration_version", {}, static_cast<double>(configurationVersion_));
     metrics_.setGauge("goldcrestwall_configuration_version_newest", {}, static_cast<double>(view_.newestConfigurationVersion()));
 }
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -192,7 +192,7 @@
 void PeerLink::recordPong(const PongMessage &pong)
 {
     isViewCurrent_ = pong.isViewCurrent_;
-    revision_ = pong.revision_;
+    version_ = pong.version();
     acceptsChanges_ = pong.acceptsChanges_;
     if (pong.pingSentAt_ != 0 && pong.viewAge_ >= 0) {
         // Counted from the sending of the ping, because the pong may have been delayed.
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -134,20 +134,20 @@
     {
         return acceptsChanges_;
     }
-    // The peer has said that its view, or a part of it, is at the revision.
-    void recordRevision(Platform::Revision revision)
+    // The peer has said that its view, or a part of it, is at the version.
+    void recordVersion(StoreVersion version)
     {
-        revision_ = std::max(revision_, revision);
+        version_ = std::max(version_, version);
     }
     // Whether the peer's view of the store was current, by its last pong.
     bool isViewCurrent() const
     {
         return isViewCurrent_;
     }
-    // The peer's store revision, by its last pong or pushed change.
-    Platform::Revision revision() const
+    // The peer's store version, by its last pong or pushed change.
+    StoreVersion version() const
     {
-        return revision_;
+        return version_;
     }
     // When the store last confirmed that the peer's view was complete, by this instance's clock.
     TimePoint confirmedAt() const
@@ -200,7 +200,7 @@
     bool wantsChanges_ = false;
     bool acceptsChanges_ = false;
     bool isViewCurrent_ = false;
-    Platform::Revision revision_ = 0;
+    StoreVersion version_;
     TimePoint confirmedAt_;
     TimePoint claimsWithheldUntil_;
 };
--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -139,10 +139,11 @@
 ViewUpdateMessage toMessage(ViewUpdate update)
 {
     ViewUpdateMessage message;
-    message.at_ = update.at_;
+    message.at_ = update.at_.revision_;
+    message.era_ = update.at_.era_;
     message.isSnapshot_ = update.isSnapshot_;
     for (auto &item : update.items_) {
-        message.items_.push_back({std::move(item.key_), std::move(item.value_), item.revision_});
+        message.items_.push_back({std::move(item.key_), std::move(item.value_), item.version_.revision_});
     }
     message.removedKeys_ = std::move(update.removedKeys_);
     return message;
@@ -151,10 +152,10 @@
 ViewUpdate toViewUpdate(ViewUpdateMessage message)
 {
     ViewUpdate update;
-    update.at_ = message.at_;
+    update.at_ = message.version();
     update.isSnapshot_ = message.isSnapshot_;
     for (auto &item : message.items_) {
-        update.items_.push_back({std::move(item.key_), std::move(item.value_), item.revision_, 0});
+        update.items_.push_back({std::move(item.key_), std::move(item.value_), {message.era_, item.revision_}, {}});
     }
     update.removedKeys_ = std::move(message.removedKeys_);
     return update;
@@ -163,14 +164,15 @@
 ViewChangeMessage toMessage(ViewChange change)
 {
     ViewChangeMessage message;
-    message.from_ = change.from_;
-    message.to_ = change.to_;
+    message.from_ = change.from_.revision_;
+    message.to_ = change.to_.revision_;
+    message.era_ = change.to_.era_;
     message.isComplete_ = change.isComplete_;
     for (auto &item : change.items_) {
-        message.items_.push_back({std::move(item.key_), std::move(item.value_), item.revision_});
+        message.items_.push_back({std::move(item.key_), std::move(item.value_), item.version_.revision_});
     }
     for (auto &removal : change.removals_) {
-        message.removals_.push_back({std::move(removal.key_), removal.revision_});
+        message.removals_.push_back({std::move(removal.key_), removal.version_.revision_});
     }
     return message;
 }
@@ -178,14 +180,14 @@
 ViewChange toViewChange(ViewChangeMessage message)
 {
     ViewChange change;
-    change.from_ = message.from_;
-    change.to_ = message.to_;
+    change.from_ = {message.era_, message.from_};
+    change.to_ = message.to();
     change.isComplete_ = message.isComplete_;
     for (auto &item : message.items_) {
-        change.items_.push_back({std::move(item.key_), std::move(item.value_), item.revision_, 0});
+        change.items_.push_back({std::move(item.key_), std::move(item.value_), {message.era_, item.revision_}, {}});
     }
     for (auto &removal : message.removals_) {
-        change.removals_.push_back({std::move(removal.key_), removal.revision_});
+        change.removals_.push_back({std::move(removal.key_), {message.era_, removal.revision_}});
     }
     return change;
 }
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -1,4 +1,5 @@
-// The messages between instances and their binary encoding.
+// The messages between instances and their binary encoding. Versions of the store are sent as a revision and, at the end of the message, its era: earlier
+// versions of the program leave the era out, so that it is the lowest, and ignore it.
 #pragma once
 
 #include <LibGateway/StoreView.h>
@@ -57,12 +58,18 @@
     std::string address_;
     // Which run of the server is meant.
     UnixMilliseconds startTime_ = 0;
-    // The revision of the coordinator's view.
-    Platform::Revision revision_ = 0;
+    // The version of the coordinator's view.
+    std::uint64_t revision_ = 0;
     // A LimitKnowledge.
     std::uint8_t limitKnowledge_ = 0;
+    StoreEra era_ = 0;
 
-    MSGPACK_DEFINE(service_, number_, server_, address_, startTime_, revision_, limitKnowledge_)
+    StoreVersion version() const
+    {
+        return {era_, revision_};
+    }
+
+    MSGPACK_DEFINE(service_, number_, server_, address_, startTime_, revision_, limitKnowledge_, era_)
 };
 
 struct RejectionMessage
@@ -144,12 +151,18 @@
 {
     // The sender's boot clock in microseconds.
     std::int64_t sentAt_ = 0;
-    // The revision of the sender's view; 0 from earlier versions.
-    Platform::Revision revision_ = 0;
+    // The version of the sender's view; no version from earlier versions of the program.
+    std::uint64_t revision_ = 0;
     // Whether the receiver is to push changes of its view on this connection. Earlier versions neither ask for that nor hear of it.
     bool wantsChanges_ = false;
+    StoreEra era_ = 0;
+
+    StoreVersion version() const
+    {
+        return {era_, revision_};
+    }
 
-    MSGPACK_DEFINE(sentAt_, revision_, wantsChanges_)
+    MSGPACK_DEFINE(sentAt_, revision_, wantsChanges_, era_)
 };
 
 // One run of a server that is leaving.
@@ -164,7 +177,7 @@
 // State of the sender's view of the store. Sent in reply to a ping, and unsolicited when the view has changed.
 struct PongMessage
 {
-    Platform::Revision revision_ = 0;
+    std::uint64_t revision_ = 0;
     // Whether the sender's view is current.
     bool isViewCurrent_ = false;
     // The ping's `sentAt_`; 0 if unsolicited.
@@ -180,42 +193,68 @@
     // Whether the sender understands ViewChangeMessage.
     bool acceptsChanges_ = false;
     // The store's revision at the last change of the configuration that the sender knows of; 0 if it knows none.
-    Platform::Revision configurationRevision_ = 0;
-
-    MSGPACK_DEFINE(revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_, sentAt_, acceptsChanges_, configurationRevision_)
+    std::uint64_t configurationRevision_ = 0;
+    // The era of the sender's view, and so of both revisions.
+    StoreEra era_ = 0;
+
+    StoreVersion version() const
+    {
+        return {era_, revision_};
+    }
+    StoreVersion configurationStoreVersion() const
+    {
+        return {era_, configurationRevision_};
+    }
+
+    MSGPACK_DEFINE(
+        revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_, sentAt_, acceptsChanges_, configurationRevision_, era_)
 };
 
-// Requests the changes of the store's content since a revision.
+// Requests the changes of the store's content since a version.
 struct ViewRequestMessage
 {
-    Platform::Revision revision_ = 0;
+    std::uint64_t revision_ = 0;
+    StoreEra era_ = 0;
 
-    MSGPACK_DEFINE(revision_)
+    StoreVersion version() const
+    {
+        return {era_, revision_};
+    }
+
+    MSGPACK_DEFINE(revision_, era_)
 };
 
+// An item of the view. Its revision is one of the message's era.
 struct ViewItem
 {
     std::string key_;
     std::string value_;
-    Platform::Revision revision_ = 0;
+    std::uint64_t revision_ = 0;
 
     MSGPACK_DEFINE(key_, value_, revision_)
 };
 
 struct ViewUpdateMessage
 {
-    Platform::Revision at_ = 0;
+    std::uint64_t at_ = 0;
     bool isSnapshot_ = false;
     std::vector<ViewItem> items_;
     std::vector<std::string> removedKeys_;
+    StoreEra era_ = 0;
+
+    StoreVersion version() const
+    {
+        return {era_, at_};
+    }
 
-    MSGPACK_DEFINE(at_, isSnapshot_, items_, removedKeys_)
+    MSGPACK_DEFINE(at_, isSnapshot_, items_, removedKeys_, era_)
 };
 
+// A removal from the view. Its revision is one of the message's era.
 struct RemovedItem
 {
     std::string key_;
-    Platform::Revision revision_ = 0;
+    std::uint64_t revision_ = 0;
 
     MSGPACK_DEFINE(key_, revision_)
 };
@@ -224,13 +263,20 @@
 // only to instances that have said that they want or accept changes.
 struct ViewChangeMessage
 {
-    Platform::Revision from_ = 0;
-    Platform::Revision to_ = 0;
+    std::uint64_t from_ = 0;
+    std::uint64_t to_ = 0;
     bool isComplete_ = false;
     std::vector<ViewItem> items_;
     std::vector<RemovedItem> removals_;
+    // The era of all revisions of the message.
+    StoreEra era_ = 0;
+
+    StoreVersion to() const
+    {
+        return {era_, to_};
+    }
 
-    MSGPACK_DEFINE(from_, to_, isComplete_, items_, removals_)
+    MSGPACK_DEFINE(from_, to_, isComplete_, items_, removals_, era_)
 };
 
 // The sender does not coordinate the service of the request.
--- a/Libraries/LibGateway/PeerNetwork.cpp
+++ b/Libraries/LibGateway/PeerNetwork.cpp
@@ -160,7 +160,7 @@
 void PeerNetwork::ping(const std::string &address, Outgoing &outgoing, TimePoint now) const
 {
     outgoing.pingedAt_ = now;
-    outgoing.link_->send(PingMessage{now.time_since_epoch().count(), revision_, changeSources_.contains(address)});
+    outgoing.link_->send(PingMessage{now.time_since_epoch().count(), version_.revision_, changeSources_.contains(address), version_.era_});
 }
 
 void PeerNetwork::setChangeSources(std::set<std::string> addresses, TimePoint now)
--- a/Libraries/LibGateway/PeerNetwork.h
+++ b/Libraries/LibGateway/PeerNetwork.h
@@ -45,10 +45,10 @@
 
     // Sets the addresses to be connected to. Outgoing connections to other addresses are closed.
     void setRequiredAddresses(std::set<std::string> addresses, TimePoint now);
-    // Sets the revision of the own view, which pings state.
-    void setRevision(Platform::Revision revision)
+    // Sets the version of the own view, which pings state.
+    void setVersion(StoreVersion version)
     {
-        revision_ = revision;
+        version_ = version;
     }
     // Asks the instances at these addresses, as far as connected, to push changes of their views, and no others.
     void setChangeSources(std::set<std::string> addresses, TimePoint now);
@@ -98,7 +98,7 @@
 
     asio::io_context &loop_;
     HelloMessage self_;
-    Platform::Revision revision_ = 0;
+    StoreVersion version_;
     EventLog &log_;
     Handlers handlers_;
     PeerLimits limits_;
--- a/Libraries/LibGateway/PlacementMessages.cpp
+++ b/Libraries/LibGateway/PlacementMessages.cpp
@@ -55,7 +55,7 @@
 {
     const ServerIncarnation server{message.server_, message.startTime_};
     if (message.isServerLeaving_) {
-        notices_->recordLeaving(server, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
+        notices_->recordLeaving(server, {LeavingReason::Announced, NoticeSource::Peer, now, now, {}}, now);
     }
     notices_->holdBack(server, instance, Duration(message.heldBackFor_), now);
 }
@@ -107,7 +107,7 @@
     result.server_ = message.server_;
     result.address_ = message.address_;
     result.startTime_ = message.startTime_;
-    result.revision_ = message.revision_;
+    result.version_ = message.version();
     result.limit_ = toLimitKnowledge(message.limitKnowledge_);
     result.coordinator_ = link;
     result.source_ = PlacementSource::RemoteCoordinator;
--- a/Libraries/LibGateway/PlacementResult.h
+++ b/Libraries/LibGateway/PlacementResult.h
@@ -36,8 +36,8 @@
     std::string address_;
     // Which run of the server is meant.
     UnixMilliseconds startTime_ = 0;
-    // The revision of the view by which the server was chosen.
-    Platform::Revision revision_ = 0;
+    // The version of the view by which the server was chosen.
+    StoreVersion version_;
     LimitKnowledge limit_ = LimitKnowledge::None;
     // The connection to the coordinator that chose the server, if that is another instance.
     std::weak_ptr<PeerLink> coordinator_;
--- a/Libraries/LibGateway/PlacementService.cpp
+++ b/Libraries/LibGateway/PlacementService.cpp
@@ -353,7 +353,7 @@
         result.server_ = placed.server_;
         result.address_ = address;
         result.startTime_ = startTime;
-        result.revision_ = view_.at();
+        result.version_ = view_.at();
         result.limit_ = placed.limit_;
         result.source_ = isCoordinating(state.pool_->service().name_) ? PlacementSource::Coordinator : PlacementSource::Local;
         if (!pending_.contains(placed.id_.number_)) {
@@ -365,8 +365,15 @@
     const auto requester = state.requesters_.find(placed.id_.instance_);
     const auto link = requester == state.requesters_.end() ? nullptr : requester->second.lock();
     if (link) {
-        link->send(PlacementMessage{
-            state.pool_->service().name_, placed.id_.number_, placed.server_, address, startTime, view_.at(), static_cast<std::uint8_t>(placed.limit_)});
+        const auto version = view_.at();
+        link->send(PlacementMessage{state.pool_->service().name_,
+                                    placed.id_.number_,
+                                    placed.server_,
+                                    address,
+                                    startTime,
+                                    version.revision_,
+                                    static_cast<std::uint8_t>(placed.limit_),
+                                    version.era_});
     } else {
         state.pool_->finish(placed.id_, PlacementReport(), now);
     }
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -268,7 +268,7 @@
     const bool isEvacuated = server != nullptr && view_.evacuatedDomains().contains(server->domain_);
     const auto decision = announcements_.decide(place.server(), isEvacuated, now);
     // An instance that has started after the server's entry was removed has no sign of it, but a view in which the entry is missing.
-    const bool isNewerView = place.revision_ != 0 && place.revision_ <= view_.at();
+    const bool isNewerView = place.version_.exists() && place.version_ <= view_.at();
     if (decision.isAllowed() && server == nullptr && isNewerView) {
         return {SendVerdict::Leaving, LeavingNotice{LeavingReason::Removed, NoticeSource::Read, now, now, view_.at()}, {}};
     }
--- a/Libraries/LibGateway/RequestReport.cpp
+++ b/Libraries/LibGateway/RequestReport.cpp
@@ -23,7 +23,7 @@
     if (progress.configuration_) {
         line.add("configuration", progress.configuration_->version_).addDuration("viewAgeMs", progress.viewAge_);
     }
-    line.add("storeRevision", view_.at()).addDuration("tookMs", now - progress.arrivedAt_);
+    line.add("storeVersion", view_.at()).addDuration("tookMs", now - progress.arrivedAt_);
     if (progress.headers_.key_) {
         line.add("key", *progress.headers_.key_);
     }
@@ -43,10 +43,10 @@
     LogLine line("request-withheld");
     line.add("request", progress.headers_.requestId_).add("server", place.server_).add("incarnation", place.startTime_);
     line.add("verdict", sendVerdictName(decision.verdict_)).add("placedBy", placementSourceName(place.source_));
-    line.add("placedAtRevision", place.revision_).add("storeRevision", view_.at()).addDuration("attemptMs", attempt);
+    line.add("placedAtVersion", place.version_).add("storeVersion", view_.at()).addDuration("attemptMs", attempt);
     if (decision.notice_) {
         line.add("reason", leavingReasonName(decision.notice_->reason_)).add("from", noticeSourceName(decision.notice_->source_));
-        line.add("leavingRevision", decision.notice_->revision_).addDuration("knownForMs", now - decision.notice_->learntAt_);
+        line.add("leavingVersion", decision.notice_->version_).addDuration("knownForMs", now - decision.notice_->learntAt_);
     }
     log_.write(line, LogImportance::Kept, now);
 }
@@ -76,8 +76,8 @@
                    .add("server", place.server_)
                    .add("reason", leavingReasonName(notice.reason_))
                    .addDuration("sentBeforeKnownMs", notice.bindsFrom_ - sentAt)
-                   .add("placedAtRevision", place.revision_)
-                   .add("storeRevision", view_.at())
+                   .add("placedAtVersion", place.version_)
+                   .add("storeVersion", view_.at())
                    .add("placedBy", placementSourceName(place.source_)),
                LogImportance::Kept,
                now);
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -116,7 +116,7 @@
     granter_.emplace(timings_, stored, now, stopAt);
     log_.write(LogLine("granter-started")
                    .add("service", service_)
-                   .add("assignmentRevision", storedRevision_)
+                   .add("assignmentVersion", storedVersion_)
                    .add("predecessor", predecessor.instance_)
                    .add("predecessorYielded", hasYielded)
                    .addDuration("earlierStopInMs", stopAt - now),
@@ -126,16 +126,16 @@
 
 void ShardService::adoptAssignment(const CoordinatorEntry &coordinator, TimePoint now)
 {
-    if (isWriting_ || isReloading_ || (granter_ && coordinator.revision_ == coordinatorRevision_)) {
+    if (isWriting_ || isReloading_ || (granter_ && coordinator.version_ == coordinatorVersion_)) {
         return;
     }
-    coordinatorRevision_ = coordinator.revision_;
+    coordinatorVersion_ = coordinator.version_;
     const auto *entry = view_.assignment(service_);
-    const auto revision = entry == nullptr ? 0 : entry->revision_;
+    const auto version = entry == nullptr ? StoreVersion() : entry->version_;
     // Only the instance that wrote the stored assignment can have granted since, with or without an entry in between.
-    const bool isOwnAssignment = entry != nullptr && entry->assignment_.granter_.instance_ == instance_ && revision == storedRevision_;
+    const bool isOwnAssignment = entry != nullptr && entry->assignment_.granter_.instance_ == instance_ && version == storedVersion_;
     if (!granter_ || !isOwnAssignment) {
-        storedRevision_ = revision;
+        storedVersion_ = version;
         create(entry == nullptr ? std::nullopt : std::make_optional(entry->assignment_), entry == nullptr ? now : entry->seenAt_, now);
     }
 }
@@ -163,7 +163,7 @@
     const auto *stored = view_.assignment(service_);
     const bool isLast = isLastGranter(instance_, stored == nullptr ? nullptr : &stored->assignment_);
     const bool isInDoubt = isWriting_ || isReloading_;
-    const bool isAdopted = coordinator == nullptr || coordinator->revision_ == coordinatorRevision_ || (isInDoubt && isLast);
+    const bool isAdopted = coordinator == nullptr || coordinator->version_ == coordinatorVersion_ || (isInDoubt && isLast);
     if (!granter_ || !isAdopted) {
         return;
     }
@@ -192,9 +192,8 @@
     if (isGranting != isGranting_) {
         isGranting_ = isGranting;
         const char *event = isGranting ? "granting" : "granting-ended";
-        log_.write(LogLine(event).add("service", service_).add("coordinatorRevision", coordinatorRevision_).add("storeRevision", view_.at()),
-                   LogImportance::State,
-                   now);
+        log_.write(
+            LogLine(event).add("service", service_).add("coordinatorVersion", coordinatorVersion_).add("storeVersion", view_.at()), LogImportance::State, now);
     }
 }
 
@@ -226,15 +225,15 @@
 Task<void> ShardService::writeAssignment(ShardAssignment assignment)
 {
     Platform::StoreWrite write;
-    write.conditions_.push_back({assignmentKey(service_), storedRevision_});
-    write.conditions_.push_back({coordinatorKey(service_), coordinatorRevision_});
-    write.puts_.push_back({assignmentKey(service_), encodeAssignment(assignment), 0, 0});
+    write.conditions_.push_back({assignmentKey(service_), storedVersion_});
+    write.conditions_.push_back({coordinatorKey(service_), coordinatorVersion_});
+    write.puts_.push_back({assignmentKey(service_), encodeAssignment(assignment), {}, {}});
     const auto commit = co_await store_.commit(std::move(write));
     const TimePoint now = bootNow();
     log_.write(LogLine("assignment-written")
                    .add("service", service_)
                    .add("outcome", Platform::storeOutcomeName(commit.outcome_))
-                   .add("revision", commit.revision_)
+                   .add("assignmentVersion", commit.version_)
                    .add("ranges", assignment.ranges_.size()),
                LogImportance::State,
                now);
@@ -243,7 +242,7 @@
         co_return;
     }
     if (commit.outcome_ == StoreOutcome::Done) {
-        recordWritten(std::move(assignment), commit.revision_, now);
+        recordWritten(std::move(assignment), commit.version_, now);
         co_return;
     }
     const bool isCertain = commit.outcome_ == StoreOutcome::Refused || commit.outcome_ == StoreOutcome::Unreachable;
@@ -252,9 +251,9 @@
     }
 }
 
-void ShardService::recordWritten(ShardAssignment assignment, Platform::Revision revision, TimePoint now)
+void ShardService::recordWritten(ShardAssignment assignment, StoreVersion version, TimePoint now)
 {
-    storedRevision_ = revision;
+    storedVersion_ = version;
     unconfirmedStandbys_.clear();
     granter_->recordStored(std::move(assignment), now);
     run(grantsUntil_, false, now);
@@ -279,17 +278,17 @@
         }
         const TimePoint now = bootNow();
         const auto item = std::ranges::find(page.items_, assignmentKey(service_), &Platform::StoreItem::key_);
-        const auto revision = item == page.items_.end() ? 0 : item->revision_;
+        const auto version = item == page.items_.end() ? StoreVersion() : item->version_;
         isReloading_ = false;
-        if (revision == storedRevision_) {
+        if (version == storedVersion_) {
             // Nobody else can have granted since, and the write has no effect yet.
             co_return;
         }
         if (item != page.items_.end() && item->value_ == encodeAssignment(written)) {
-            recordWritten(std::move(written), revision, now);
+            recordWritten(std::move(written), version, now);
             co_return;
         }
-        storedRevision_ = revision;
+        storedVersion_ = version;
         unconfirmedStandbys_.clear();
         create(item == page.items_.end() ? std::nullopt : decodeAssignment(item->value_), now, now);
         co_return;
--- a/Libraries/LibGateway/ShardService.h
+++ b/Libraries/LibGateway/ShardService.h
@@ -43,7 +43,7 @@
     void logGrant(const GrantCall &call, ShardCallOutcome outcome, const ExchangeResult &result, const GrantEffect &effect, TimePoint sentAt, TimePoint now);
     Task<void> sendRelease(ReleaseCall call);
     // Records that the assignment that this instance wrote is stored.
-    void recordWritten(ShardAssignment assignment, Platform::Revision revision, TimePoint now);
+    void recordWritten(ShardAssignment assignment, StoreVersion version, TimePoint now);
     // Finds out whether the assignment, whose write is in doubt, is stored.
     Task<void> reload(ShardAssignment written);
     // Starts the granter anew from the assignment in the store, if there is one.
@@ -68,10 +68,10 @@
     EventLog &log_;
     std::optional<ShardGranter> granter_;
     // The coordinator entry as whose owner this instance granted last.
-    Platform::Revision coordinatorRevision_ = 0;
+    StoreVersion coordinatorVersion_;
     // Named by an assignment whose write has not been confirmed.
     std::vector<std::string> unconfirmedStandbys_;
-    Platform::Revision storedRevision_ = 0;
+    StoreVersion storedVersion_;
     bool isWriting_ = false;
     bool isReloading_ = false;
     bool isStopped_ = false;
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -24,7 +24,7 @@
 // Relayed changes replace an own watch while a peer has confirmed the view within this time. Even if all peers stop, a change takes effect
 // within this time plus one complete read.
 constexpr Duration RelayTimeout = MaxViewAge;
-// How often it is looked at whether the watch is stale, or the store is to be asked for its revision.
+// How often it is looked at whether the watch is stale, or the store is to be asked for its version.
 constexpr Duration SupervisionInterval = 50ms;
 constexpr Duration MinBackoff = 60ms;
 constexpr Duration MaxBackoff = 700ms;
@@ -50,8 +50,8 @@
     spawnSupervised(loop_, log_, "watch", [this] {
         return watch();
     });
-    spawnSupervised(loop_, log_, "revision", [this] {
-        return checkRevision();
+    spawnSupervised(loop_, log_, "position", [this] {
+        return checkPosition();
     });
     spawnSupervised(loop_, log_, "watch-supervision", [this] {
         return superviseWatch();
@@ -193,8 +193,8 @@
             continue;
         }
         if (changes.outcome_ == StoreOutcome::Interrupted && !isWatchStale_) {
-            // Its connection may be dead. If the next watch misses a change, the store's revision will show it.
-            log_.write(LogLine("store-watch-renewed").add("revision", view_.at()).addDuration("waitedMs", now - watchSentAt_), LogImportance::State, now);
+            // Its connection may be dead. If the next watch misses a change, the store's version will show it.
+            log_.write(LogLine("store-watch-renewed").add("storeVersion", view_.at()).addDuration("waitedMs", now - watchSentAt_), LogImportance::State, now);
             continue;
         }
         // An interrupted watch may have missed changes, and a new watch may not report them either if the store is discarding its history.
@@ -203,15 +203,15 @@
         if (isWatchStale_) {
             isWatchStale_ = false;
             log_.write(LogLine("store-watch-outdated")
-                           .add("revision", view_.at())
-                           .add("expected", freshness_.expectedRevision())
+                           .add("storeVersion", view_.at())
+                           .add("expected", freshness_.expectedVersion())
                            .addDuration("waitedMs", now - watchSentAt_),
                        LogImportance::State,
                        now);
             continue;
         }
         if (changes.outcome_ == StoreOutcome::HistoryCompacted) {
-            log_.write(LogLine("store-history-gone").add("revision", view_.at()), LogImportance::State, now);
+            log_.write(LogLine("store-history-gone").add("storeVersion", view_.at()), LogImportance::State, now);
             if (now - readAt_ >= MaxBackoff) {
                 vainReads = 0;
             } else {
@@ -238,7 +238,7 @@
     }
 }
 
-Task<void> StoreLink::checkRevision()
+Task<void> StoreLink::checkPosition()
 {
     std::uint32_t failures = 0;
     TimePoint askedAt;
@@ -248,7 +248,7 @@
             co_await sleepFor(loop_, SupervisionInterval);
             continue;
         }
-        const auto answer = co_await store_.readRevision();
+        const auto answer = co_await store_.readPosition();
         const TimePoint now = bootNow();
         if (answer.outcome_ == StoreOutcome::Done) {
             failures = 0;
@@ -258,7 +258,7 @@
             freshness_.expect(answer.at_, view_.at(), now);
             continue;
         }
-        recordFailure("revision", answer.outcome_, sentAt, now);
+        recordFailure("position", answer.outcome_, sentAt, now);
         co_await awaitRetry(backoff(failures++));
     }
 }
@@ -267,19 +267,19 @@
 {
     if (!isFollowing_) {
         isFollowing_ = true;
-        log_.write(LogLine("store-watch-left-to-others").add("revision", view_.at()), LogImportance::State, bootNow());
+        log_.write(LogLine("store-watch-left-to-others").add("storeVersion", view_.at()), LogImportance::State, bootNow());
     }
     const TimePoint now = bootNow();
     co_await sleepFor(loop_, relayedAt_ + RelayTimeout - now);
     if (!mayFollow(bootNow())) {
         log_.write(
-            LogLine("store-watch-resumed").add("revision", view_.at()).addDuration("viewAgeMs", bootNow() - relayedAt_), LogImportance::State, bootNow());
+            LogLine("store-watch-resumed").add("storeVersion", view_.at()).addDuration("viewAgeMs", bootNow() - relayedAt_), LogImportance::State, bootNow());
     }
 }
 
-void StoreLink::expectRevision(Platform::Revision revision, TimePoint now)
+void StoreLink::expectVersion(StoreVersion version, TimePoint now)
 {
-    freshness_.expect(revision, view_.at(), now);
+    freshness_.expect(version, view_.at(), now);
 }
 
 Task<void> StoreLink::superviseWatch()
@@ -304,7 +304,7 @@
     std::vector<Platform::StoreItem> items;
     // Memory of all pages until they are in the view.
     std::vector<std::shared_ptr<MemoryReservation>> memory;
-    Platform::Revision at = 0;
+    StoreVersion at;
     std::string after;
     const TimePoint sentAt = bootNow();
     for (bool hasMore = true; hasMore;) {
@@ -314,8 +314,8 @@
             recordFailure("range", page.outcome_, pageSentAt, bootNow());
             co_return false;
         }
-        // Pages are read at different revisions. The watch starts at the first page's revision and reports later changes again.
-        at = at == 0 ? page.at_ : at;
+        // Pages are read at different versions. The watch starts at the first page's version and reports later changes again.
+        at = at.exists() ? at : page.at_;
         hasMore = page.hasMore_ && !page.items_.empty();
         after = page.items_.empty() ? std::string() : page.items_.back().key_;
         std::move(page.items_.begin(), page.items_.end(), std::back_inserter(items));
@@ -327,8 +327,9 @@
     const auto lateItems = view_.lateItemCount();
     view_.replace(items, at, now);
     readAt_ = sentAt;
-    log_.write(
-        LogLine("store-loaded").add("revision", at).add("items", items.size()).add("lateItems", view_.lateItemCount() - lateItems), LogImportance::State, now);
+    log_.write(LogLine("store-loaded").add("storeVersion", at).add("items", items.size()).add("lateItems", view_.lateItemCount() - lateItems),
+               LogImportance::State,
+               now);
     handlers_.changed_();
     freshness_.recordProof(at, sentAt, view_.at());
     co_return true;
@@ -381,7 +382,7 @@
         co_return false;
     }
     Platform::StoreWrite write;
-    write.puts_.push_back({memberKey(self_.name_), encodeMember(self_), 0, lease.id_});
+    write.puts_.push_back({memberKey(self_.name_), encodeMember(self_), {}, lease.id_});
     const auto commit = co_await store_.commit(std::move(write));
     const TimePoint now = bootNow();
     if (commit.outcome_ != StoreOutcome::Done) {
@@ -393,7 +394,7 @@
     leaseValidUntil_ = sentAt + lease.lifetime_;
     renewedAt_ = sentAt;
     isRegistered_ = true;
-    log_.write(LogLine("lease-granted").add("lease", lease_).add("revision", commit.revision_), LogImportance::State, now);
+    log_.write(LogLine("lease-granted").add("lease", lease_).add("storeVersion", commit.version_), LogImportance::State, now);
     co_return true;
 }
 
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -9,7 +9,7 @@
 
 namespace Goldcrestwall::Gateway {
 
-// Watches the store, renews this instance's lease and writes its member entry. A watch may be silent for long, so the store is also asked for its revision
+// Watches the store, renews this instance's lease and writes its member entry. A watch may be silent for long, so the store is also asked for its version
 // while this instance watches it: that confirms the view, and shows a change that the watch has not reported. While another instance of the failure domain
 // watches the store and relays its changes, this instance does not watch, so that store calls do not grow with the number of instances.
 class StoreLink
@@ -59,7 +59,7 @@
     // Whether this instance's lease has certainly not expired.
     bool isLeaseValid(TimePoint now) const;
     // The present lease, or the last one if it has ended.
-    Platform::LeaseId lease() const
+    StoreLeaseId lease() const
     {
         return lease_;
     }
@@ -80,12 +80,12 @@
     {
         return claimsWithheldUntil_;
     }
-    // A peer knows this revision: if the watch does not report it soon, the watch is stale.
-    void expectRevision(Platform::Revision revision, TimePoint now);
-    // The highest revision that the store or a peer is known to have, unless the view has reached it; 0 if there is none.
-    Platform::Revision expectedRevision() const
+    // A peer knows this version: if the watch does not report it soon, the watch is stale.
+    void expectVersion(StoreVersion version, TimePoint now);
+    // The highest version that the store or a peer is known to have, unless the view has reached it; 0 if there is none.
+    StoreVersion expectedVersion() const
     {
-        return freshness_.expectedRevision() > view_.at() ? freshness_.expectedRevision() : 0;
+        return freshness_.expectedVersion() > view_.at() ? freshness_.expectedVersion() : StoreVersion();
     }
     // The store can be reached again, by what a peer says: retries at once what has failed.
     void retryNow();
@@ -97,8 +97,8 @@
     Task<bool> load();
     // Applies the changes that a watch has reported.
     Task<void> applyChanges(Platform::StoreChanges changes, TimePoint sentAt);
-    // Asks the store for its revision while this instance watches it.
-    Task<void> checkRevision();
+    // Asks the store for its version while this instance watches it.
+    Task<void> checkPosition();
     Task<void> superviseWatch();
     // Cancels the watch if it is stale.
     void checkWatch(TimePoint now);
@@ -137,7 +137,7 @@
     bool isRegistered_ = false;
     TimePoint contactAt_;
     TimePoint failingSince_;
-    Platform::LeaseId lease_ = 0;
+    StoreLeaseId lease_;
     TimePoint leaseValidUntil_;
     TimePoint renewedAt_;
     TimePoint readAt_;
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -7,7 +7,6 @@
 
 namespace Goldcrestwall::Gateway {
 
-using Platform::Revision;
 using Platform::StoreItem;
 using Json = nlohmann::json;
 
@@ -52,7 +51,7 @@
     }
 }
 
-std::optional<CoordinatorEntry> decodeCoordinator(const std::string &text, Revision revision)
+std::optional<CoordinatorEntry> decodeCoordinator(const std::string &text, StoreVersion version)
 {
     try {
         const auto document = Json::parse(text);
@@ -61,8 +60,8 @@
             return std::nullopt;
         }
         // Earlier versions write only the member. They may coordinate, but this version never grants keys on such an entry.
-        CoordinatorEntry coordinator{*member, 0, false, false, revision};
-        coordinator.lease_ = document.value("lease", coordinator.lease_);
+        CoordinatorEntry coordinator{*member, {}, false, false, version};
+        coordinator.lease_.number_ = document.value("lease", coordinator.lease_.number_);
         coordinator.isYielding_ = document.value("yielding", false);
         coordinator.hasPredecessorYielded_ = document.value("predecessorYielded", false);
         return coordinator;
@@ -110,18 +109,18 @@
 std::string encodeCoordinator(const CoordinatorEntry &coordinator)
 {
     auto document = memberDocument(coordinator.member_);
-    document["lease"] = coordinator.lease_;
+    document["lease"] = coordinator.lease_.number_;
     document["yielding"] = coordinator.isYielding_;
     document["predecessorYielded"] = coordinator.hasPredecessorYielded_;
     return document.dump();
 }
 
-void StoreView::apply(const std::vector<Platform::StoreEvent> &events, Revision at, TimePoint now)
+void StoreView::apply(const std::vector<Platform::StoreEvent> &events, StoreVersion at, TimePoint now)
 {
     source_ = NoticeSource::Watch;
     for (const auto &event : events) {
         if (event.isRemoved_) {
-            remove(event.item_.key_, event.item_.revision_, now);
+            remove(event.item_.key_, event.item_.version_, now);
         } else {
             put(event.item_, at, now);
         }
@@ -129,33 +128,33 @@
     advance(std::max(at_, at));
 }
 
-void StoreView::advance(Revision at)
+void StoreView::advance(StoreVersion at)
 {
     at_ = at;
     std::erase_if(itemsAhead_, [this](const std::string &key) {
         const auto known = items_.find(key);
-        return known == items_.end() || known->second.item_.revision_ <= at_;
+        return known == items_.end() || known->second.item_.version_ <= at_;
     });
 }
 
-void StoreView::removeUnlistedAhead(const std::vector<StoreItem> &items, Revision at, TimePoint now)
+void StoreView::removeUnlistedAhead(const std::vector<StoreItem> &items, StoreVersion at, TimePoint now)
 {
     const auto keys = itemsAhead_;
     for (const auto &key : keys) {
         const auto known = items_.find(key);
-        if (known != items_.end() && known->second.item_.revision_ <= at && std::ranges::find(items, key, &StoreItem::key_) == items.end()) {
+        if (known != items_.end() && known->second.item_.version_ <= at && std::ranges::find(items, key, &StoreItem::key_) == items.end()) {
             remove(key, at, now);
         }
     }
 }
 
-void StoreView::replace(const std::vector<StoreItem> &items, Revision at, TimePoint now)
+void StoreView::replace(const std::vector<StoreItem> &items, StoreVersion at, TimePoint now)
 {
     source_ = NoticeSource::Read;
     replaceItems(items, at, now);
 }
 
-void StoreView::replaceItems(const std::vector<StoreItem> &items, Revision at, TimePoint now)
+void StoreView::replaceItems(const std::vector<StoreItem> &items, StoreVersion at, TimePoint now)
 {
     if (at < at_) {
         return;
@@ -176,7 +175,7 @@
     for (const auto &item : items) {
         put(item, at, now);
     }
-    if (removalHistoryStart_ == 0) {
+    if (!removalHistoryStart_.exists()) {
         removalHistoryStart_ = at;
     }
     advance(at);
@@ -204,7 +203,7 @@
 
 bool StoreView::apply(const ViewChange &change, TimePoint now)
 {
-    if (at_ == 0) {
+    if (!at_.exists()) {
         return false;
     }
     source_ = NoticeSource::Peer;
@@ -215,7 +214,7 @@
     }
     removeUnlistedAhead(change.items_, change.to_, now);
     for (const auto &removal : change.removals_) {
-        remove(removal.key_, removal.revision_, now);
+        remove(removal.key_, removal.version_, now);
     }
     for (const auto &item : change.items_) {
         put(item, change.to_, now);
@@ -228,67 +227,67 @@
 {
     // What is not newer than the view has been replaced or removed, also if the view has forgotten when.
     for (const auto &removal : change.removals_) {
-        if (bindsInTime(removal.key_) && removal.revision_ > at_) {
-            remove(removal.key_, removal.revision_, now);
+        if (bindsInTime(removal.key_) && removal.version_ > at_) {
+            remove(removal.key_, removal.version_, now);
         }
     }
     for (const auto &item : change.items_) {
-        if (bindsInTime(item.key_) && item.revision_ > at_) {
+        if (bindsInTime(item.key_) && item.version_ > at_) {
             put(item, at_, now);
         }
     }
 }
 
-ViewChange StoreView::changeSince(Revision revision) const
+ViewChange StoreView::changeSince(StoreVersion version) const
 {
-    ViewChange change{revision, at_, !needsSnapshot(revision), {}, {}};
+    ViewChange change{version, at_, !needsSnapshot(version), {}, {}};
     if (!change.isComplete_) {
         return change;
     }
     for (const auto &[key, known] : items_) {
-        if (known.relayRevision_ > revision) {
+        if (known.relayVersion_ > version) {
             change.items_.push_back(known.item_);
         }
     }
     for (const auto &[key, removedAt] : removedAt_) {
-        if (removedAt > revision && !items_.contains(key)) {
+        if (removedAt > version && !items_.contains(key)) {
             change.removals_.push_back({key, removedAt});
         }
     }
     return change;
 }
 
-bool StoreView::needsSnapshot(Revision revision) const
+bool StoreView::needsSnapshot(StoreVersion version) const
 {
-    return revision < removalHistoryStart_ || revision == 0;
+    return version < removalHistoryStart_ || !version.exists();
 }
 
-std::size_t StoreView::changeBytes(Revision revision) const
+std::size_t StoreView::changeBytes(StoreVersion version) const
 {
-    const bool isSnapshot = needsSnapshot(revision);
+    const bool isSnapshot = needsSnapshot(version);
     std::size_t bytes = 0;
     for (const auto &[key, known] : items_) {
-        bytes += isSnapshot || known.relayRevision_ > revision ? key.size() + known.item_.value_.size() : 0;
+        bytes += isSnapshot || known.relayVersion_ > version ? key.size() + known.item_.value_.size() : 0;
     }
     for (const auto &[removedAt, key] : removals_) {
-        bytes += !isSnapshot && removedAt > revision ? key.size() : 0;
+        bytes += !isSnapshot && removedAt > version ? key.size() : 0;
     }
     return bytes;
 }
 
-ViewUpdate StoreView::changesSince(Revision revision) const
+ViewUpdate StoreView::changesSince(StoreVersion version) const
 {
     ViewUpdate update;
     update.at_ = at_;
-    update.isSnapshot_ = needsSnapshot(revision);
+    update.isSnapshot_ = needsSnapshot(version);
     for (const auto &[key, known] : items_) {
-        if (update.isSnapshot_ || known.relayRevision_ > revision) {
+        if (update.isSnapshot_ || known.relayVersion_ > version) {
             update.items_.push_back(known.item_);
         }
     }
     if (!update.isSnapshot_) {
         for (const auto &[removedAt, key] : removals_) {
-            if (removedAt > revision && !items_.contains(key)) {
+            if (removedAt > version && !items_.contains(key)) {
                 update.removedKeys_.push_back(key);
             }
         }
@@ -296,61 +295,61 @@
     return update;
 }
 
-void StoreView::put(const StoreItem &item, Revision at, TimePoint now)
+void StoreView::put(const StoreItem &item, StoreVersion at, TimePoint now)
 {
     const auto known = items_.find(item.key_);
-    if (known != items_.end() && known->second.item_.revision_ >= item.revision_) {
+    if (known != items_.end() && known->second.item_.version_ >= item.version_) {
         return;
     }
     // A watch or a peer that was held up may report an item that others have reported as removed since. A complete read may only if a peer
     // has pushed the removal before.
     const auto removed = removedAt_.find(item.key_);
     const bool mayBeOlder = source_ != NoticeSource::Read || (removed != removedAt_.end() && removed->second > at);
-    if (mayBeOlder && removed != removedAt_.end() && removed->second >= item.revision_) {
+    if (mayBeOlder && removed != removedAt_.end() && removed->second >= item.version_) {
         return;
     }
-    // Peers that got this view's earlier state have a revision that is not below the item's and lack it nevertheless.
-    const bool isLate = item.revision_ <= at_;
+    // Peers that got this view's earlier state have a version that is not below the item's and lack it nevertheless.
+    const bool isLate = item.version_ <= at_;
     lateItemCount_ += isLate ? 1 : 0;
-    items_[item.key_] = {item, isLate ? std::max(at, item.revision_) : item.revision_};
-    if (item.revision_ > at) {
+    items_[item.key_] = {item, isLate ? std::max(at, item.version_) : item.version_};
+    if (item.version_ > at) {
         itemsAhead_.insert(item.key_);
     }
     ++changeCount_;
     decode(item, now);
 }
 
-void StoreView::remove(const std::string &key, Revision revision, TimePoint now)
+void StoreView::remove(const std::string &key, StoreVersion version, TimePoint now)
 {
     const auto known = items_.find(key);
     if (known == items_.end()) {
         // The item itself may still come from a watch or a peer that is behind.
         const auto removed = removedAt_.find(key);
-        if (removed == removedAt_.end() || removed->second < revision) {
+        if (removed == removedAt_.end() || removed->second < version) {
             ++changeCount_;
-            recordRemoval(key, revision);
+            recordRemoval(key, version);
         }
         return;
     }
-    if (known->second.item_.revision_ > revision) {
+    if (known->second.item_.version_ > version) {
         return;
     }
     items_.erase(known);
     ++changeCount_;
-    recordRemoval(key, revision);
-    removeDecoded(key, revision, now);
+    recordRemoval(key, version);
+    removeDecoded(key, version, now);
 }
 
-void StoreView::recordRemoval(const std::string &key, Revision revision)
+void StoreView::recordRemoval(const std::string &key, StoreVersion version)
 {
-    removals_.emplace_back(revision, key);
-    removedAt_[key] = revision;
+    removals_.emplace_back(version, key);
+    removedAt_[key] = version;
     if (removals_.size() <= MaxRemovals) {
         return;
     }
-    const auto &[oldestRevision, oldestKey] = removals_.front();
-    removalHistoryStart_ = std::max(removalHistoryStart_, oldestRevision);
-    if (const auto oldest = removedAt_.find(oldestKey); oldest != removedAt_.end() && oldest->second == oldestRevision) {
+    const auto &[oldestVersion, oldestKey] = removals_.front();
+    removalHistoryStart_ = std::max(removalHistoryStart_, oldestVersion);
+    if (const auto oldest = removedAt_.find(oldestKey); oldest != removedAt_.end() && oldest->second == oldestVersion) {
         removedAt_.erase(oldest);
     }
     removals_.pop_front();
@@ -371,14 +370,14 @@
             handler_(item.key_, "cannot decode the member's entry");
         }
     } else if (const auto service = withoutPrefix(item.key_, CoordinatorPrefix)) {
-        if (const auto coordinator = decodeCoordinator(item.value_, item.revision_)) {
+        if (const auto coordinator = decodeCoordinator(item.value_, item.version_)) {
             coordinators_[*service] = *coordinator;
         } else {
             handler_(item.key_, "cannot decode the coordinator's entry");
         }
     } else if (const auto sharded = withoutPrefix(item.key_, AssignmentPrefix)) {
         if (auto assignment = decodeAssignment(item.value_)) {
-            assignments_[*sharded] = {std::move(*assignment), item.revision_, now};
+            assignments_[*sharded] = {std::move(*assignment), item.version_, now};
         } else {
             handler_(item.key_, "invalid shard assignment");
         }
@@ -407,7 +406,7 @@
     if (decoded.value_->startTime_ != 0) {
         idsWithStartTime_.insert(id);
     }
-    updateNotices(*decoded.value_, item.revision_, now);
+    updateNotices(*decoded.value_, item.version_, now);
     beforeUnusable_.erase(id);
     servers_[id] = {std::move(*decoded.value_), now};
 }
@@ -432,22 +431,22 @@
     return isLeaving && description.sequence_ != 0 && description.sequence_ < signs->store_->sequence_;
 }
 
-void StoreView::updateNotices(const ServerDescription &description, Revision revision, TimePoint now)
+void StoreView::updateNotices(const ServerDescription &description, StoreVersion version, TimePoint now)
 {
     const auto *known = lastDescription(description.id_);
     if (known != nullptr && known->startTime_ < description.startTime_) {
-        recordLeaving(*known, LeavingReason::Restarted, revision, now, now);
+        recordLeaving(*known, LeavingReason::Restarted, version, now, now);
     }
     if (description.state_ == ServerState::Draining) {
-        recordLeaving(description, LeavingReason::Draining, revision, now, now);
+        recordLeaving(description, LeavingReason::Draining, version, now, now);
     } else {
         notices_->withdrawStoreSign(description.incarnation(), now);
     }
 }
 
-void StoreView::recordLeaving(const ServerDescription &server, LeavingReason reason, Revision revision, TimePoint bindsFrom, TimePoint now)
+void StoreView::recordLeaving(const ServerDescription &server, LeavingReason reason, StoreVersion version, TimePoint bindsFrom, TimePoint now)
 {
-    notices_->recordLeaving(server.incarnation(), {reason, source_, now, bindsFrom, revision, server.sequence_}, now);
+    notices_->recordLeaving(server.incarnation(), {reason, source_, now, bindsFrom, version, server.sequence_}, now);
 }
 
 void StoreView::decodeConfiguration(const StoreItem &item)
@@ -466,34 +465,34 @@
     configuration_ = std::make_shared<const RoutingConfiguration>(std::move(*decoded.value_));
 }
 
-Revision StoreView::configurationRevision() const
+StoreVersion StoreView::configurationStoreVersion() const
 {
     const auto known = items_.find(Platform::ConfigurationKey);
-    return known == items_.end() ? 0 : known->second.item_.revision_;
+    return known == items_.end() ? StoreVersion() : known->second.item_.version_;
 }
 
-void StoreView::expectConfiguration(Revision revision, TimePoint now)
+void StoreView::expectConfiguration(StoreVersion version, TimePoint now)
 {
     const bool wasLate = configurationLag(now) > Duration::zero();
-    if (revision <= std::max(configurationRevision(), at_)) {
+    if (version <= std::max(configurationStoreVersion(), at_)) {
         return;
     }
     // Counted from the first one, also when others follow before it has come.
     if (!wasLate) {
         configurationLateSince_ = now;
     }
-    expectedConfiguration_ = std::max(expectedConfiguration_, revision);
+    expectedConfiguration_ = std::max(expectedConfiguration_, version);
 }
 
 Duration StoreView::configurationLag(TimePoint now) const
 {
-    return expectedConfiguration_ > std::max(configurationRevision(), at_) ? now - configurationLateSince_ : Duration::zero();
+    return expectedConfiguration_ > std::max(configurationStoreVersion(), at_) ? now - configurationLateSince_ : Duration::zero();
 }
 
-void StoreView::removeDecoded(const std::string &key, Revision revision, TimePoint now)
+void StoreView::removeDecoded(const std::string &key, StoreVersion version, TimePoint now)
 {
     if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
-        removeServer(*id, revision, now);
+        removeServer(*id, version, now);
     } else if (const auto domain = withoutPrefix(key, Platform::EvacuationPrefix)) {
         evacuatedDomains_.erase(*domain);
     } else if (const auto name = withoutPrefix(key, MemberPrefix)) {
@@ -505,11 +504,11 @@
     }
 }
 
-void StoreView::removeServer(const std::string &id, Revision revision, TimePoint now)
+void StoreView::removeServer(const std::string &id, StoreVersion version, TimePoint now)
 {
     idsWithStartTime_.erase(id);
     if (const auto *known = lastDescription(id)) {
-        recordLeaving(*known, LeavingReason::Removed, revision, std::max(now, expiryGraceUntil_), now);
+        recordLeaving(*known, LeavingReason::Removed, version, std::max(now, expiryGraceUntil_), now);
     }
     beforeUnusable_.erase(id);
     if (now < expiryGraceUntil_) {
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -32,12 +32,12 @@
 {
     MemberEntry member_;
     // The lease that the entry ends with.
-    Platform::LeaseId lease_ = 0;
+    StoreLeaseId lease_;
     // The coordinator grants no more keys and waits for a more suitable instance to take over.
     bool isYielding_ = false;
     // The entry replaced one that was yielding.
     bool hasPredecessorYielded_ = false;
-    Platform::Revision revision_ = 0;
+    StoreVersion version_;
 
     auto operator<=>(const CoordinatorEntry &) const = default;
 };
@@ -46,7 +46,7 @@
 struct AssignmentEntry
 {
     ShardAssignment assignment_;
-    Platform::Revision revision_ = 0;
+    StoreVersion version_;
     // When this instance got it.
     TimePoint seenAt_;
 
@@ -56,7 +56,7 @@
 // Changes that bring another view up to date.
 struct ViewUpdate
 {
-    Platform::Revision at_ = 0;
+    StoreVersion at_;
     // Whether `items_` is the complete content, so that keys missing from it are removed.
     bool isSnapshot_ = false;
     std::vector<Platform::StoreItem> items_;
@@ -67,7 +67,7 @@
 struct ViewRemoval
 {
     std::string key_;
-    Platform::Revision revision_ = 0;
+    StoreVersion version_;
 
     auto operator<=>(const ViewRemoval &) const = default;
 };
@@ -75,9 +75,9 @@
 // Changes of a view that are told to others without being asked for.
 struct ViewChange
 {
-    Platform::Revision from_ = 0;
-    Platform::Revision to_ = 0;
-    // Whether it brings every view at a revision from `from_` on to `to_`. Otherwise it holds only a part of the changes.
+    StoreVersion from_;
+    StoreVersion to_;
+    // Whether it brings every view at a version from `from_` on to `to_`. Otherwise it holds only a part of the changes.
     bool isComplete_ = false;
     std::vector<Platform::StoreItem> items_;
     std::vector<ViewRemoval> removals_;
@@ -94,7 +94,7 @@
 std::string encodeMember(const MemberEntry &member);
 std::string encodeCoordinator(const CoordinatorEntry &coordinator);
 
-// The store's items up to one revision, and their decoded form. The revision never decreases, whether changes come from the store or from
+// The store's items up to one version, and their decoded form. The version never decreases, whether changes come from the store or from
 // other instances.
 class StoreView
 {
@@ -109,12 +109,12 @@
     {
     }
 
-    Platform::Revision at() const
+    StoreVersion at() const
     {
         return at_;
     }
 
-    // Number of items that this view got although its revision was not below theirs: changes that its watch or its peers had missed.
+    // Number of items that this view got although its version was not below theirs: changes that its watch or its peers had missed.
     std::uint64_t lateItemCount() const
     {
         return lateItemCount_;
@@ -129,20 +129,20 @@
         return changeCount_;
     }
 
-    void apply(const std::vector<Platform::StoreEvent> &events, Platform::Revision at, TimePoint now);
-    // Replaces the content by a complete read. `at` is the lowest revision at which any part of it was read.
-    void replace(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
+    void apply(const std::vector<Platform::StoreEvent> &events, StoreVersion at, TimePoint now);
+    // Replaces the content by a complete read. `at` is the lowest version at which any part of it was read.
+    void replace(const std::vector<Platform::StoreItem> &items, StoreVersion at, TimePoint now);
     void apply(const ViewUpdate &update, TimePoint now);
     // Applies a change completely if it joins on to this view. Otherwise applies those of its items that bind in time and are newer than
-    // the view, whose revision stays as it is. Returns whether anything was new. A view that has no content yet ignores the change.
+    // the view, whose version stays as it is. Returns whether anything was new. A view that has no content yet ignores the change.
     bool apply(const ViewChange &change, TimePoint now);
-    // All changes since the revision; incomplete and empty if only the complete content brings a view at the revision up to date.
-    ViewChange changeSince(Platform::Revision revision) const;
-    ViewUpdate changesSince(Platform::Revision revision) const;
-    // Whether only the complete content brings a view at the revision up to date.
-    bool needsSnapshot(Platform::Revision revision) const;
+    // All changes since the version; incomplete and empty if only the complete content brings a view at the version up to date.
+    ViewChange changeSince(StoreVersion version) const;
+    ViewUpdate changesSince(StoreVersion version) const;
+    // Whether only the complete content brings a view at the version up to date.
+    bool needsSnapshot(StoreVersion version) const;
     // Size of the keys and values of these changes.
-    std::size_t changeBytes(Platform::Revision revision) const;
+    std::size_t changeBytes(StoreVersion version) const;
 
     // Until then, servers whose entries are removed stay in the view: the entries may have expired during a store outage.
     void setExpiryGrace(TimePoint until);
@@ -159,14 +159,14 @@
     {
         return newestConfigurationVersion_;
     }
-    // The store's revision at the last change of the configuration, usable or not; 0 if none is known.
-    Platform::Revision configurationRevision() const;
-    // A peer knows a configuration of that revision.
-    void expectConfiguration(Platform::Revision revision, TimePoint now);
+    // The store's version at the last change of the configuration, usable or not; 0 if none is known.
+    StoreVersion configurationStoreVersion() const;
+    // A peer knows a configuration of that version.
+    void expectConfiguration(StoreVersion version, TimePoint now);
     // The configuration has been read from the store, applied, and nothing newer is there: what was expected is in force or never was.
     void confirmConfiguration()
     {
-        expectedConfiguration_ = 0;
+        expectedConfiguration_ = {};
     }
     // For how long a newer configuration is known to exist that this view lacks; zero if none is.
     Duration configurationLag(TimePoint now) const;
@@ -193,8 +193,8 @@
     struct KnownItem
     {
         Platform::StoreItem item_;
-        // Views at a lower revision may lack the item. Higher than the item's own revision if this view, too, got it late.
-        Platform::Revision relayRevision_ = 0;
+        // Views at a lower version may lack the item. Higher than the item's own version if this view, too, got it late.
+        StoreVersion relayVersion_;
     };
 
     struct KnownServer
@@ -203,25 +203,25 @@
         TimePoint describedAt_;
     };
 
-    // `at` is the revision that the view has once all changes are applied.
-    void put(const Platform::StoreItem &item, Platform::Revision at, TimePoint now);
-    void remove(const std::string &key, Platform::Revision revision, TimePoint now);
-    void recordRemoval(const std::string &key, Platform::Revision revision);
+    // `at` is the version that the view has once all changes are applied.
+    void put(const Platform::StoreItem &item, StoreVersion at, TimePoint now);
+    void remove(const std::string &key, StoreVersion version, TimePoint now);
+    void recordRemoval(const std::string &key, StoreVersion version);
     void applyPart(const ViewChange &change, TimePoint now);
-    // Removes the items ahead of the view up to `at` that are not among these: all items that were changed since the view's revision.
-    void removeUnlistedAhead(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
-    // All changes up to the revision have been applied.
-    void advance(Platform::Revision at);
+    // Removes the items ahead of the view up to `at` that are not among these: all items that were changed since the view's version.
+    void removeUnlistedAhead(const std::vector<Platform::StoreItem> &items, StoreVersion at, TimePoint now);
+    // All changes up to the version have been applied.
+    void advance(StoreVersion at);
     void decode(const Platform::StoreItem &item, TimePoint now);
-    void removeDecoded(const std::string &key, Platform::Revision revision, TimePoint now);
-    void replaceItems(const std::vector<Platform::StoreItem> &items, Platform::Revision at, TimePoint now);
+    void removeDecoded(const std::string &key, StoreVersion version, TimePoint now);
+    void replaceItems(const std::vector<Platform::StoreItem> &items, StoreVersion at, TimePoint now);
     // What the last usable entry of the server said, if its entry was not removed since; null if there is none.
     const ServerDescription *lastDescription(const std::string &id) const;
-    void removeServer(const std::string &id, Platform::Revision revision, TimePoint now);
+    void removeServer(const std::string &id, StoreVersion version, TimePoint now);
     // Whether a server wrote the description before the last one of a run that is known to be leaving.
     bool isOutdated(const ServerDescription &description) const;
-    void updateNotices(const ServerDescription &description, Platform::Revision revision, TimePoint now);
-    void recordLeaving(const ServerDescription &server, LeavingReason reason, Platform::Revision revision, TimePoint bindsFrom, TimePoint now);
+    void updateNotices(const ServerDescription &description, StoreVersion version, TimePoint now);
+    void recordLeaving(const ServerDescription &server, LeavingReason reason, StoreVersion version, TimePoint bindsFrom, TimePoint now);
     void decodeServer(const std::string &id, const Platform::StoreItem &item, TimePoint now);
     void decodeConfiguration(const Platform::StoreItem &item);
 
@@ -229,23 +229,23 @@
     std::shared_ptr<ServerNotices> notices_;
     // Where the changes come from that are being applied.
     NoticeSource source_ = NoticeSource::Watch;
-    Platform::Revision at_ = 0;
+    StoreVersion at_;
     std::uint64_t changeCount_ = 0;
     std::uint64_t lateItemCount_ = 0;
     std::map<std::string, KnownItem> items_;
-    // Keys of items with a revision above the view's, which came by parts of changes or by pages of a read. A source of changes that never had such an item
+    // Keys of items with a version above the view's, which came by parts of changes or by pages of a read. A source of changes that never had such an item
     // does not tell of its removal.
     std::set<std::string> itemsAhead_;
-    std::deque<std::pair<Platform::Revision, std::string>> removals_;
+    std::deque<std::pair<StoreVersion, std::string>> removals_;
     // The last removal of each key in `removals_`.
-    std::map<std::string, Platform::Revision> removedAt_;
-    // `removals_` holds all removals after this revision.
-    Platform::Revision removalHistoryStart_ = 0;
+    std::map<std::string, StoreVersion> removedAt_;
+    // `removals_` holds all removals after this version.
+    StoreVersion removalHistoryStart_;
     TimePoint expiryGraceUntil_;
     std::map<std::string, TimePoint> expired_;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     std::uint64_t newestConfigurationVersion_ = 0;
-    Platform::Revision expectedConfiguration_ = 0;
+    StoreVersion expectedConfiguration_;
     // Since when a configuration has been expected that the view lacks.
     TimePoint configurationLateSince_;
     std::map<std::string, KnownServer> servers_;
--- a/Libraries/LibGateway/ViewAnswerQueue.h
+++ b/Libraries/LibGateway/ViewAnswerQueue.h
@@ -29,7 +29,7 @@
     struct Turn
     {
         Link link_;
-        Platform::Revision revision_ = 0;
+        StoreVersion version_;
     };
 
     // Answers on their way stay below `maxBytes` together, except that two are always allowed: one slow peer does not hold up the others.
@@ -38,15 +38,15 @@
     {
     }
 
-    // A peer whose view is at `revision` asks for the changes. Its newest request counts; it keeps its place in the order of turns.
-    void request(const Link &link, Platform::Revision revision, TimePoint now)
+    // A peer whose view is at `version` asks for the changes. Its newest request counts; it keeps its place in the order of turns.
+    void request(const Link &link, StoreVersion version, TimePoint now)
     {
         const auto known = std::ranges::find(waiting_, link, &Waiting::link_);
         if (known != waiting_.end()) {
-            known->revision_ = revision;
+            known->version_ = version;
             known->askedAt_ = now;
         } else {
-            waiting_.push_back({link, revision, now});
+            waiting_.push_back({link, version, now});
         }
     }
 
@@ -70,12 +70,12 @@
     }
 
     // Returns the requests to be answered now, whose answers are on their way from then on. `sizeOf` returns the size in bytes of the
-    // answer to a request with a revision.
-    template<std::invocable<Platform::Revision> SizeOf>
+    // answer to a request with a version.
+    template<std::invocable<StoreVersion> SizeOf>
     std::vector<Turn> takeDue(const SizeOf &sizeOf, TimePoint now)
     {
         std::vector<Turn> due;
-        std::map<Platform::Revision, std::size_t> sizes;
+        std::map<StoreVersion, std::size_t> sizes;
         std::deque<Waiting> waiting;
         bool isFull = false;
         for (auto &request : waiting_) {
@@ -86,9 +86,9 @@
                 waiting.push_back(std::move(request));
                 continue;
             }
-            auto size = sizes.find(request.revision_);
+            auto size = sizes.find(request.version_);
             if (size == sizes.end()) {
-                size = sizes.emplace(request.revision_, sizeOf(request.revision_)).first;
+                size = sizes.emplace(request.version_, sizeOf(request.version_)).first;
             }
             const bool isLarge = size->second > SmallViewAnswer;
             // A large answer that does not fit holds up those behind it, so that it gets its turn.
@@ -100,7 +100,7 @@
             bytesUnderWay_ += size->second;
             largeUnderWay_ += isLarge ? 1 : 0;
             underWay_.emplace(request.link_, size->second);
-            due.push_back({std::move(request.link_), request.revision_});
+            due.push_back({std::move(request.link_), request.version_});
         }
         waiting_ = std::move(waiting);
         return due;
@@ -119,7 +119,7 @@
     struct Waiting
     {
         Link link_;
-        Platform::Revision revision_ = 0;
+        StoreVersion version_;
         TimePoint askedAt_;
     };
 
--- a/Libraries/LibGateway/ViewAsker.cpp
+++ b/Libraries/LibGateway/ViewAsker.cpp
@@ -20,7 +20,7 @@
 std::optional<std::string> ViewAsker::choose(const std::vector<ViewSource> &sources, const OwnView &own, TimePoint now)
 {
     const bool isBehind = std::ranges::any_of(sources, [&own](const ViewSource &source) {
-        return source.revision_ > own.revision_;
+        return source.version_ > own.version_;
     });
     recordOwnView(own, isBehind, now);
     if (!isBehind) {
@@ -104,7 +104,7 @@
     const bool isEarly = own.isCurrent_ && now - behindSince_ < OwnDomainDelay;
     for (const auto &source : sources) {
         // An own watch reports the change at the same time.
-        if (source.revision_ <= own.revision_ || (isEarly && (own.isWatching_ || !source.isOwnDomain_))) {
+        if (source.version_ <= own.version_ || (isEarly && (own.isWatching_ || !source.isOwnDomain_))) {
             continue;
         }
         newer.push_back(source);
@@ -120,7 +120,7 @@
 {
     if (failures_ == 0) {
         const auto isBetter = [](const ViewSource &a, const ViewSource &b) {
-            return std::pair(a.isOwnDomain_, a.revision_) < std::pair(b.isOwnDomain_, b.revision_);
+            return std::pair(a.isOwnDomain_, a.version_) < std::pair(b.isOwnDomain_, b.version_);
         };
         const ViewSource best = *std::ranges::max_element(candidates, isBetter);
         std::erase_if(candidates, [&](const ViewSource &candidate) {
--- a/Libraries/LibGateway/ViewAsker.h
+++ b/Libraries/LibGateway/ViewAsker.h
@@ -16,8 +16,8 @@
 struct ViewSource
 {
     std::string address_;
-    // The revision of its view, as far as known.
-    Platform::Revision revision_ = 0;
+    // The version of its view, as far as known.
+    StoreVersion version_;
     bool isOwnDomain_ = false;
     // Bytes received of a message that is not complete yet.
     std::size_t receivedBytes_ = 0;
@@ -28,7 +28,7 @@
 // This instance's own view.
 struct OwnView
 {
-    Platform::Revision revision_ = 0;
+    StoreVersion version_;
     // Whether the store or a peer has confirmed lately that it is complete.
     bool isCurrent_ = false;
     // Whether this instance watches the store itself.
--- a/Libraries/LibGateway/ViewFreshness.cpp
+++ b/Libraries/LibGateway/ViewFreshness.cpp
@@ -12,17 +12,17 @@
 
 } // namespace
 
-void ViewFreshness::recordProof(Platform::Revision revision, TimePoint provedAt, Platform::Revision known)
+void ViewFreshness::recordProof(StoreVersion version, TimePoint provedAt, StoreVersion known)
 {
-    if (revision <= known) {
+    if (version <= known) {
         confirmedAt_ = std::max(confirmedAt_, provedAt);
-    } else if (pending_.size() < MaxPendingProofs || pending_.contains(revision)) {
-        auto &pending = pending_[revision];
+    } else if (pending_.size() < MaxPendingProofs || pending_.contains(version)) {
+        auto &pending = pending_[version];
         pending = std::max(pending, provedAt);
     }
 }
 
-void ViewFreshness::recordView(Platform::Revision known)
+void ViewFreshness::recordView(StoreVersion known)
 {
     while (!pending_.empty() && pending_.begin()->first <= known) {
         confirmedAt_ = std::max(confirmedAt_, pending_.begin()->second);
@@ -30,13 +30,13 @@
     }
 }
 
-void ViewFreshness::expect(Platform::Revision revision, Platform::Revision known, TimePoint now)
+void ViewFreshness::expect(StoreVersion version, StoreVersion known, TimePoint now)
 {
-    if (revision <= known) {
+    if (version <= known) {
         return;
     }
-    if (expectedRevision_ <= known) {
-        expectedRevision_ = revision;
+    if (expectedVersion_ <= known) {
+        expectedVersion_ = version;
         expectedSince_ = now;
     }
 }
@@ -57,15 +57,15 @@
     return confirmedAt_ != TimePoint() && now - confirmedAt_ < MaxViewAge;
 }
 
-bool ViewFreshness::isWatchStale(TimePoint watchSentAt, Platform::Revision known, TimePoint now) const
+bool ViewFreshness::isWatchStale(TimePoint watchSentAt, StoreVersion known, TimePoint now) const
 {
     // A watch sent later has had less time. One that reports some changes and not this one is followed by another.
-    return expectedRevision_ > known && now - std::max(expectedSince_, watchSentAt) >= StaleWatchTimeout;
+    return expectedVersion_ > known && now - std::max(expectedSince_, watchSentAt) >= StaleWatchTimeout;
 }
 
 TimePoint ViewFreshness::checkDueAt(TimePoint askedAt) const
 {
-    return std::max(confirmedAt_, askedAt) + RevisionCheckInterval;
+    return std::max(confirmedAt_, askedAt) + PositionCheckInterval;
 }
 
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/ViewFreshness.h
+++ b/Libraries/LibGateway/ViewFreshness.h
@@ -10,23 +10,23 @@
 
 // A view without a more recent confirmation than this is not current. Leaves time for a complete read before a change has to be in force.
 inline constexpr Duration MaxViewAge = 1700ms;
-// Longest time between two reads of the store's revision by an instance that watches it.
-inline constexpr Duration RevisionCheckInterval = 600ms;
-// A watch that does not report a revision known to the store or a peer within this time is stale.
+// Longest time between two reads of the store's version by an instance that watches it.
+inline constexpr Duration PositionCheckInterval = 600ms;
+// A watch that does not report a version known to the store or a peer within this time is stale.
 inline constexpr Duration StaleWatchTimeout = 600ms;
 
-// Counts the age of the view from proofs alone: the store had a revision at some time, by its response to this instance or to a peer, and the view
-// has reached that revision. Renewals of a lease and other writes prove nothing about the view.
+// Counts the age of the view from proofs alone: the store had a version at some time, by its response to this instance or to a peer, and the view
+// has reached that version. Renewals of a lease and other writes prove nothing about the view.
 class ViewFreshness
 {
 public:
-    // Records that the store had no higher revision than this one at that time, which is not later than the sending of the call that showed it. `known` is
-    // the view's revision now, as in the functions below.
-    void recordProof(Platform::Revision revision, TimePoint provedAt, Platform::Revision known);
+    // Records that the store had no higher version than this one at that time, which is not later than the sending of the call that showed it. `known` is
+    // the view's version now, as in the functions below.
+    void recordProof(StoreVersion version, TimePoint provedAt, StoreVersion known);
     // The view has changed.
-    void recordView(Platform::Revision known);
-    // The store or a peer knows this revision.
-    void expect(Platform::Revision revision, Platform::Revision known, TimePoint now);
+    void recordView(StoreVersion known);
+    // The store or a peer knows this version.
+    void expect(StoreVersion version, StoreVersion known, TimePoint now);
     // No proof so far counts any more.
     void reset();
 
@@ -38,21 +38,21 @@
     // Nothing if the view was never confirmed.
     std::optional<Duration> age(TimePoint now) const;
     bool isConfirmed(TimePoint now) const;
-    // Whether a watch that was sent at that time had to report an expected revision by now.
-    bool isWatchStale(TimePoint watchSentAt, Platform::Revision known, TimePoint now) const;
-    // When the store is to be asked for its revision if it was last asked at that time.
+    // Whether a watch that was sent at that time had to report an expected version by now.
+    bool isWatchStale(TimePoint watchSentAt, StoreVersion known, TimePoint now) const;
+    // When the store is to be asked for its version if it was last asked at that time.
     TimePoint checkDueAt(TimePoint askedAt) const;
-    // The highest revision that the store or a peer is known to have; 0 if none.
-    Platform::Revision expectedRevision() const
+    // The highest version that the store or a peer is known to have; 0 if none.
+    StoreVersion expectedVersion() const
     {
-        return expectedRevision_;
+        return expectedVersion_;
     }
 
 private:
     TimePoint confirmedAt_;
-    // Proofs of revisions that the view has not reached.
-    std::map<Platform::Revision, TimePoint> pending_;
-    Platform::Revision expectedRevision_ = 0;
+    // Proofs of versions that the view has not reached.
+    std::map<StoreVersion, TimePoint> pending_;
+    StoreVersion expectedVersion_;
     TimePoint expectedSince_;
 };
 
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -107,7 +107,7 @@
     if (const auto self = view_.members().find(instance_); self != view_.members().end()) {
         addresses.erase(self->second.peerAddress_);
     }
-    network_.setRevision(view_.at());
+    network_.setVersion(view_.at());
     network_.setRequiredAddresses(std::move(addresses), now);
     auto watchers = role().watchers_;
     std::erase_if(watchers, [this, now](const std::string &address) {
@@ -132,8 +132,8 @@
     noteCurrentPeers(now);
     wasCurrent_ = storeLink_.isCurrent(now);
     for (const auto &link : network_.openLinks(now)) {
-        storeLink_.expectRevision(link->revision(), now);
-        if (link->revision() <= view_.at() && link->isViewCurrent()) {
+        storeLink_.expectVersion(link->version(), now);
+        if (link->version() <= view_.at() && link->isViewCurrent()) {
             storeLink_.recordRelayed(link->confirmedAt());
         }
     }
@@ -158,7 +158,7 @@
 
 void ViewRelay::pushToSources(TimePoint now)
 {
-    std::erase_if(toldRevisions_, [this](const auto &entry) {
+    std::erase_if(toldVersions_, [this](const auto &entry) {
         return !network_.changeSources().contains(entry.first);
     });
     for (const auto &address : network_.changeSources()) {
@@ -166,7 +166,7 @@
         if (!link || !link->acceptsChanges()) {
             continue;
         }
-        for (const auto &change : changes_.takeMissing(link->revision(), toldRevisions_[address], now)) {
+        for (const auto &change : changes_.takeMissing(link->version(), toldVersions_[address], now)) {
             link->send(toMessage(change));
         }
     }
@@ -174,7 +174,7 @@
 
 bool ViewRelay::handleChange(const std::shared_ptr<PeerLink> &link, ViewChangeMessage message, TimePoint now)
 {
-    link->recordRevision(message.to_);
+    link->recordVersion(message.to());
     const auto before = view_.at();
     const auto changesBefore = view_.changeCount();
     auto change = toViewChange(std::move(message));
@@ -192,7 +192,7 @@
     }
     const bool isNew = view_.at() != before || view_.changeCount() != changesBefore;
     if (isNew) {
-        log_.write(line.add("revision", view_.at()), LogImportance::Sampled, now);
+        log_.write(line.add("storeVersion", view_.at()), LogImportance::Sampled, now);
     }
     return isNew;
 }
@@ -202,26 +202,27 @@
     const auto links = network_.openLinks(now);
     std::vector<ViewSource> sources;
     for (const auto &link : links) {
-        sources.push_back({link->address(), link->revision(), link->domain() == domain_, link->incomingBytes()});
+        sources.push_back({link->address(), link->version(), link->domain() == domain_, link->incomingBytes()});
     }
     if (const auto chosen = asker_.choose(sources, {view_.at(), storeLink_.isCurrent(now), storeLink_.isWatching()}, now)) {
         const auto link = std::ranges::find_if(links, [&chosen](const std::shared_ptr<PeerLink> &candidate) {
             return candidate->address() == *chosen;
         });
-        (*link)->send(ViewRequestMessage{view_.at()});
+        (*link)->send(ViewRequestMessage{view_.at().revision_, view_.at().era_});
     }
 }
 
 PongMessage ViewRelay::makePong(std::int64_t pingSentAt, TimePoint now) const
 {
     PongMessage pong;
-    pong.revision_ = view_.at();
+    pong.revision_ = view_.at().revision_;
+    pong.era_ = view_.at().era_;
     pong.isViewCurrent_ = storeLink_.isCurrent(now);
     pong.pingSentAt_ = pingSentAt;
     pong.viewAge_ = (now - storeLink_.confirmedAt()).count();
     pong.sentAt_ = now.time_since_epoch().count();
     pong.acceptsChanges_ = true;
-    pong.configurationRevision_ = view_.configurationRevision();
+    pong.configurationRevision_ = view_.configurationStoreVersion().revision_;
     for (const auto &server : notices_->announcedOnly()) {
         pong.leavingServers_.push_back({server.id_, server.startTime_});
     }
@@ -251,26 +252,26 @@
 void ViewRelay::handlePing(const std::shared_ptr<PeerLink> &link, const PingMessage &message, TimePoint now)
 {
     // An instance that others follow may hear of changes from nobody but them.
-    storeLink_.expectRevision(message.revision_, now);
+    storeLink_.expectVersion(message.version(), now);
     link->send(makePong(message.sentAt_, now));
 }
 
 void ViewRelay::handlePong(const std::shared_ptr<PeerLink> &link, const PongMessage &message, TimePoint now)
 {
     for (const auto &server : message.leavingServers_) {
-        notices_->recordLeaving({server.id_, server.startTime_}, {LeavingReason::Announced, NoticeSource::Peer, now, now, 0}, now);
+        notices_->recordLeaving({server.id_, server.startTime_}, {LeavingReason::Announced, NoticeSource::Peer, now, now, {}}, now);
     }
-    view_.expectConfiguration(message.configurationRevision_, now);
+    view_.expectConfiguration(message.configurationStoreVersion(), now);
     noteCurrentPeers(now);
-    if (link->domain() == domain_ && link->revision() > view_.at() && !storeLink_.isWatching()) {
+    if (link->domain() == domain_ && link->version() > view_.at() && !storeLink_.isWatching()) {
         ask(now);
     }
 }
 
 void ViewRelay::handleRequest(const std::shared_ptr<PeerLink> &link, const ViewRequestMessage &message, TimePoint now)
 {
-    if (view_.at() > message.revision_) {
-        answers_.request(link, message.revision_, now);
+    if (view_.at() > message.version()) {
+        answers_.request(link, message.version(), now);
         serve(now);
     }
 }
@@ -287,25 +288,25 @@
         sending_.erase(link);
         answers_.recordSent(link);
     }
-    const auto sizeOf = [this](Platform::Revision revision) {
-        return view_.changeBytes(revision);
+    const auto sizeOf = [this](StoreVersion version) {
+        return view_.changeBytes(version);
     };
     for (const auto &turn : answers_.takeDue(sizeOf, now)) {
-        const auto frame = encodeAnswer(turn.revision_);
+        const auto frame = encodeAnswer(turn.version_);
         turn.link_->send(frame);
         sending_[turn.link_] = {frame, turn.link_->queuedTotal()};
     }
 }
 
-PeerFrame ViewRelay::encodeAnswer(Platform::Revision revision)
+PeerFrame ViewRelay::encodeAnswer(StoreVersion version)
 {
     if (encodings_.changeCount_ != view_.changeCount() || encodings_.at_ != view_.at()) {
         encodings_ = {view_.changeCount(), view_.at(), {}};
     }
-    auto &known = encodings_.frames_[view_.needsSnapshot(revision) ? 0 : revision];
+    auto &known = encodings_.frames_[view_.needsSnapshot(version) ? StoreVersion() : version];
     auto frame = known.lock();
     if (!frame) {
-        frame = std::make_shared<const std::string>(encodeFrame(toMessage(view_.changesSince(revision))));
+        frame = std::make_shared<const std::string>(encodeFrame(toMessage(view_.changesSince(version))));
         known = frame;
     }
     return frame;
@@ -334,12 +335,12 @@
 {
     const auto timing = asker_.timing(now);
     asker_.recordAnswer(link->address());
-    if (message.at_ <= view_.at()) {
+    if (message.version() <= view_.at()) {
         return false;
     }
     log_.write(LogLine("view-from-peer")
                    .add("peer", link->address())
-                   .add("revision", message.at_)
+                   .add("storeVersion", message.version())
                    .add("known", view_.at())
                    .add("items", message.items_.size())
                    .add("bytes", contentBytes(message))
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -77,17 +77,17 @@
         std::uint64_t end_ = 0;
     };
 
-    // Encoded answers to requests by the revisions of the requests, 0 for the complete content. Links that are sent the same answer share it, and it is kept
+    // Encoded answers to requests by the versions of the requests, 0 for the complete content. Links that are sent the same answer share it, and it is kept
     // only while one of them needs it.
     struct Encodings
     {
         std::uint64_t changeCount_ = 0;
-        Platform::Revision at_ = 0;
-        std::map<Platform::Revision, std::weak_ptr<const std::string>> frames_;
+        StoreVersion at_;
+        std::map<StoreVersion, std::weak_ptr<const std::string>> frames_;
     };
 
     const Role &role();
-    PeerFrame encodeAnswer(Platform::Revision revision);
+    PeerFrame encodeAnswer(StoreVersion version);
     void ask(TimePoint now);
     // Sends the change to all instances that want changes except the one it came from.
     void push(const ViewChange &change, const std::shared_ptr<PeerLink> &from);
@@ -109,8 +109,8 @@
     std::optional<Role> role_;
     ViewAsker asker_;
     ChangePush changes_;
-    // For each instance that pushes changes to this one, the revision up to which it was told of changes that it seemed to lack.
-    std::map<std::string, Platform::Revision> toldRevisions_;
+    // For each instance that pushes changes to this one, the version up to which it was told of changes that it seemed to lack.
+    std::map<std::string, StoreVersion> toldVersions_;
     ViewAnswerQueue<std::shared_ptr<PeerLink>> answers_;
     std::map<std::shared_ptr<PeerLink>, Sending> sending_;
     Encodings encodings_;
--- a/Libraries/LibPlacement/ServerNotices.h
+++ b/Libraries/LibPlacement/ServerNotices.h
@@ -35,8 +35,8 @@
     TimePoint learntAt_;
     // The server gets no requests from then on. Later than `learntAt_` if the sign may be an effect of a store outage.
     TimePoint bindsFrom_;
-    // The store's revision of the change; for an entry missing from a complete read, that of the read. 0 if the store has not said so.
-    std::uint64_t revision_ = 0;
+    // The store's version of the change; for an entry missing from a complete read, that of the read. That of no change if the store has not said so.
+    StoreVersion version_;
     // The highest sequence of the server's entries up to then; 0 if the sign is not from its entry. What the server wrote before says no more.
     std::uint64_t sequence_ = 0;
 
--- a/Tests/LibGateway/TestChangePush.cpp
+++ b/Tests/LibGateway/TestChangePush.cpp
@@ -1,6 +1,8 @@
 // Tests of pushed changes, and a model in logical time of how they spread among instances whose links are slow.
 #include <LibGateway/LibGateway.h>
 
+#include <Tests/StoreVersions.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <iostream>
@@ -8,7 +10,7 @@
 
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::Gateway;
-using Platform::Revision;
+using Revision = std::uint64_t;
 using Platform::StoreEvent;
 using Platform::StoreItem;
 
@@ -32,12 +34,12 @@
 
 StoreItem configurationItem(Revision revision)
 {
-    return {Platform::ConfigurationKey, configurationText(revision), revision, 0};
+    return {Platform::ConfigurationKey, configurationText(revision), atRevision(revision), {}};
 }
 
 StoreItem serverItem(Revision revision, const std::string &state = "ready")
 {
-    return {Platform::ServerPrefix + std::string("s1"), serverText(state), revision, 0};
+    return {Platform::ServerPrefix + std::string("s1"), serverText(state), atRevision(revision), {}};
 }
 
 StoreView makeView()
@@ -49,7 +51,7 @@
 StoreView loadedView()
 {
     auto view = makeView();
-    view.replace({configurationItem(5), serverItem(6)}, 10, at(0));
+    view.replace({configurationItem(5), serverItem(6)}, atRevision(10), at(0));
     return view;
 }
 
@@ -89,7 +91,7 @@
         }
         for (std::size_t i = 0; i < spread_.instances_; ++i) {
             auto node = std::make_unique<Node>();
-            node->view_.replace({configurationItem(5)}, 10, at(0));
+            node->view_.replace({configurationItem(5)}, atRevision(10), at(0));
             node->changes_.takeDue(node->view_, at(0));
             node->linkDelay_ = linkDelay(i);
             auto others = watchers;
@@ -110,7 +112,7 @@
         for (std::size_t i = 0; i < watcherCount(); ++i) {
             if (spread_.doAllWatchesHear_ || i == 1) {
                 auto &node = *nodes_[i];
-                node.view_.apply({StoreEvent{configurationItem(11), false}}, 11, at(0));
+                node.view_.apply({StoreEvent{configurationItem(11), false}}, atRevision(11), at(0));
                 if (const auto change = node.changes_.takeDue(node.view_, at(0))) {
                     push(i, *change, i, at(0));
                 }
@@ -130,7 +132,7 @@
             }
         }
         const bool areAllCurrent = std::ranges::all_of(nodes_, [](const auto &node) {
-            return node->view_.at() == 11 && node->view_.configuration()->version_ == 11;
+            return node->view_.at() == atRevision(11) && node->view_.configuration()->version_ == 11;
         });
         return areAllCurrent ? std::make_optional(last) : std::nullopt;
     }
@@ -159,8 +161,8 @@
         std::set<std::string> sources_;
         std::vector<std::size_t> receivers_;
         // What is known of the sources, and told to them.
-        std::map<std::size_t, Revision> knownRevisions_;
-        std::map<std::size_t, Revision> toldRevisions_;
+        std::map<std::size_t, StoreVersion> knownVersions_;
+        std::map<std::size_t, StoreVersion> toldVersions_;
         std::size_t received_ = 0;
     };
 
@@ -214,7 +216,7 @@
     {
         auto &node = *nodes_[delivery.to_];
         ++node.received_;
-        node.knownRevisions_[delivery.from_] = delivery.change_.to_;
+        node.knownVersions_[delivery.from_] = delivery.change_.to_;
         const auto passedOn = node.changes_.receive(delivery.change_, node.view_, delivery.at_);
         if (passedOn) {
             push(delivery.to_, *passedOn, delivery.from_, delivery.at_);
@@ -227,7 +229,7 @@
         auto &node = *nodes_[index];
         for (const auto &source : node.sources_) {
             const auto to = std::stoul(source);
-            for (const auto &change : node.changes_.takeMissing(node.knownRevisions_[to], node.toldRevisions_[to], now)) {
+            for (const auto &change : node.changes_.takeMissing(node.knownVersions_[to], node.toldVersions_[to], now)) {
                 send(index, to, change, now);
             }
         }
@@ -289,52 +291,56 @@
     void changeThatJoinsOnIsAppliedCompletely()
     {
         auto sender = loadedView();
-        sender.apply({StoreEvent{configurationItem(11), false}, StoreEvent{{"other/key", "x", 12, 0}, false}, StoreEvent{serverItem(13), true}}, 13, at(0));
-        const auto change = sender.changeSince(10);
+        sender.apply({StoreEvent{configurationItem(11), false}, StoreEvent{{"other/key", "x", atRevision(12), {}}, false}, StoreEvent{serverItem(13), true}},
+                     atRevision(13),
+                     at(0));
+        const auto change = sender.changeSince(atRevision(10));
         CPPUNIT_ASSERT(change.isComplete_);
         auto view = loadedView();
         CPPUNIT_ASSERT(view.apply(change, at(0)));
-        CPPUNIT_ASSERT_EQUAL(Revision(13), view.at());
+        CPPUNIT_ASSERT_EQUAL(atRevision(13), view.at());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(11), view.configuration()->version_);
         CPPUNIT_ASSERT(view.server("s1") == nullptr);
-        CPPUNIT_ASSERT(view.changeSince(10) == change);
+        CPPUNIT_ASSERT(view.changeSince(atRevision(10)) == change);
         CPPUNIT_ASSERT(!view.apply(change, at(0)));
         // A view that has some of it already.
         auto later = loadedView();
-        later.apply({StoreEvent{configurationItem(11), false}}, 11, at(0));
+        later.apply({StoreEvent{configurationItem(11), false}}, atRevision(11), at(0));
         CPPUNIT_ASSERT(later.apply(change, at(0)));
-        CPPUNIT_ASSERT(later.changeSince(10) == change);
+        CPPUNIT_ASSERT(later.changeSince(atRevision(10)) == change);
     }
 
     void changeThatDoesNotJoinOnIsAppliedByItem()
     {
         auto view = loadedView();
-        const ViewChange gap{20, 24, true, {configurationItem(22), {"other/key", "x", 23, 0}}, {{serverItem(0).key_, 24}}};
+        const ViewChange gap{
+            atRevision(20), atRevision(24), true, {configurationItem(22), {"other/key", "x", atRevision(23), {}}}, {{serverItem(0).key_, atRevision(24)}}};
         CPPUNIT_ASSERT(view.apply(gap, at(0)));
-        CPPUNIT_ASSERT_EQUAL(Revision(10), view.at());
+        CPPUNIT_ASSERT_EQUAL(atRevision(10), view.at());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(22), view.configuration()->version_);
         CPPUNIT_ASSERT(view.server("s1") == nullptr);
         CPPUNIT_ASSERT(!view.apply(gap, at(0)));
         // The complete update follows; it was made from the same state, and others get everything from this view.
         auto sender = loadedView();
-        sender.apply({StoreEvent{{"other/first", "y", 20, 0}, false},
+        sender.apply({StoreEvent{{"other/first", "y", atRevision(20), {}}, false},
                       StoreEvent{configurationItem(22), false},
-                      StoreEvent{{"other/key", "x", 23, 0}, false},
+                      StoreEvent{{"other/key", "x", atRevision(23), {}}, false},
                       StoreEvent{serverItem(24), true}},
-                     24,
+                     atRevision(24),
                      at(0));
-        view.apply(sender.changesSince(10), at(0));
-        CPPUNIT_ASSERT_EQUAL(Revision(24), view.at());
-        CPPUNIT_ASSERT(view.changeSince(10) == sender.changeSince(10));
+        view.apply(sender.changesSince(atRevision(10)), at(0));
+        CPPUNIT_ASSERT_EQUAL(atRevision(24), view.at());
+        CPPUNIT_ASSERT(view.changeSince(atRevision(10)) == sender.changeSince(atRevision(10)));
     }
 
     // The view is complete up to its revision, so an older item that it doesn't have was removed.
     void delayedChangeBringsNothingBack()
     {
         auto view = makeView();
-        view.replace({configurationItem(5)}, 30, at(0));
-        CPPUNIT_ASSERT(!view.apply(ViewChange{8, 12, true, {serverItem(9)}, {}}, at(0)));
-        CPPUNIT_ASSERT(!view.apply(ViewChange{0, 12, false, {serverItem(9), configurationItem(4)}, {{Platform::ConfigurationKey, 12}}}, at(0)));
+        view.replace({configurationItem(5)}, atRevision(30), at(0));
+        CPPUNIT_ASSERT(!view.apply(ViewChange{atRevision(8), atRevision(12), true, {serverItem(9)}, {}}, at(0)));
+        CPPUNIT_ASSERT(
+            !view.apply(ViewChange{{}, atRevision(12), false, {serverItem(9), configurationItem(4)}, {{Platform::ConfigurationKey, atRevision(12)}}}, at(0)));
         CPPUNIT_ASSERT(view.server("s1") == nullptr);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), view.configuration()->version_);
     }
@@ -342,39 +348,39 @@
     void pushedRemovalSurvivesAnOlderRead()
     {
         auto view = loadedView();
-        CPPUNIT_ASSERT(view.apply(ViewChange{0, 24, false, {}, {{serverItem(0).key_, 24}}}, at(0)));
+        CPPUNIT_ASSERT(view.apply(ViewChange{{}, atRevision(24), false, {}, {{serverItem(0).key_, atRevision(24)}}}, at(0)));
         CPPUNIT_ASSERT(view.server("s1") == nullptr);
-        view.replace({configurationItem(5), serverItem(6)}, 20, at(0));
+        view.replace({configurationItem(5), serverItem(6)}, atRevision(20), at(0));
         CPPUNIT_ASSERT(view.server("s1") == nullptr);
         // A removal that is pushed before the item is known at all.
         auto early = makeView();
-        early.replace({configurationItem(5)}, 10, at(0));
-        early.apply(ViewChange{0, 24, false, {}, {{serverItem(0).key_, 24}}}, at(0));
-        early.apply({StoreEvent{serverItem(15), false}}, 15, at(0));
+        early.replace({configurationItem(5)}, atRevision(10), at(0));
+        early.apply(ViewChange{{}, atRevision(24), false, {}, {{serverItem(0).key_, atRevision(24)}}}, at(0));
+        early.apply({StoreEvent{serverItem(15), false}}, atRevision(15), at(0));
         CPPUNIT_ASSERT(early.server("s1") == nullptr);
-        early.apply({StoreEvent{serverItem(30), false}}, 30, at(0));
+        early.apply({StoreEvent{serverItem(30), false}}, atRevision(30), at(0));
         CPPUNIT_ASSERT(early.server("s1") != nullptr);
     }
 
     void pushedItemSurvivesOlderStates()
     {
         auto view = makeView();
-        view.replace({configurationItem(5)}, 10, at(0));
-        view.apply(ViewChange{0, 24, false, {serverItem(24, "draining"), configurationItem(23)}, {}}, at(0));
-        view.replace({configurationItem(5)}, 20, at(0));
-        ViewUpdate snapshot{21, true, {configurationItem(5)}, {}};
+        view.replace({configurationItem(5)}, atRevision(10), at(0));
+        view.apply(ViewChange{{}, atRevision(24), false, {serverItem(24, "draining"), configurationItem(23)}, {}}, at(0));
+        view.replace({configurationItem(5)}, atRevision(20), at(0));
+        ViewUpdate snapshot{atRevision(21), true, {configurationItem(5)}, {}};
         view.apply(snapshot, at(0));
         CPPUNIT_ASSERT(view.server("s1") != nullptr && view.server("s1")->state_ == ServerState::Draining);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(23), view.configuration()->version_);
-        view.replace({configurationItem(23)}, 25, at(0));
+        view.replace({configurationItem(23)}, atRevision(25), at(0));
         CPPUNIT_ASSERT(view.server("s1") == nullptr);
     }
 
     void viewWithoutContentIgnoresChanges()
     {
         auto view = makeView();
-        CPPUNIT_ASSERT(!view.apply(ViewChange{0, 24, false, {configurationItem(23)}, {}}, at(0)));
-        CPPUNIT_ASSERT(!view.apply(ViewChange{0, 24, true, {configurationItem(23)}, {}}, at(0)));
+        CPPUNIT_ASSERT(!view.apply(ViewChange{{}, atRevision(24), false, {configurationItem(23)}, {}}, at(0)));
+        CPPUNIT_ASSERT(!view.apply(ViewChange{{}, atRevision(24), true, {configurationItem(23)}, {}}, at(0)));
         CPPUNIT_ASSERT(!view.configuration());
     }
 
@@ -383,13 +389,13 @@
         auto view = loadedView();
         ChangePush changes;
         CPPUNIT_ASSERT(!changes.takeDue(view, at(0)));
-        view.apply({StoreEvent{{"other/key", "x", 11, 0}, false}, StoreEvent{serverItem(12), true}}, 12, at(0));
+        view.apply({StoreEvent{{"other/key", "x", atRevision(11), {}}, false}, StoreEvent{serverItem(12), true}}, atRevision(12), at(0));
         const auto change = changes.takeDue(view, at(0));
         CPPUNIT_ASSERT(change && change->isComplete_);
-        CPPUNIT_ASSERT_EQUAL(Revision(10), change->from_);
-        CPPUNIT_ASSERT_EQUAL(Revision(12), change->to_);
+        CPPUNIT_ASSERT_EQUAL(atRevision(10), change->from_);
+        CPPUNIT_ASSERT_EQUAL(atRevision(12), change->to_);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), change->items_.size());
-        CPPUNIT_ASSERT(change->removals_ == std::vector<ViewRemoval>({{serverItem(0).key_, 12}}));
+        CPPUNIT_ASSERT(change->removals_ == std::vector<ViewRemoval>({{serverItem(0).key_, atRevision(12)}}));
         CPPUNIT_ASSERT(!changes.takeDue(view, at(0)));
     }
 
@@ -398,11 +404,13 @@
         auto view = loadedView();
         ChangePush changes;
         changes.takeDue(view, at(0));
-        view.apply({StoreEvent{{"other/key", std::string(MaxPushedUnboundBytes, 'x'), 11, 0}, false}, StoreEvent{configurationItem(12), false}}, 12, at(0));
+        view.apply({StoreEvent{{"other/key", std::string(MaxPushedUnboundBytes, 'x'), atRevision(11), {}}, false}, StoreEvent{configurationItem(12), false}},
+                   atRevision(12),
+                   at(0));
         const auto change = changes.takeDue(view, at(0));
         CPPUNIT_ASSERT(change && !change->isComplete_);
         CPPUNIT_ASSERT(change->items_ == std::vector<StoreItem>({configurationItem(12)}));
-        view.apply({StoreEvent{{"other/key", std::string(MaxPushedUnboundBytes, 'y'), 13, 0}, false}}, 13, at(0));
+        view.apply({StoreEvent{{"other/key", std::string(MaxPushedUnboundBytes, 'y'), atRevision(13), {}}, false}}, atRevision(13), at(0));
         CPPUNIT_ASSERT(!changes.takeDue(view, at(0)));
     }
 
@@ -413,11 +421,11 @@
         changes.takeDue(view, at(0));
         auto large = configurationItem(11);
         large.value_ += std::string(MaxPushedBytes, ' ');
-        view.apply({StoreEvent{large, false}}, 11, at(0));
+        view.apply({StoreEvent{large, false}}, atRevision(11), at(0));
         CPPUNIT_ASSERT(!changes.takeDue(view, at(0)));
-        view.apply({StoreEvent{configurationItem(12), false}}, 12, at(0));
+        view.apply({StoreEvent{configurationItem(12), false}}, atRevision(12), at(0));
         const auto change = changes.takeDue(view, at(0));
-        CPPUNIT_ASSERT(change && change->isComplete_ && change->from_ == 11);
+        CPPUNIT_ASSERT(change && change->isComplete_ && change->from_ == atRevision(11));
     }
 
     void onlyNewsIsPassedOn()
@@ -425,12 +433,12 @@
         auto view = loadedView();
         ChangePush changes;
         changes.takeDue(view, at(0));
-        const ViewChange change{10, 11, true, {configurationItem(11)}, {}};
+        const ViewChange change{atRevision(10), atRevision(11), true, {configurationItem(11)}, {}};
         CPPUNIT_ASSERT(changes.receive(change, view, at(0)) == change);
         CPPUNIT_ASSERT(!changes.receive(change, view, at(1)));
         // It is not pushed as the own change either.
         CPPUNIT_ASSERT(!changes.takeDue(view, at(1)));
-        const ViewChange gap{20, 24, true, {configurationItem(22)}, {}};
+        const ViewChange gap{atRevision(20), atRevision(24), true, {configurationItem(22)}, {}};
         CPPUNIT_ASSERT(changes.receive(gap, view, at(2)) == gap);
         CPPUNIT_ASSERT(!changes.receive(gap, view, at(3)));
     }
@@ -440,15 +448,15 @@
         auto view = loadedView();
         ChangePush changes;
         changes.takeDue(view, at(0));
-        const ViewChange change{10, 11, true, {configurationItem(11)}, {}};
+        const ViewChange change{atRevision(10), atRevision(11), true, {configurationItem(11)}, {}};
         changes.receive(change, view, at(0));
-        Revision told = 0;
-        CPPUNIT_ASSERT(changes.takeMissing(10, told, at(100)).empty());
-        CPPUNIT_ASSERT(changes.takeMissing(11, told, at(300)).empty());
-        CPPUNIT_ASSERT(changes.takeMissing(10, told, at(300)) == std::vector<ViewChange>{change});
-        CPPUNIT_ASSERT(changes.takeMissing(10, told, at(400)).empty());
-        Revision toldLater = 0;
-        CPPUNIT_ASSERT(changes.takeMissing(10, toldLater, at(10'000)).empty());
+        StoreVersion told;
+        CPPUNIT_ASSERT(changes.takeMissing(atRevision(10), told, at(100)).empty());
+        CPPUNIT_ASSERT(changes.takeMissing(atRevision(11), told, at(300)).empty());
+        CPPUNIT_ASSERT(changes.takeMissing(atRevision(10), told, at(300)) == std::vector<ViewChange>{change});
+        CPPUNIT_ASSERT(changes.takeMissing(atRevision(10), told, at(400)).empty());
+        StoreVersion toldLater;
+        CPPUNIT_ASSERT(changes.takeMissing(atRevision(10), toldLater, at(10'000)).empty());
     }
 
     void sourcesAreTwoAndDifferent()
@@ -477,7 +485,7 @@
 
     static StoreItem secondServer(Revision revision)
     {
-        return {Platform::ServerPrefix + std::string("s2"), serverText(), revision, 0};
+        return {Platform::ServerPrefix + std::string("s2"), serverText(), atRevision(revision), {}};
     }
 
     // Views of two instances.
@@ -492,14 +500,14 @@
     {
         FollowerAndSource views;
         auto watcher = loadedView();
-        watcher.apply({StoreEvent{configurationItem(12), false}}, 12, at(1));
-        watcher.apply({StoreEvent{item, false}}, 13, at(2));
-        views.follower_.apply(watcher.changeSince(12), at(3));
-        watcher.apply({StoreEvent{item, true}}, 13, at(4));
+        watcher.apply({StoreEvent{configurationItem(12), false}}, atRevision(12), at(1));
+        watcher.apply({StoreEvent{item, false}}, atRevision(13), at(2));
+        views.follower_.apply(watcher.changeSince(atRevision(12)), at(3));
+        watcher.apply({StoreEvent{item, true}}, atRevision(13), at(4));
         StoreItem gone = item;
-        gone.revision_ = 14;
-        watcher.apply({StoreEvent{gone, true}}, 14, at(4));
-        views.source_.apply(watcher.changesSince(10), at(5));
+        gone.version_ = atRevision(14);
+        watcher.apply({StoreEvent{gone, true}}, atRevision(14), at(4));
+        views.source_.apply(watcher.changesSince(atRevision(10)), at(5));
         return views;
     }
 
@@ -508,84 +516,84 @@
         auto both = makeFollowerWithPart(secondServer(13));
         CPPUNIT_ASSERT(both.follower_.server("s2") != nullptr);
         CPPUNIT_ASSERT(both.source_.server("s2") == nullptr);
-        both.follower_.apply(both.source_.changeSince(10), at(6));
-        CPPUNIT_ASSERT_EQUAL(Revision(14), both.follower_.at());
+        both.follower_.apply(both.source_.changeSince(atRevision(10)), at(6));
+        CPPUNIT_ASSERT_EQUAL(atRevision(14), both.follower_.at());
         CPPUNIT_ASSERT_MESSAGE("a removed server stays for good", both.follower_.server("s2") == nullptr);
     }
 
     void removalAfterAPartIsNotLostWhenFetched()
     {
         auto both = makeFollowerWithPart(secondServer(13));
-        both.follower_.apply(both.source_.changesSince(10), at(6));
-        CPPUNIT_ASSERT_EQUAL(Revision(14), both.follower_.at());
+        both.follower_.apply(both.source_.changesSince(atRevision(10)), at(6));
+        CPPUNIT_ASSERT_EQUAL(atRevision(14), both.follower_.at());
         CPPUNIT_ASSERT_MESSAGE("a removed server stays for good", both.follower_.server("s2") == nullptr);
     }
 
     void evacuationTakenBackDoesNotStay()
     {
-        auto both = makeFollowerWithPart({Platform::EvacuationPrefix + std::string("north"), "{}", 13, 0});
-        both.follower_.apply(both.source_.changesSince(10), at(6));
+        auto both = makeFollowerWithPart({Platform::EvacuationPrefix + std::string("north"), "{}", atRevision(13), {}});
+        both.follower_.apply(both.source_.changesSince(atRevision(10)), at(6));
         CPPUNIT_ASSERT_MESSAGE("an evacuation taken back stays for good", both.follower_.evacuatedDomains().empty());
     }
 
     void heldUpWatchBringsNoServerBack()
     {
         auto watcher = loadedView();
-        watcher.apply({StoreEvent{secondServer(13), false}}, 13, at(1));
-        watcher.apply({StoreEvent{secondServer(14), true}}, 14, at(2));
+        watcher.apply({StoreEvent{secondServer(13), false}}, atRevision(13), at(1));
+        watcher.apply({StoreEvent{secondServer(14), true}}, atRevision(14), at(2));
         auto late = loadedView();
-        late.apply(watcher.changeSince(10), at(3));
-        CPPUNIT_ASSERT_EQUAL(Revision(14), late.at());
+        late.apply(watcher.changeSince(atRevision(10)), at(3));
+        CPPUNIT_ASSERT_EQUAL(atRevision(14), late.at());
         // The answer of its own watch was on its way since before the removal; the next watch begins at 14.
-        late.apply({StoreEvent{secondServer(13), false}}, 13, at(4));
-        CPPUNIT_ASSERT_EQUAL(Revision(14), late.at());
+        late.apply({StoreEvent{secondServer(13), false}}, atRevision(13), at(4));
+        CPPUNIT_ASSERT_EQUAL(atRevision(14), late.at());
         CPPUNIT_ASSERT_MESSAGE("a removed server came back", late.server("s2") == nullptr);
     }
 
     void heldUpWatchBringsNoServerBackAfterAFetch()
     {
         auto watcher = loadedView();
-        watcher.apply({StoreEvent{secondServer(13), false}}, 13, at(1));
-        watcher.apply({StoreEvent{secondServer(14), true}}, 14, at(2));
+        watcher.apply({StoreEvent{secondServer(13), false}}, atRevision(13), at(1));
+        watcher.apply({StoreEvent{secondServer(14), true}}, atRevision(14), at(2));
         auto late = loadedView();
-        late.apply(watcher.changesSince(10), at(3));
-        late.apply({StoreEvent{secondServer(13), false}}, 13, at(4));
+        late.apply(watcher.changesSince(atRevision(10)), at(3));
+        late.apply({StoreEvent{secondServer(13), false}}, atRevision(13), at(4));
         CPPUNIT_ASSERT_MESSAGE("a removed server came back", late.server("s2") == nullptr);
     }
 
     void sourceThatReadsAllTellsOfRemovals()
     {
         auto watcher = loadedView();
-        watcher.apply({StoreEvent{configurationItem(12), false}}, 12, at(1));
-        watcher.apply({StoreEvent{secondServer(13), false}}, 13, at(2));
+        watcher.apply({StoreEvent{configurationItem(12), false}}, atRevision(12), at(1));
+        watcher.apply({StoreEvent{secondServer(13), false}}, atRevision(13), at(2));
         auto follower = loadedView();
-        follower.apply(watcher.changeSince(12), at(3));
+        follower.apply(watcher.changeSince(atRevision(12)), at(3));
         CPPUNIT_ASSERT(follower.server("s2") != nullptr);
         auto source = loadedView();
-        source.replace({configurationItem(12), serverItem(6)}, 14, at(4));
-        follower.apply(source.changeSince(10), at(5));
-        CPPUNIT_ASSERT_EQUAL(Revision(14), follower.at());
+        source.replace({configurationItem(12), serverItem(6)}, atRevision(14), at(4));
+        follower.apply(source.changeSince(atRevision(10)), at(5));
+        CPPUNIT_ASSERT_EQUAL(atRevision(14), follower.at());
         CPPUNIT_ASSERT_MESSAGE("a removed server stays for good", follower.server("s2") == nullptr);
     }
 
     void heldUpWatchBringsNoCoordinatorBack()
     {
         const MemberEntry member{"edge-9", "1", "10.0.0.9:1", "north", 200};
-        const StoreItem item{coordinatorKey("one"), encodeCoordinator({member, 1, false, false, 0}), 13, 0};
+        const StoreItem item{coordinatorKey("one"), encodeCoordinator({member, {0, 1}, false, false, {}}), atRevision(13), {}};
         StoreItem gone = item;
-        gone.revision_ = 14;
+        gone.version_ = atRevision(14);
         auto watcher = loadedView();
-        watcher.apply({StoreEvent{item, false}}, 13, at(1));
-        watcher.apply({StoreEvent{gone, true}}, 14, at(2));
+        watcher.apply({StoreEvent{item, false}}, atRevision(13), at(1));
+        watcher.apply({StoreEvent{gone, true}}, atRevision(14), at(2));
         auto late = loadedView();
-        late.apply(watcher.changeSince(10), at(3));
-        late.apply({StoreEvent{item, false}}, 13, at(4));
+        late.apply(watcher.changeSince(atRevision(10)), at(3));
+        late.apply({StoreEvent{item, false}}, atRevision(13), at(4));
         CPPUNIT_ASSERT_MESSAGE("an ended coordinator came back", late.coordinator("one") == nullptr);
     }
 
     void messageRoundTrips()
     {
-        const ViewChange change{10, 13, true, {configurationItem(11), serverItem(12)}, {{"servers/gone", 13}}};
+        const ViewChange change{atRevision(10), atRevision(13), true, {configurationItem(11), serverItem(12)}, {{"servers/gone", atRevision(13)}}};
         const auto frame = encodeFrame(toMessage(change));
         auto message = decodeFrame(frame.data() + 4, frame.size() - 4);
         CPPUNIT_ASSERT(message && std::holds_alternative<ViewChangeMessage>(*message));
--- a/Tests/LibGateway/TestFrontServer.cpp
+++ b/Tests/LibGateway/TestFrontServer.cpp
@@ -1,8 +1,10 @@
 // Tests of callers' connections, with a loop that the test runs handler by handler.
 #include <LibGateway/LibGateway.h>
 
+#include <Tests/StoreVersions.h>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace Goldcrestwall;
@@ -67,7 +69,7 @@
     LoopDelayMeter loopDelay_;
     FrontServer front_{loop_, loopDelay_, view_, flow_, memory_, MaxConnections, log_, metrics_};
     Tcp::endpoint endpoint_ = freeEndpoint();
-    Platform::Revision revision_ = 0;
+    std::uint64_t revision_ = 0;
 
     Front()
     {
@@ -80,7 +82,7 @@
         ++revision_;
         const std::string text =
             R"({"version":)" + std::to_string(revision_) + R"(,"resources":[{"resourceType":"limits","metadata":{},"spec":)" + limits + "}]}";
-        view_.apply({{{"op/config", text, revision_, 0}, false}}, revision_, bootNow());
+        view_.apply({{{"op/config", text, atRevision(revision_), {}}, false}}, atRevision(revision_), bootNow());
         CPPUNIT_ASSERT_EQUAL(revision_, view_.configuration()->version_);
     }
 
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -1,7 +1,9 @@
 // Tests of the way of a request to a server, with a loop that the test runs handler by handler.
 #include <LibGateway/LibGateway.h>
 
+#include <Tests/StoreVersions.h>
 #include <boost/asio/write.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <poll.h>
@@ -98,7 +100,7 @@
     AnnouncementRecorder announcements_{"edge-1", notices_, log_, metrics_};
     RequestFlow flow_{loop_, view_, storeLink_, placement_, client_, announcements_, log_, metrics_};
     std::array<Server, 2> servers_{Server("i-1", "north"), Server("i-2", "south")};
-    Platform::Revision revision_ = 0;
+    std::uint64_t revision_ = 0;
     std::optional<unsigned> status_;
 
     Instance()
@@ -117,14 +119,14 @@
     void put(const std::string &key, const std::string &value)
     {
         ++revision_;
-        view_.apply({{{key, value, revision_, 0}, false}}, revision_, bootNow());
+        view_.apply({{{key, value, atRevision(revision_), {}}, false}}, atRevision(revision_), bootNow());
         placement_.refresh(bootNow());
     }
 
     void remove(const std::string &key)
     {
         ++revision_;
-        view_.apply({{{key, {}, revision_, 0}, true}}, revision_, bootNow());
+        view_.apply({{{key, {}, atRevision(revision_), {}}, true}}, atRevision(revision_), bootNow());
         placement_.refresh(bootNow());
     }
 
@@ -196,7 +198,7 @@
     {
         checkRequestGoesElsewhere("leaving", [](Instance &instance, const Server &server) {
             const TimePoint now = bootNow();
-            instance.notices_->recordLeaving({server.id(), StartTime}, {LeavingReason::Announced, NoticeSource::Response, now, now, 0}, now);
+            instance.notices_->recordLeaving({server.id(), StartTime}, {LeavingReason::Announced, NoticeSource::Response, now, now, {}}, now);
         });
     }
 
--- a/Tests/LibGateway/TestStoreLink.cpp
+++ b/Tests/LibGateway/TestStoreLink.cpp
@@ -4,6 +4,8 @@
 #include <StandIns/LoopbackProxy.h>
 #include <StandIns/PlatformStoreStandIn.h>
 
+#include <Tests/StoreVersions.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace Goldcrestwall;
@@ -34,12 +36,12 @@
         loop_.run_for(duration);
     }
     // Runs until the view has a revision, for this time at most. Returns whether it has.
-    bool awaitRevision(Platform::Revision revision, std::chrono::milliseconds longest)
+    bool awaitRevision(std::uint64_t revision, std::chrono::milliseconds longest)
     {
-        for (const TimePoint until = bootNow() + longest; view_.at() < revision && bootNow() < until;) {
+        for (const TimePoint until = bootNow() + longest; view_.at() < atRevision(revision) && bootNow() < until;) {
             runFor(10ms);
         }
-        return view_.at() >= revision;
+        return view_.at() >= atRevision(revision);
     }
 };
 
@@ -71,7 +73,7 @@
         link.standIn_.put("servers/i-1", "{}");
         const auto revision = link.standIn_.revision();
         link.runFor(1s);
-        CPPUNIT_ASSERT(link.view_.at() >= revision);
+        CPPUNIT_ASSERT(link.view_.at() >= atRevision(revision));
     }
 
     void discardedHistoryDelaysNoChange()
@@ -84,7 +86,7 @@
             link.standIn_.put("servers/i-1", "{}");
             const auto revision = link.standIn_.revision();
             link.runFor(500ms);
-            CPPUNIT_ASSERT(link.view_.at() >= revision);
+            CPPUNIT_ASSERT(link.view_.at() >= atRevision(revision));
         }
     }
 
@@ -129,7 +131,7 @@
                 link.runFor(100ms);
             }
             link.runFor(1s);
-            CPPUNIT_ASSERT_EQUAL(link.standIn_.revision(), link.view_.at());
+            CPPUNIT_ASSERT_EQUAL(atRevision(link.standIn_.revision()), link.view_.at());
         }
         CPPUNIT_ASSERT(link.link_.readAt() == readAt);
     }
--- a/Tests/LibGateway/TestViewAsker.cpp
+++ b/Tests/LibGateway/TestViewAsker.cpp
@@ -1,6 +1,8 @@
 // Tests of the choice of the peer that is asked for its view.
 #include <LibGateway/LibGateway.h>
 
+#include <Tests/StoreVersions.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace Goldcrestwall;
@@ -8,7 +10,7 @@
 
 namespace {
 
-constexpr OwnView Behind{5, false, false};
+constexpr OwnView Behind{atRevision(5), false, false};
 
 TimePoint at(int milliseconds)
 {
@@ -43,36 +45,37 @@
     {
         ViewAsker asker(1);
         int time = 0;
-        const std::vector<ViewSource> sources{{"a", 9, false, 0}, {"b", 8, false, 0}};
+        const std::vector<ViewSource> sources{{"a", atRevision(9), false, 0}, {"b", atRevision(8), false, 0}};
         CPPUNIT_ASSERT_EQUAL(std::string("a"), chooseWithin(asker, sources, Behind, time, 300));
         CPPUNIT_ASSERT_EQUAL(std::string(), chooseWithin(asker, sources, Behind, time, 500));
         // The answer brought the view to the peer's revision: there is nothing more to ask for.
         asker.recordAnswer("a");
-        CPPUNIT_ASSERT_EQUAL(std::string(), chooseWithin(asker, sources, {9, false, false}, time, 2000));
-        CPPUNIT_ASSERT_EQUAL(std::string("b"), chooseWithin(asker, {{"a", 9, false, 0}, {"b", 10, false, 0}}, {9, false, false}, time, 2050));
+        CPPUNIT_ASSERT_EQUAL(std::string(), chooseWithin(asker, sources, {atRevision(9), false, false}, time, 2000));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                             chooseWithin(asker, {{"a", atRevision(9), false, 0}, {"b", atRevision(10), false, 0}}, {atRevision(9), false, false}, time, 2050));
     }
 
     void peerThatDoesNotAnswerIsPassedOver()
     {
         ViewAsker asker(1);
         int time = 0;
-        const std::vector<ViewSource> sources{{"a", 9, false, 0}, {"b", 8, false, 0}};
+        const std::vector<ViewSource> sources{{"a", atRevision(9), false, 0}, {"b", atRevision(8), false, 0}};
         CPPUNIT_ASSERT_EQUAL(std::string("a"), chooseWithin(asker, sources, Behind, time, 300));
         CPPUNIT_ASSERT_EQUAL(std::string("b"), chooseWithin(asker, sources, Behind, time, 1100));
         asker.recordAnswer("b");
-        CPPUNIT_ASSERT_EQUAL(std::string("b"), chooseWithin(asker, sources, {6, false, false}, time, time + 100));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), chooseWithin(asker, sources, {atRevision(6), false, false}, time, time + 100));
         // It is asked nevertheless when there is no other.
         asker.recordAnswer("b");
-        CPPUNIT_ASSERT_EQUAL(std::string("a"), chooseWithin(asker, sources, {8, false, false}, time, time + 100));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), chooseWithin(asker, sources, {atRevision(8), false, false}, time, time + 100));
     }
 
     void answerThatProgressesIsAwaited()
     {
         ViewAsker asker(1);
         int time = 0;
-        CPPUNIT_ASSERT_EQUAL(std::string("a"), chooseWithin(asker, {{"a", 9, false, 0}}, Behind, time, 300));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), chooseWithin(asker, {{"a", atRevision(9), false, 0}}, Behind, time, 300));
         for (std::size_t bytes = 1; bytes < 100; ++bytes) {
-            CPPUNIT_ASSERT(!asker.choose({{"a", 9, false, bytes}, {"b", 9, false, 0}}, Behind, at(time += 50)));
+            CPPUNIT_ASSERT(!asker.choose({{"a", atRevision(9), false, bytes}, {"b", atRevision(9), false, 0}}, Behind, at(time += 50)));
         }
     }
 
@@ -80,18 +83,18 @@
     {
         ViewAsker asker(1);
         int time = 0;
-        CPPUNIT_ASSERT_EQUAL(std::string(), chooseWithin(asker, {{"a", 5, true, 0}, {"b", 3, false, 0}}, Behind, time, 3000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), chooseWithin(asker, {{"a", atRevision(5), true, 0}, {"b", atRevision(3), false, 0}}, Behind, time, 3000));
     }
 
     void ownDomainGoesFirst()
     {
         ViewAsker asker(1);
-        const std::vector<ViewSource> sources{{"a", 9, false, 0}, {"b", 8, true, 0}};
-        CPPUNIT_ASSERT(asker.choose(sources, {5, true, false}, at(0)) == std::optional<std::string>("b"));
+        const std::vector<ViewSource> sources{{"a", atRevision(9), false, 0}, {"b", atRevision(8), true, 0}};
+        CPPUNIT_ASSERT(asker.choose(sources, {atRevision(5), true, false}, at(0)) == std::optional<std::string>("b"));
         // An instance that watches the store itself gives its watch some time.
         ViewAsker watching(1);
-        CPPUNIT_ASSERT(!watching.choose(sources, {5, true, true}, at(0)));
-        CPPUNIT_ASSERT(watching.choose(sources, {5, true, true}, at(200)) == std::optional<std::string>("b"));
+        CPPUNIT_ASSERT(!watching.choose(sources, {atRevision(5), true, true}, at(0)));
+        CPPUNIT_ASSERT(watching.choose(sources, {atRevision(5), true, true}, at(200)) == std::optional<std::string>("b"));
     }
 };
 
--- a/Tests/LibGateway/TestViewFreshness.cpp
+++ b/Tests/LibGateway/TestViewFreshness.cpp
@@ -1,6 +1,8 @@
 // Tests of the age of the view and of when a watch is given up.
 #include <LibGateway/ViewFreshness.h>
 
+#include <Tests/StoreVersions.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace Goldcrestwall;
@@ -39,7 +41,7 @@
     void ageCountsFromTheProof()
     {
         ViewFreshness freshness;
-        freshness.recordProof(7, Start, 7);
+        freshness.recordProof(atRevision(7), Start, atRevision(7));
         CPPUNIT_ASSERT(freshness.age(Start + 1s) == Duration(1s));
         CPPUNIT_ASSERT(freshness.isConfirmed(Start + MaxViewAge - 1ms));
         CPPUNIT_ASSERT(!freshness.isConfirmed(Start + MaxViewAge));
@@ -48,76 +50,76 @@
     void earlierProofChangesNothing()
     {
         ViewFreshness freshness;
-        freshness.recordProof(7, Start, 7);
-        freshness.recordProof(7, Start - 1s, 7);
+        freshness.recordProof(atRevision(7), Start, atRevision(7));
+        freshness.recordProof(atRevision(7), Start - 1s, atRevision(7));
         CPPUNIT_ASSERT(freshness.confirmedAt() == Start);
     }
 
     void proofOfALaterRevisionCountsOnceTheViewHasIt()
     {
         ViewFreshness freshness;
-        freshness.recordProof(7, Start, 7);
-        freshness.recordProof(9, Start + 1s, 7);
-        freshness.recordView(8);
+        freshness.recordProof(atRevision(7), Start, atRevision(7));
+        freshness.recordProof(atRevision(9), Start + 1s, atRevision(7));
+        freshness.recordView(atRevision(8));
         CPPUNIT_ASSERT(freshness.confirmedAt() == Start);
-        freshness.recordView(9);
+        freshness.recordView(atRevision(9));
         CPPUNIT_ASSERT(freshness.confirmedAt() == Start + 1s);
     }
 
     void proofsThatWaitAreBounded()
     {
         ViewFreshness freshness;
-        for (Platform::Revision revision = 10; revision < 1000; ++revision) {
-            freshness.recordProof(revision, Start + Duration(revision), 7);
+        for (std::uint64_t revision = 10; revision < 1000; ++revision) {
+            freshness.recordProof(atRevision(revision), Start + Duration(revision), atRevision(7));
         }
-        freshness.recordView(10);
+        freshness.recordView(atRevision(10));
         CPPUNIT_ASSERT(freshness.confirmedAt() == Start + Duration(10));
-        freshness.recordView(1000);
+        freshness.recordView(atRevision(1000));
         CPPUNIT_ASSERT(freshness.confirmedAt() < Start + Duration(100));
     }
 
     void nothingCountsAfterAReset()
     {
         ViewFreshness freshness;
-        freshness.recordProof(7, Start, 7);
-        freshness.recordProof(9, Start, 7);
+        freshness.recordProof(atRevision(7), Start, atRevision(7));
+        freshness.recordProof(atRevision(9), Start, atRevision(7));
         freshness.reset();
-        freshness.recordView(9);
+        freshness.recordView(atRevision(9));
         CPPUNIT_ASSERT(!freshness.isConfirmed(Start));
     }
 
     void watchIsStaleIfItDoesNotReportAnExpectedRevision()
     {
         ViewFreshness freshness;
-        freshness.expect(7, 7, Start);
-        CPPUNIT_ASSERT(!freshness.isWatchStale(Start, 7, Start + 1min));
-        freshness.expect(9, 7, Start);
+        freshness.expect(atRevision(7), atRevision(7), Start);
+        CPPUNIT_ASSERT(!freshness.isWatchStale(Start, atRevision(7), Start + 1min));
+        freshness.expect(atRevision(9), atRevision(7), Start);
         // What is expected since is not due earlier.
-        freshness.expect(12, 7, Start + 100ms);
-        CPPUNIT_ASSERT(!freshness.isWatchStale(Start - 1s, 7, Start + StaleWatchTimeout - 1ms));
-        CPPUNIT_ASSERT(freshness.isWatchStale(Start - 1s, 7, Start + StaleWatchTimeout));
-        CPPUNIT_ASSERT(!freshness.isWatchStale(Start - 1s, 9, Start + StaleWatchTimeout));
+        freshness.expect(atRevision(12), atRevision(7), Start + 100ms);
+        CPPUNIT_ASSERT(!freshness.isWatchStale(Start - 1s, atRevision(7), Start + StaleWatchTimeout - 1ms));
+        CPPUNIT_ASSERT(freshness.isWatchStale(Start - 1s, atRevision(7), Start + StaleWatchTimeout));
+        CPPUNIT_ASSERT(!freshness.isWatchStale(Start - 1s, atRevision(9), Start + StaleWatchTimeout));
     }
 
     // Guards against complete reads of a store whose responses come late while it changes all the time.
     void laterWatchGetsItsTime()
     {
         ViewFreshness freshness;
-        freshness.expect(9, 7, Start);
+        freshness.expect(atRevision(9), atRevision(7), Start);
         const TimePoint sentAt = Start + 500ms;
-        CPPUNIT_ASSERT(!freshness.isWatchStale(sentAt, 8, sentAt + StaleWatchTimeout - 1ms));
-        CPPUNIT_ASSERT(freshness.isWatchStale(sentAt, 8, sentAt + StaleWatchTimeout));
+        CPPUNIT_ASSERT(!freshness.isWatchStale(sentAt, atRevision(8), sentAt + StaleWatchTimeout - 1ms));
+        CPPUNIT_ASSERT(freshness.isWatchStale(sentAt, atRevision(8), sentAt + StaleWatchTimeout));
     }
 
     void storeIsNotAskedWhileTheViewIsConfirmedOtherwise()
     {
         ViewFreshness freshness;
-        freshness.recordProof(7, Start, 7);
-        CPPUNIT_ASSERT(freshness.checkDueAt(TimePoint()) == Start + RevisionCheckInterval);
+        freshness.recordProof(atRevision(7), Start, atRevision(7));
+        CPPUNIT_ASSERT(freshness.checkDueAt(TimePoint()) == Start + PositionCheckInterval);
         // A response that did not confirm the view is not asked for again at once either.
-        CPPUNIT_ASSERT(freshness.checkDueAt(Start + 100ms) == Start + 100ms + RevisionCheckInterval);
-        freshness.recordProof(7, Start + 200ms, 7);
-        CPPUNIT_ASSERT(freshness.checkDueAt(Start + 100ms) == Start + 200ms + RevisionCheckInterval);
+        CPPUNIT_ASSERT(freshness.checkDueAt(Start + 100ms) == Start + 100ms + PositionCheckInterval);
+        freshness.recordProof(atRevision(7), Start + 200ms, atRevision(7));
+        CPPUNIT_ASSERT(freshness.checkDueAt(Start + 100ms) == Start + 200ms + PositionCheckInterval);
     }
 };
 
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -1,6 +1,8 @@
 // Tests of the exchange of views between instances, on real connections.
 #include <LibGateway/LibGateway.h>
 
+#include <Tests/StoreVersions.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <boost/asio/write.hpp>
@@ -22,11 +24,11 @@
     return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
-std::vector<StoreItem> largeContent(Platform::Revision revision)
+std::vector<StoreItem> largeContent(std::uint64_t revision)
 {
     std::vector<StoreItem> items;
     for (std::size_t i = 0; i < ViewItems; ++i) {
-        items.push_back({"other/" + std::to_string(i), std::string(ItemBytes, 'x'), revision, 0});
+        items.push_back({"other/" + std::to_string(i), std::string(ItemBytes, 'x'), atRevision(revision), {}});
     }
     return items;
 }
@@ -38,7 +40,7 @@
         : limits_(limits)
     {
         CPPUNIT_ASSERT(!network_.listen(address_));
-        view_.replace(largeContent(5), 5, bootNow());
+        view_.replace(largeContent(5), atRevision(5), bootNow());
     }
 
     void run(Duration duration)
@@ -312,10 +314,10 @@
         peer.send(HelloMessage{"edge-2", "1", "north"});
         peer.send(PingMessage{1, 5});
         side.run(50ms);
-        CPPUNIT_ASSERT_EQUAL(Platform::Revision(0), side.storeLink_.expectedRevision());
+        CPPUNIT_ASSERT_EQUAL(atRevision(0), side.storeLink_.expectedVersion());
         peer.send(PingMessage{2, 6});
         side.run(50ms);
-        CPPUNIT_ASSERT_EQUAL(Platform::Revision(6), side.storeLink_.expectedRevision());
+        CPPUNIT_ASSERT_EQUAL(atRevision(6), side.storeLink_.expectedVersion());
     }
 
     void pingOfAnEarlierVersionIsUnderstood()
@@ -330,21 +332,21 @@
         CPPUNIT_ASSERT(message.has_value());
         const auto &ping = std::get<PingMessage>(*message);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(42), ping.sentAt_);
-        CPPUNIT_ASSERT_EQUAL(Platform::Revision(0), ping.revision_);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), ping.revision_);
     }
 
     void pingsStateTheRevision()
     {
         Side follower;
         Side watcher;
-        follower.view_.replace(largeContent(6), 6, bootNow());
+        follower.view_.replace(largeContent(6), atRevision(6), bootNow());
         const TimePoint until = bootNow() + 3s;
-        while (watcher.storeLink_.expectedRevision() != 6 && bootNow() < until) {
+        while (watcher.storeLink_.expectedVersion() != atRevision(6) && bootNow() < until) {
             follower.relay_.refresh({watcher.address_}, bootNow());
             follower.run(10ms);
             watcher.run(10ms);
         }
-        CPPUNIT_ASSERT_EQUAL(Platform::Revision(6), watcher.storeLink_.expectedRevision());
+        CPPUNIT_ASSERT_EQUAL(atRevision(6), watcher.storeLink_.expectedVersion());
     }
 };
 
--- a/Tests/LibGateway/TestViewSpread.cpp
+++ b/Tests/LibGateway/TestViewSpread.cpp
@@ -1,6 +1,8 @@
 // Model in logical time of how the view spreads among instances, with the classes that decide whom to ask and what to answer.
 #include <LibGateway/LibGateway.h>
 
+#include <Tests/StoreVersions.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <iostream>
@@ -13,7 +15,7 @@
 constexpr Duration Step = 50ms;
 constexpr Duration PongInterval = 400ms;
 constexpr Duration TimeLimit = 60s;
-constexpr Platform::Revision Newest = 100;
+constexpr std::uint64_t Newest = 100;
 constexpr std::size_t DomainCount = 5;
 constexpr std::size_t MaxAnswerBytes = 1U << 20U;
 // 10 Mbit/s.
@@ -28,7 +30,7 @@
     // Instances that have the newest view from the beginning, at least one.
     std::size_t holders_ = 3;
     // The view of the others at the beginning; 0 for none.
-    Platform::Revision initialRevision_ = 0;
+    std::uint64_t initialRevision_ = 0;
     // No instance's view is ever confirmed by the store.
     bool isStoreAway_ = false;
     // Part of the instances that is killed after `KillTime` and starts again without a view.
@@ -113,9 +115,9 @@
 
         std::size_t index_;
         bool isUp_ = true;
-        Platform::Revision revision_ = 0;
+        std::uint64_t revision_ = 0;
         // What the others know of it.
-        Platform::Revision toldRevision_ = 0;
+        std::uint64_t toldRevision_ = 0;
         ViewAsker asker_;
         ViewAnswerQueue<std::size_t> answers_{MaxAnswerBytes};
         std::vector<Transfer> transfers_;
@@ -188,28 +190,28 @@
                 if (other->isUp_ && other->toldRevision_ > node.revision_) {
                     const auto received = node.received_.find(other->index_);
                     sources.push_back({std::to_string(other->index_),
-                                       other->toldRevision_,
+                                       atRevision(other->toldRevision_),
                                        other->index_ % DomainCount == node.index_ % DomainCount,
                                        received == node.received_.end() ? 0 : received->second});
                 }
             }
         }
         const bool isCurrent = node.revision_ == Newest && !scenario_.isStoreAway_;
-        if (const auto chosen = node.asker_.choose(sources, {node.revision_, isCurrent, false}, now)) {
+        if (const auto chosen = node.asker_.choose(sources, {atRevision(node.revision_), isCurrent, false}, now)) {
             const auto asked = std::stoul(*chosen);
             if (!scenario_.hasSilentHolder_ || asked != 0) {
-                nodes_[asked]->answers_.request(node.index_, node.revision_, now);
+                nodes_[asked]->answers_.request(node.index_, atRevision(node.revision_), now);
             }
         }
     }
 
     void answer(Node &node, TimePoint now) const
     {
-        const auto sizeOf = [this](Platform::Revision revision) {
-            return revision == 0 ? viewBytes_ : ChangeBytes;
+        const auto sizeOf = [this](const StoreVersion &version) {
+            return !version.exists() ? viewBytes_ : ChangeBytes;
         };
         for (const auto &turn : node.answers_.takeDue(sizeOf, now)) {
-            const auto size = static_cast<double>(sizeOf(turn.revision_));
+            const auto size = static_cast<double>(sizeOf(turn.version_));
             node.transfers_.push_back({turn.link_, size, size});
         }
     }
--- a/Tests/LibPlacement/TestServerNotices.cpp
+++ b/Tests/LibPlacement/TestServerNotices.cpp
@@ -16,7 +16,7 @@
 LeavingNotice makeNotice(LeavingReason reason, TimePoint learntAt, TimePoint bindsFrom)
 {
     const auto source = reason == LeavingReason::Announced ? NoticeSource::Response : NoticeSource::Watch;
-    return {reason, source, learntAt, bindsFrom, 5};
+    return {reason, source, learntAt, bindsFrom, {0, 5}};
 }
 
 LeavingNotice makeNotice(LeavingReason reason, TimePoint learntAt)
--- a/Tests/LibPlacement/TestServicePool.cpp
+++ b/Tests/LibPlacement/TestServicePool.cpp
@@ -374,7 +374,7 @@
     {
         const auto notices = std::make_shared<ServerNotices>();
         auto pool = makePool(2, 2, false, notices);
-        notices->recordLeaving({"s0", 7}, {LeavingReason::Announced, NoticeSource::Peer, at(0), at(0), 0}, at(0));
+        notices->recordLeaving({"s0", 7}, {LeavingReason::Announced, NoticeSource::Peer, at(0), at(0), {}}, at(0));
         for (std::uint64_t i = 0; i < 4; ++i) {
             pool.enqueue(makeRequest(i, at(1)), at(1));
         }
--- a/Tests/OnPlatform/FixedCoordinator.h
+++ b/Tests/OnPlatform/FixedCoordinator.h
@@ -24,7 +24,7 @@
     FixedCoordinator &operator=(const FixedCoordinator &) = delete;
 
     // Says from now on that it knows a configuration of the revision.
-    void claimConfiguration(Platform::Revision revision)
+    void claimConfiguration(std::uint64_t revision)
     {
         configurationRevision_ = revision;
     }
@@ -48,7 +48,7 @@
     Poco::Net::ServerSocket listener_;
     std::atomic<bool> isStopped_ = false;
     std::atomic<std::size_t> placementCount_ = 0;
-    std::atomic<Platform::Revision> configurationRevision_ = 0;
+    std::atomic<std::uint64_t> configurationRevision_ = 0;
     mutable std::mutex mutex_;
     std::vector<Gateway::FinishMessage> reports_;
     // Filled by the acceptor only.
--- a/Tests/OnPlatform/TestViewExchange.cpp
+++ b/Tests/OnPlatform/TestViewExchange.cpp
@@ -6,6 +6,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <Tests/StoreVersions.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <arpa/inet.h>
@@ -281,7 +283,7 @@
     // Neither the store nor a request has a part in it: the change does not join on to the instance's view, whose revision stays.
     void pushedConfigurationIsInForceAndPassedOn()
     {
-        constexpr Platform::Revision Later = 1'000'000;
+        constexpr std::uint64_t Later = 1'000'000;
         constexpr std::uint64_t Version = 1000;
         Deployment deployment(2);
         CPPUNIT_ASSERT(deployment.awaitServing());
@@ -289,7 +291,7 @@
         Listener receiver(deployment.instance(0).peerAddress(), true);
         receiver.awaitConfiguration(Version, 300ms);
         const std::string text = R"({"version":1000,"resources":[]})";
-        const Gateway::ViewChange change{Later - 1, Later, true, {{Platform::ConfigurationKey, text, Later, 0}}, {}};
+        const Gateway::ViewChange change{{0, Later - 1}, {0, Later}, true, {{Platform::ConfigurationKey, text, {0, Later}, {}}}, {}};
         sender.send(Gateway::toMessage(change));
         const auto changes = receiver.awaitConfiguration(Version, 2s);
         CPPUNIT_ASSERT(!changes.empty());
@@ -309,7 +311,7 @@
 
     void instanceThatKnowsItsConfigurationIsOutdatedRejects()
     {
-        constexpr Platform::Revision Later = 1'000'000;
+        constexpr std::uint64_t Later = 1'000'000;
         Deployment deployment(1);
         CPPUNIT_ASSERT(deployment.awaitServing());
         FixedCoordinator coordinator(deployment, "plain", deployment.plain(0));
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -2,6 +2,8 @@
 #include <StandIns/PlatformStoreStandIn.h>
 #include <platform/Platform.h>
 
+#include <Tests/StoreVersions.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace Goldcrestwall;
@@ -26,11 +28,11 @@
     return std::move(*result);
 }
 
-StoreWrite makeWrite(const std::string &key, const std::string &value, Revision expected, LeaseId lease = 0)
+StoreWrite makeWrite(const std::string &key, const std::string &value, std::uint64_t expected, StoreLeaseId lease = {})
 {
     StoreWrite write;
-    write.conditions_.push_back({key, expected});
-    write.puts_.push_back({key, value, 0, lease});
+    write.conditions_.push_back({key, atRevision(expected)});
+    write.puts_.push_back({key, value, {}, lease});
     return write;
 }
 
@@ -58,8 +60,8 @@
         CPPUNIT_ASSERT(first.outcome_ == StoreOutcome::Done);
         CPPUNIT_ASSERT_EQUAL(binary, standIn_.get("a"));
         CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("a", "2", 0))).outcome_ == StoreOutcome::Conflict);
-        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("a", "2", first.revision_))).outcome_ == StoreOutcome::Done);
-        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("b", "2", 0, 4711))).outcome_ == StoreOutcome::LeaseEnded);
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("a", "2", first.version_.revision_))).outcome_ == StoreOutcome::Done);
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("b", "2", 0, {0, 4711}))).outcome_ == StoreOutcome::LeaseEnded);
         CPPUNIT_ASSERT_EQUAL(std::string(), standIn_.get("b"));
     }
 
@@ -71,7 +73,7 @@
         const auto first = await(loop_, store_.readRange("servers/", ""));
         CPPUNIT_ASSERT(first.outcome_ == StoreOutcome::Done);
         CPPUNIT_ASSERT(first.hasMore_);
-        CPPUNIT_ASSERT_EQUAL(standIn_.revision(), first.at_);
+        CPPUNIT_ASSERT_EQUAL(atRevision(standIn_.revision()), first.at_);
         const auto second = await(loop_, store_.readRange("servers/", first.items_.back().key_));
         CPPUNIT_ASSERT(!second.hasMore_);
         CPPUNIT_ASSERT_EQUAL(std::size_t(620), first.items_.size() + second.items_.size());
@@ -82,7 +84,7 @@
         const auto before = standIn_.revision();
         standIn_.put("op/config", "1");
         standIn_.remove("op/config");
-        const auto changes = await(loop_, store_.watch("", before, 1s, nullptr));
+        const auto changes = await(loop_, store_.watch("", atRevision(before), 1s, nullptr));
         CPPUNIT_ASSERT(changes.outcome_ == StoreOutcome::Done);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.events_.size());
         CPPUNIT_ASSERT(!changes.events_[0].isRemoved_);
@@ -96,7 +98,7 @@
         const auto before = standIn_.revision();
         standIn_.put("op/config", "1");
         standIn_.discardHistory();
-        CPPUNIT_ASSERT(await(loop_, store_.watch("", before, 1s, nullptr)).outcome_ == StoreOutcome::HistoryCompacted);
+        CPPUNIT_ASSERT(await(loop_, store_.watch("", atRevision(before), 1s, nullptr)).outcome_ == StoreOutcome::HistoryCompacted);
     }
 
     void leasesEndWithTheirKeys()
@@ -164,7 +166,7 @@
                 return await(loop_, store_.readRange("", "")).outcome_;
             });
             expectUnknown("watch", [&] {
-                return await(loop_, store_.watch("", 0, 5s, nullptr)).outcome_;
+                return await(loop_, store_.watch("", {}, 5s, nullptr)).outcome_;
             });
             expectUnknown("renewal", [&] {
                 return await(loop_, store_.renewLease(lease.id_)).outcome_;
@@ -188,10 +190,10 @@
         CPPUNIT_ASSERT(page.outcome_ == StoreOutcome::Done);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.items_.size());
         CPPUNIT_ASSERT_EQUAL(std::string("servers/a"), page.items_.front().key_);
-        const auto changes = await(loop_, store_.watch("", before, 1s, nullptr));
+        const auto changes = await(loop_, store_.watch("", atRevision(before), 1s, nullptr));
         CPPUNIT_ASSERT(changes.outcome_ == StoreOutcome::Done);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.events_.size());
-        CPPUNIT_ASSERT_EQUAL(standIn_.revision(), changes.at_);
+        CPPUNIT_ASSERT_EQUAL(atRevision(standIn_.revision()), changes.at_);
     }
 
     // Guards against the store's responses as the one holder of memory that nobody counts.
@@ -207,13 +209,13 @@
             CPPUNIT_ASSERT(memory_.reserved() >= value.size());
             CPPUNIT_ASSERT(memory_.reserved() < value.size() * 4 / 3);
             CPPUNIT_ASSERT(memory_.peak() >= value.size() * 4);
-            const auto changes = await(loop_, store_.watch("", before, 1s, nullptr));
+            const auto changes = await(loop_, store_.watch("", atRevision(before), 1s, nullptr));
             CPPUNIT_ASSERT(changes.outcome_ == StoreOutcome::Done);
             CPPUNIT_ASSERT(memory_.reserved() >= 2 * value.size());
             Gateway::MemoryReservation others(memory_, Gateway::MemoryHolder::StoreResponses);
             CPPUNIT_ASSERT(others.tryReserve(Capacity - memory_.reserved() - value.size()));
             CPPUNIT_ASSERT(await(loop_, store_.readRange("servers/", "")).outcome_ == StoreOutcome::NoRoom);
-            CPPUNIT_ASSERT(await(loop_, store_.watch("", before, 1s, nullptr)).outcome_ == StoreOutcome::NoRoom);
+            CPPUNIT_ASSERT(await(loop_, store_.watch("", atRevision(before), 1s, nullptr)).outcome_ == StoreOutcome::NoRoom);
             // A write is answered in few bytes.
             CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("b", "1", 0))).outcome_ == StoreOutcome::Done);
         }
