StandIns: Let the platform's store come back from an older copy of its content

Revisions and lease numbers go back and are given out again, a watch after a revision that the store does not have gets 410, and each response states the era once there is one. Without a call of these nothing changes.

--- a/StandIns/PlatformStoreStandIn.cpp
+++ b/StandIns/PlatformStoreStandIn.cpp
@@ -121,68 +121,100 @@
 void PlatformStoreStandIn::discardHistory()
 {
     const std::lock_guard lock(mutex_);
-    discardedUntil_ = revision_;
+    content_.discardedUntil_ = content_.revision_;
     ++discards_;
-    history_.clear();
+    content_.history_.clear();
     areWatchEventsSuppressed_ = false;
 }
 
 void PlatformStoreStandIn::expireAllLeases()
 {
     const std::lock_guard lock(mutex_);
-    for (auto &[id, lease] : leases_) {
+    for (auto &[id, lease] : content_.leases_) {
         lease.endsAt_ = TimePoint();
     }
     expireLeases();
 }
 
+void PlatformStoreStandIn::setEra(std::uint64_t era)
+{
+    const std::lock_guard lock(mutex_);
+    era_ = era;
+}
+
+std::uint64_t PlatformStoreStandIn::era() const
+{
+    const std::lock_guard lock(mutex_);
+    return era_;
+}
+
+void PlatformStoreStandIn::takeCopy()
+{
+    const std::lock_guard lock(mutex_);
+    copy_ = content_;
+}
+
+void PlatformStoreStandIn::restoreCopy(RestoredLeases leases)
+{
+    const std::lock_guard lock(mutex_);
+    content_ = copy_;
+    ++era_;
+    const TimePoint now = monotonicNow();
+    for (auto &[id, lease] : content_.leases_) {
+        lease.endsAt_ = leases == RestoredLeases::Renewed ? now + lease.lifetime_ : TimePoint();
+    }
+    expireLeases();
+    ++watchAborts_;
+    changed_.notify_all();
+}
+
 std::uint64_t PlatformStoreStandIn::put(const std::string &key, const std::string &value)
 {
     const std::lock_guard lock(mutex_);
-    ++revision_;
+    ++content_.revision_;
     write(key, value, 0);
-    return revision_;
+    return content_.revision_;
 }
 
 void PlatformStoreStandIn::remove(const std::string &key)
 {
     const std::lock_guard lock(mutex_);
-    ++revision_;
+    ++content_.revision_;
     erase(key);
 }
 
 std::string PlatformStoreStandIn::get(const std::string &key) const
 {
     const std::lock_guard lock(mutex_);
-    const auto found = items_.find(key);
-    return found == items_.end() ? std::string() : found->second.value_;
+    const auto found = content_.items_.find(key);
+    return found == content_.items_.end() ? std::string() : found->second.value_;
 }
 
 std::uint64_t PlatformStoreStandIn::revision() const
 {
     const std::lock_guard lock(mutex_);
-    return revision_;
+    return content_.revision_;
 }
 
 void PlatformStoreStandIn::write(const std::string &key, const std::string &value, std::uint64_t lease)
 {
-    auto &item = items_[key];
+    auto &item = content_.items_[key];
     item.value_ = value;
-    item.revision_ = revision_;
-    item.created_ = item.created_ == 0 ? revision_ : item.created_;
+    item.revision_ = content_.revision_;
+    item.created_ = item.created_ == 0 ? content_.revision_ : item.created_;
     item.lease_ = lease;
-    history_.push_back({key, item, false, areWatchEventsSuppressed_});
+    content_.history_.push_back({key, item, false, areWatchEventsSuppressed_});
     changed_.notify_all();
 }
 
 void PlatformStoreStandIn::erase(const std::string &key)
 {
-    if (items_.erase(key) == 0) {
+    if (content_.items_.erase(key) == 0) {
         return;
     }
     Item item;
-    item.revision_ = revision_;
-    history_.push_back({key, item, true, areWatchEventsSuppressed_});
+    item.revision_ = content_.revision_;
+    content_.history_.push_back({key, item, true, areWatchEventsSuppressed_});
     changed_.notify_all();
 }
 
@@ -190,21 +222,21 @@
 {
     const TimePoint now = monotonicNow();
     std::vector<std::uint64_t> ended;
-    for (const auto &[id, lease] : leases_) {
+    for (const auto &[id, lease] : content_.leases_) {
         if (lease.endsAt_ <= now) {
             ended.push_back(id);
         }
     }
     for (const auto id : ended) {
-        leases_.erase(id);
+        content_.leases_.erase(id);
         std::vector<std::string> keys;
-        for (const auto &[key, item] : items_) {
+        for (const auto &[key, item] : content_.items_) {
             if (item.lease_ == id) {
                 keys.push_back(key);
             }
         }
         for (const auto &key : keys) {
-            ++revision_;
+            ++content_.revision_;
             erase(key);
         }
     }
@@ -228,9 +260,11 @@
         static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().shutdown();
     };
     PlatformStoreFault fault = PlatformStoreFault::None;
+    std::uint64_t eraBefore = 0;
     {
         const std::lock_guard lock(mutex_);
         fault = fault_;
+        eraBefore = era_;
     }
     if (fault == PlatformStoreFault::Down) {
         closeConnection();
@@ -258,7 +292,9 @@
     }
     const bool isLost =
         fault == PlatformStoreFault::LosesAnswers || (fault == PlatformStoreFault::LosesWriteAnswers && request.getURI().starts_with("/-/kv-txn"));
-    if (isLost || reply.status_ == 0) {
+    // A response from just before the store came back from its copy is lost with it.
+    const bool isFromEarlierEra = era() != eraBefore;
+    if (isLost || isFromEarlierEra || reply.status_ == 0) {
         closeConnection();
         return;
     }
@@ -283,6 +319,9 @@
         static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
         return;
     }
+    if (eraBefore != 0) {
+        response.set("Store-Era", std::to_string(eraBefore));
+    }
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status_));
     response.setContentType("application/json");
     response.sendBuffer(reply.body_.data(), reply.body_.size());
@@ -334,20 +373,20 @@
 PlatformStoreStandIn::Reply PlatformStoreStandIn::readKey(const std::string &key)
 {
     const std::lock_guard lock(mutex_);
-    const auto found = items_.find(key);
-    if (found == items_.end()) {
+    const auto found = content_.items_.find(key);
+    if (found == content_.items_.end()) {
         return {404, "{}"};
     }
     auto document = formatItem(key, found->second.value_, found->second.revision_, found->second.created_, found->second.lease_);
-    document["at"] = revision_;
+    document["at"] = content_.revision_;
     return {200, document.dump()};
 }
 
 PlatformStoreStandIn::Reply PlatformStoreStandIn::readRange(const std::string &prefix, const std::string &after)
 {
     const std::lock_guard lock(mutex_);
-    Json document{{"items", Json::array()}, {"hasMore", false}, {"at", revision_}};
-    for (auto item = items_.upper_bound(after); item != items_.end(); ++item) {
+    Json document{{"items", Json::array()}, {"hasMore", false}, {"at", content_.revision_}};
+    for (auto item = content_.items_.upper_bound(after); item != content_.items_.end(); ++item) {
         if (!item->first.starts_with(prefix)) {
             continue;
         }
@@ -378,11 +417,11 @@
         if (fault_ == PlatformStoreFault::DiscardsHistory) {
             return {410, "{}"};
         }
-        if (after < discardedUntil_ && (isOpenedLater || !history_.empty())) {
+        if (after > content_.revision_ || (after < content_.discardedUntil_ && (isOpenedLater || !content_.history_.empty()))) {
             return {410, "{}"};
         }
-        Json document{{"events", Json::array()}, {"at", revision_}};
-        for (const auto &change : history_) {
+        Json document{{"events", Json::array()}, {"at", content_.revision_}};
+        for (const auto &change : content_.history_) {
             if (change.item_.revision_ <= after || change.isHidden_ || !change.key_.starts_with(prefix)) {
                 continue;
             }
@@ -402,7 +441,7 @@
         const auto waited = changed_.wait_until(lock, until);
         --waitingWatches_;
         if (waited == std::cv_status::timeout) {
-            document["at"] = areWatchEventsSuppressed_ ? after : revision_;
+            document["at"] = areWatchEventsSuppressed_ ? after : content_.revision_;
             return {200, document.dump()};
         }
         if (watchAborts_ != abortsBefore || isStopping_) {
@@ -419,10 +458,10 @@
     Json current{{"items", Json::array()}};
     for (const auto &condition : request.at("expect")) {
         const auto key = condition.at("key").get<std::string>();
-        const auto found = items_.find(key);
-        const std::uint64_t revision = found == items_.end() ? 0 : found->second.revision_;
+        const auto found = content_.items_.find(key);
+        const std::uint64_t revision = found == content_.items_.end() ? 0 : found->second.revision_;
         isMet = isMet && revision == condition.at("revision").get<std::uint64_t>();
-        if (found != items_.end()) {
+        if (found != content_.items_.end()) {
             current["items"].push_back(formatItem(key, found->second.value_, revision, found->second.created_, found->second.lease_));
         }
     }
@@ -431,7 +470,7 @@
     }
     for (const auto &entry : request.at("writes")) {
         const auto lease = entry.value("leaseId", std::uint64_t(0));
-        if (lease != 0 && !leases_.contains(lease)) {
+        if (lease != 0 && !content_.leases_.contains(lease)) {
             return {404, "{}"};
         }
         const auto key = entry.at("key").get<std::string>();
@@ -439,22 +478,22 @@
             return {403, "{}"};
         }
     }
-    ++revision_;
+    ++content_.revision_;
     for (const auto &entry : request.at("writes")) {
         write(entry.at("key").get<std::string>(), decode(entry.at("value").get<std::string>()), entry.value("leaseId", std::uint64_t(0)));
     }
     for (const auto &key : request.at("deletes")) {
         erase(key.get<std::string>());
     }
-    return {200, Json{{"revision", revision_}}.dump()};
+    return {200, Json{{"revision", content_.revision_}}.dump()};
 }
 
 PlatformStoreStandIn::Reply PlatformStoreStandIn::grantLease(const std::string &body)
 {
     const auto lifetime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Json::parse(body).at("ttlS_time").get<double>()));
     const std::lock_guard lock(mutex_);
-    const auto id = ++lastLease_;
-    leases_[id] = {monotonicNow() + lifetime, lifetime};
+    const auto id = ++content_.lastLease_;
+    content_.leases_[id] = {monotonicNow() + lifetime, lifetime};
     return {200, Json{{"leaseId", id}, {"ttlS_time", std::chrono::duration<double>(lifetime).count()}}.dump()};
 }
 
@@ -462,8 +501,8 @@
 {
     const std::lock_guard lock(mutex_);
     expireLeases();
-    const auto found = leases_.find(id);
-    if (found == leases_.end()) {
+    const auto found = content_.leases_.find(id);
+    if (found == content_.leases_.end()) {
         return {404, "{}"};
     }
     found->second.endsAt_ = monotonicNow() + found->second.lifetime_;
@@ -473,8 +512,8 @@
 PlatformStoreStandIn::Reply PlatformStoreStandIn::revokeLease(std::uint64_t id)
 {
     const std::lock_guard lock(mutex_);
-    const auto found = leases_.find(id);
-    if (found != leases_.end()) {
+    const auto found = content_.leases_.find(id);
+    if (found != content_.leases_.end()) {
         found->second.endsAt_ = TimePoint();
         expireLeases();
     }
--- a/StandIns/PlatformStoreStandIn.h
+++ b/StandIns/PlatformStoreStandIn.h
@@ -54,7 +54,18 @@
     DiscardsHistory,
 };
 
+// What becomes of the leases that a copy of the store's content has, when the store comes back from it.
+enum class RestoredLeases {
+    // They have their whole lifetime again.
+    Renewed,
+    // They have ended, and the items attached to them are removed.
+    Ended,
+};
+
 // Stores items in memory, with one revision counter, leases, and a history for watches. Thread-safe.
+//
+// It can come back from an older copy of its content: revisions and lease numbers go back and are given out again, and a watch after a revision that it does
+// not have gets 410. Every response states the era, once there is one.
 class PlatformStoreStandIn
 {
 public:
@@ -73,6 +84,15 @@
     void discardHistory();
     // Ends all leases immediately, as if they had expired.
     void expireAllLeases();
+    // States this era in every response from now on.
+    void setEra(std::uint64_t era);
+    // 0 if none is stated.
+    std::uint64_t era() const;
+    // Takes a copy of the present content, with its leases and history, from which the store can come back later.
+    void takeCopy();
+    // Comes back from the copy that was taken last, which is kept, in the next era. Waiting watches are cut. Set a fault before and end it afterwards to have
+    // the store away in between; nothing else writes meanwhile if that fault keeps all calls out.
+    void restoreCopy(RestoredLeases leases = RestoredLeases::Renewed);
 
     // Writes a key without a condition, like the operator or a backend server. Returns the new revision.
     std::uint64_t put(const std::string &key, const std::string &value);
@@ -114,6 +134,18 @@
         Duration lifetime_ = Duration::zero();
     };
 
+    // All that the store keeps.
+    struct Content
+    {
+        std::map<std::string, Item> items_;
+        std::deque<Change> history_;
+        // Changes up to this revision have been discarded from the history.
+        std::uint64_t discardedUntil_ = 0;
+        std::uint64_t revision_ = 10;
+        std::map<std::uint64_t, Lease> leases_;
+        std::uint64_t lastLease_ = 100;
+    };
+
     struct Reply
     {
         int status_ = 200;
@@ -135,13 +167,9 @@
 
     mutable std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::string, Item> items_;
-    std::deque<Change> history_;
-    // Changes up to this revision have been discarded from the history.
-    std::uint64_t discardedUntil_ = 0;
-    std::uint64_t revision_ = 10;
-    std::map<std::uint64_t, Lease> leases_;
-    std::uint64_t lastLease_ = 100;
+    Content content_;
+    Content copy_;
+    std::uint64_t era_ = 0;
     std::uint64_t watchAborts_ = 0;
     std::uint64_t waitingWatches_ = 0;
     std::uint64_t discards_ = 0;
