StandIns: Record keys that a server takes with a token not above those of others

The published protocol moves keys to another server, or to another run of the same one, only with a higher fencing token. A server refuses what lies below the tokens that it has seen itself; that another server had the key with the same or a higher token could only be seen in the soak, where periods of holds are compared afterwards. The recorder of a deployment now keeps the tokens with which each run of each server has taken keys, and records a violation at once, so that every test which checks violations guards this promise; a repeated grant is none. The servers' own record of seen tokens moves to the same file.

A server can write its entry again in its present state, like a heartbeat.

--- a/StandIns/PlatformServerStandIn.cpp
+++ b/StandIns/PlatformServerStandIn.cpp
@@ -122,6 +122,16 @@
     return holdings_;
 }
 
+void PlatformRunRecorder::recordTakenKeys(const std::string &service, const std::string &holder, const PlatformHold &hold)
+{
+    const std::lock_guard lock(mutex_);
+    if (const auto conflict = takenTokens_[service].record(holder, hold.first_, hold.last_, hold.token_)) {
+        violations_.push_back(holder + " takes keys " + std::to_string(hold.first_) + " to " + std::to_string(hold.last_) + " with token "
+                              + std::to_string(hold.token_) + ", but " + conflict->holder_ + " had keys of them with token "
+                              + std::to_string(conflict->token_));
+    }
+}
+
 PlatformServerStandIn::PlatformServerStandIn(std::string id, PlatformServerBehaviour behaviour, PlatformStoreStandIn &store, PlatformRunRecorder &recorder)
     : id_(std::move(id))
     , behaviour_(std::move(behaviour))
@@ -168,6 +178,21 @@
 }
 
 void PlatformServerStandIn::registerEntry(const std::string &state)
+{
+    const std::lock_guard entryLock(entryMutex_);
+    registeredState_ = state;
+    writeEntry(state);
+}
+
+void PlatformServerStandIn::rewriteEntry()
+{
+    const std::lock_guard entryLock(entryMutex_);
+    if (!registeredState_.empty()) {
+        writeEntry(registeredState_);
+    }
+}
+
+void PlatformServerStandIn::writeEntry(const std::string &state)
 {
     Json entry;
     {
@@ -188,6 +213,8 @@
 
 void PlatformServerStandIn::removeEntry()
 {
+    const std::lock_guard entryLock(entryMutex_);
+    registeredState_.clear();
     store_.remove("servers/" + id_);
 }
 
@@ -362,25 +389,6 @@
     }
 }
 
-void PlatformServerStandIn::SeenTokens::record(std::uint32_t first, std::uint32_t last, std::uint64_t token)
-{
-    // Ranges begin at `first` and right after `last`, each with the token that applied there.
-    const auto begin = ranges_.emplace(first, std::prev(ranges_.upper_bound(first))->second).first;
-    const auto end = ranges_.emplace(last + 1, std::prev(ranges_.upper_bound(last + 1))->second).first;
-    for (auto range = begin; range != end; ++range) {
-        range->second = std::max(range->second, token);
-    }
-}
-
-std::uint64_t PlatformServerStandIn::SeenTokens::highest(std::uint32_t first, std::uint32_t last) const
-{
-    std::uint64_t token = 0;
-    for (auto range = std::prev(ranges_.upper_bound(first)); range != ranges_.end() && range->first <= last; ++range) {
-        token = std::max(token, range->second);
-    }
-    return token;
-}
-
 void PlatformServerStandIn::grant(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response)
 {
     const TimePoint arrivedAt = monotonicNow();
@@ -416,6 +424,7 @@
         });
         holds_.push_back(hold);
         recorder_.recordHoldings({id_, monotonicNow(), holds_});
+        recorder_.recordTakenKeys(behaviour_.service_, id_ + " born at " + std::to_string(startTime_), hold);
     }
     response.setStatus(isOld ? Poco::Net::HTTPResponse::HTTP_CONFLICT : Poco::Net::HTTPResponse::HTTP_OK);
     respondToShardCall(request, response);
--- a/StandIns/PlatformServerStandIn.h
+++ b/StandIns/PlatformServerStandIn.h
@@ -2,6 +2,7 @@
 // the requests that it ran.
 #pragma once
 
+#include <StandIns/KeyTokens.h>
 #include <StandIns/LimitMeter.h>
 #include <StandIns/PlatformStoreStandIn.h>
 #include <StandIns/RequestHandlers.h>
@@ -161,12 +162,16 @@
     std::vector<PlatformArrival> arrivals() const;
     void recordHoldings(PlatformHoldings holdings);
     std::vector<PlatformHoldings> holdings() const;
+    // Records that a run of a server takes keys by a grant. It is a violation if the token is not above all with which other servers of the
+    // service, or other runs of this one, had any of these keys, unless the same grant is repeated.
+    void recordTakenKeys(const std::string &service, const std::string &holder, const PlatformHold &hold);
 
 private:
     mutable std::mutex mutex_;
     std::vector<PlatformRun> runs_;
     std::vector<PlatformArrival> arrivals_;
     std::vector<PlatformHoldings> holdings_;
+    std::map<std::string, TakenTokens> takenTokens_;
     std::set<std::string> rejectedOnce_;
     std::vector<std::string> violations_;
 };
@@ -198,6 +203,8 @@
     void setRegisteredAddress(std::string address);
     // Writes the server's entry to the store.
     void registerEntry(const std::string &state = "ready");
+    // Writes the server's entry again in its present state, unless it was never written or has been removed.
+    void rewriteEntry();
     void removeEntry();
     void setFault(PlatformServerFault fault);
     // From now on each response has the header that says whether the server is leaving, with this value; without it if the value is empty.
@@ -251,22 +258,11 @@
 private:
     using Hold = PlatformHold;
 
-    // The highest fencing token of any grant or release of each key that this run of the server has seen; 0 if there was none.
-    class SeenTokens
-    {
-    public:
-        void record(std::uint32_t first, std::uint32_t last, std::uint64_t token);
-        // The highest token of these keys.
-        std::uint64_t highest(std::uint32_t first, std::uint32_t last) const;
-
-    private:
-        // By the first key of each range; a range ends where the next begins.
-        std::map<std::uint32_t, std::uint64_t> ranges_ = {{0, 0}};
-    };
-
     void grant(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response);
     void release(Poco::Net::HTTPServerRequest &request, const std::string &body, Poco::Net::HTTPServerResponse &response);
     bool isRejected(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    // Call with the entry's mutex locked.
+    void writeEntry(const std::string &state);
     void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
     // Rejects the request if it is its first arrival. Otherwise sends the last rejection on the connection once more, as the fault says.
     bool isRejectedOnce(Poco::Net::HTTPServerRequest &request, PlatformServerFault fault);
@@ -300,6 +296,10 @@
     PlatformStoreStandIn &store_;
     PlatformRunRecorder &recorder_;
     std::vector<PlatformServerStandIn *> siblings_;
+    // Locked while the entry is written or removed, before the next.
+    std::mutex entryMutex_;
+    // The state in the entry; empty if the server has none.
+    std::string registeredState_;
     mutable std::mutex mutex_;
     std::condition_variable stateChanged_;
     PlatformServerFault fault_ = PlatformServerFault::None;
@@ -327,7 +327,8 @@
     TimePoint coldUntil_;
     std::deque<TimePoint> recentColdArrivals_;
     std::vector<Hold> holds_;
-    SeenTokens seenTokens_;
+    // Of any grant or release that this run of the server has seen.
+    KeyTokens seenTokens_;
     std::atomic<std::size_t> healthCount_ = 0;
     std::atomic<std::size_t> arrivalCount_ = 0;
     std::atomic<std::size_t> grantCount_ = 0;
--- a/Tests/OnPlatform/TestKeyOwners.cpp
+++ b/Tests/OnPlatform/TestKeyOwners.cpp
@@ -147,6 +147,7 @@
 {
     CPPUNIT_TEST_SUITE(TestKeyOwners);
     CPPUNIT_TEST(standInRefusesGrantsBelowTheTokensThatItHasSeen);
+    CPPUNIT_TEST(standInRecordsTokensThatAreNotAboveThoseOfOthers);
     CPPUNIT_TEST(linesTellOfUnansweredGrants);
     CPPUNIT_TEST(renewalThatArrivesAfterTheReleaseBringsNoKeysBack);
     CPPUNIT_TEST(coordinatorsThatArePausedAndKilledLeaveOneHolder);
@@ -187,6 +188,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string("200"), grant(155, 155, 1));
     }
 
+    // The published protocol: keys move to another server, or to another run of the same one, with a higher fencing token.
+    void standInRecordsTokensThatAreNotAboveThoseOfOthers()
+    {
+        PlatformStoreStandIn store(0);
+        PlatformRunRecorder recorder;
+        PlatformServerStandIn first("s-0", PlatformServerBehaviour(), store, recorder);
+        PlatformServerStandIn second("s-1", PlatformServerBehaviour(), store, recorder);
+        const auto violationsAfter = [&recorder](PlatformServerStandIn &server, int begin, int end, int token) {
+            CPPUNIT_ASSERT_EQUAL(std::string("200"), sendShardCall(server, "grant", begin, end, token));
+            return recorder.violations().size();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), violationsAfter(first, 100, 199, 5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), violationsAfter(second, 150, 299, 6));
+        // The same grants once more, also a part of one.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), violationsAfter(first, 100, 199, 5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), violationsAfter(first, 160, 169, 5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), violationsAfter(second, 0, 99, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), violationsAfter(second, 100, 149, 6));
+        // One key is enough.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), violationsAfter(first, 299, 399, 6));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), violationsAfter(second, 350, 499, 5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), violationsAfter(first, 0, 399, 7));
+        first.restart();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), violationsAfter(first, 0, 399, 7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), violationsAfter(first, 0, 399, 8));
+    }
+
     void linesTellOfUnansweredGrants()
     {
         Deployment deployment(1, DeploymentNetwork::Proxies);
