LibGateway: Name the store's version in lines about claims, grants and attempts

Which hypothesis of the incident holds is decided by the version (era and revision) that a placement, a claim or a grant went by. The lines of claims name the version of the entry that they replace and of the view, those of grants, releases and granters the versions of the assignment and of the claim, and `attempt-failed` the version by which the server was chosen.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -251,8 +251,13 @@
     RepeatedWrite write;
     for (;;) {
         const auto outcome = co_await commitCoordinator(service, expectedVersion, coordinator);
-        log_.write(
-            LogLine("coordination-yielded").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, bootNow());
+        log_.write(LogLine("coordination-yielded")
+                       .add("service", service)
+                       .add("outcome", Platform::storeOutcomeName(outcome))
+                       .add("known", expectedVersion)
+                       .add("storeVersion", view_.at()),
+                   LogImportance::State,
+                   bootNow());
         const auto state = write.record(outcome);
         if (state == WriteState::NotApplied) {
             yielded_.erase(service);
@@ -306,7 +311,13 @@
     const bool hasPredecessorYielded = expectedVersion.exists();
     const CoordinatorEntry coordinator{self_, storeLink_.lease(), false, hasPredecessorYielded, {}};
     const auto outcome = co_await commitCoordinator(service, expectedVersion, coordinator);
-    log_.write(LogLine("coordination-claimed").add("service", service).add("outcome", Platform::storeOutcomeName(outcome)), LogImportance::State, bootNow());
+    log_.write(LogLine("coordination-claimed")
+                   .add("service", service)
+                   .add("outcome", Platform::storeOutcomeName(outcome))
+                   .add("known", expectedVersion)
+                   .add("storeVersion", view_.at()),
+               LogImportance::State,
+               bootNow());
     // The watch reports which instance won.
     co_await sleepFor(loop_, RankDelay);
     claiming_.erase(service);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -97,8 +97,7 @@
     , announcements_(self_.name_, notices_, log_, metrics_)
     , view_(
           [this](const std::string &key, const std::string &reason) {
-              const auto importance = key == Platform::ConfigurationKey ? LogImportance::State : LogImportance::Kept;
-              log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason), importance, bootNow());
+              reportEntry(key, reason, bootNow());
           },
           notices_)
     , store_(loop_, settings_.storeAddress_, memory_)
@@ -275,6 +274,14 @@
     return makeStatusResponse(isReadyNow ? 200 : 503, {});
 }
 
+void Gateway::reportEntry(const std::string &key, const std::string &reason, TimePoint now)
+{
+    if (entryProblems_.isDue(key, reason, now)) {
+        const auto importance = key == Platform::ConfigurationKey ? LogImportance::State : LogImportance::Kept;
+        log_.write(LogLine("entry-unusable").add("key", key).add("reason", reason).add("storeVersion", view_.at()), importance, now);
+    }
+}
+
 void Gateway::viewChanged()
 {
     const TimePoint now = bootNow();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -7,6 +7,7 @@
 #include <LibGateway/MemoryUse.h>
 #include <LibGateway/StatusServer.h>
 #include <LibGateway/ViewRelay.h>
+#include <LibGateway/ViewReport.h>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -44,6 +45,8 @@
     bool isReady(TimePoint now) const;
 
     void viewChanged();
+    // Logs that an entry of the store cannot be used.
+    void reportEntry(const std::string &key, const std::string &reason, TimePoint now);
     // Observes how old the view is that a change is being applied to, and returns it.
     std::optional<Duration> observeChangeAge(const char *change, TimePoint now);
     void reportServerChange(const ServerChange &change, TimePoint now);
@@ -80,6 +83,7 @@
     MetricRegistry metrics_;
     std::shared_ptr<ServerNotices> notices_;
     AnnouncementRecorder announcements_;
+    EntryProblemLog entryProblems_;
     StoreView view_;
     Platform::PlatformStore store_;
     StoreLink storeLink_;
--- a/Libraries/LibGateway/RequestReport.cpp
+++ b/Libraries/LibGateway/RequestReport.cpp
@@ -63,6 +63,7 @@
                    .add("connection", result.connection_)
                    .add("exchangesOnConnection", result.exchangesOnConnection_)
                    .add("placedBy", placementSourceName(place.source_))
+                   .add("placedAtVersion", place.version_)
                    .addDuration("tookMs", took),
                LogImportance::Kept,
                now);
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -116,6 +116,7 @@
     granter_.emplace(timings_, stored, now, stopAt);
     log_.write(LogLine("granter-started")
                    .add("service", service_)
+                   .add("coordinatorVersion", coordinatorVersion_)
                    .add("assignmentVersion", storedVersion_)
                    .add("predecessor", predecessor.instance_)
                    .add("predecessorYielded", hasYielded)
@@ -348,7 +349,7 @@
         return;
     }
     auto line = describeShardCall(isAccepted ? "keys-granted" : "grant-failed", service_, call, outcome, result, sentAt, now);
-    line.addDuration("countedForMs", effect.expiresAt_ - now);
+    line.add("assignmentVersion", storedVersion_).addDuration("countedForMs", effect.expiresAt_ - now);
     log_.write(line, LogImportance::Kept, now);
 }
 
@@ -365,7 +366,7 @@
     recordAnnouncement(call.holder_, result, sentAt, now);
     const std::string handover = outcome == ShardCallOutcome::Accepted ? Platform::readHandover(result.response_) : std::string();
     auto line = describeShardCall("keys-released", service_, call, outcome, result, sentAt, now);
-    line.add("releaseToken", call.token_);
+    line.add("releaseToken", call.token_).add("assignmentVersion", storedVersion_);
     if (granter_) {
         const auto remainder = granter_->unansweredGrants(call.holder_, call.first_, call.last_, now);
         line.add("unansweredGrants", remainder.unanswered_);
--- /dev/null
+++ b/Libraries/LibGateway/ViewReport.h
@@ -0,0 +1,31 @@
+// Log lines about what the view reads from the store.
+#pragma once
+
+#include <LibBase/LibBase.h>
+
+#include <map>
+#include <string>
+
+namespace Goldcrestwall::Gateway {
+
+// Decides which unusable entries are worth a log line: each once while its reason is the same, and again after some time. Servers write their entries at
+// every heartbeat.
+class EntryProblemLog
+{
+public:
+    // Returns whether the problem of the entry with this key is to be logged.
+    bool isDue(const std::string &key, const std::string &reason, TimePoint now);
+
+private:
+    struct Problem
+    {
+        std::string reason_;
+        TimePoint loggedAt_;
+    };
+
+    void forgetOldest();
+
+    std::map<std::string, Problem> problems_;
+};
+
+} // namespace Goldcrestwall::Gateway
