--- a/Libraries/LibGateway/ChangePush.cpp
+++ b/Libraries/LibGateway/ChangePush.cpp
@@ -124,7 +124,7 @@
     std::vector<ViewChange> missing;
     const auto known = std::max(version, sentVersion);
     for (const auto &recent : recent_) {
-        if (recent.change_.to_ > known && now - recent.at_ >= MissingDelay) {
+        if (recent.change_.to_.era_ == version.era_ && recent.change_.to_ > known && now - recent.at_ >= MissingDelay) {
             missing.push_back(recent.change_);
             sentVersion = std::max(sentVersion, recent.change_.to_);
         }
--- a/Libraries/LibGateway/EventLog.h
+++ b/Libraries/LibGateway/EventLog.h
@@ -77,6 +77,11 @@
     // Writes buffered lines as far as standard output accepts them without blocking.
     void flush();
 
+    // The lines that wait to be written, each with its newline.
+    const std::deque<std::string> &pendingLines() const
+    {
+        return lines_;
+    }
     // Size of the lines that wait to be written.
     std::size_t pendingBytes() const
     {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -282,9 +282,19 @@
     }
 }
 
+void Gateway::reportEra(TimePoint now)
+{
+    if (view_.eraRead() == reportedEraRead_) {
+        return;
+    }
+    reportedEraRead_ = view_.eraRead();
+    log_.write(makeEraLine(*reportedEraRead_, now), LogImportance::State, now);
+}
+
 void Gateway::viewChanged()
 {
     const TimePoint now = bootNow();
+    reportEra(now);
     const auto configuration = view_.configuration();
     if (configuration && configuration->version_ != configurationVersion_) {
         configurationVersion_ = configuration->version_;
@@ -405,7 +415,13 @@
     std::erase_if(change.items_, [](const Platform::StoreItem &item) {
         return item.key_ != Platform::ConfigurationKey;
     });
-    const bool isNew = isRead && view_.apply(change, now);
+    const bool isOfOtherEra = page.at_.era_ != view_.at().era_;
+    bool isNew = isRead && !isOfOtherEra && view_.apply(change, now);
+    if (isRead && isOfOtherEra) {
+        for (const auto &item : change.items_) {
+            isNew = view_.takeConfiguration(item) || isNew;
+        }
+    }
     if (isRead) {
         view_.confirmConfiguration();
     }
@@ -512,6 +528,8 @@
     metrics_.setGauge("goldcrestwall_server_connections_opened", {}, static_cast<double>(client_.connectionCount()));
     metrics_.setGauge("goldcrestwall_log_lines_left_out", {}, static_cast<double>(log_.droppedCount()));
     metrics_.setGauge("goldcrestwall_log_bytes", {}, static_cast<double>(log_.writtenBytes()));
+    metrics_.setGauge("goldcrestwall_store_era", {}, static_cast<double>(view_.at().era_));
+    metrics_.setGauge("goldcrestwall_store_era_newest", {}, static_cast<double>(storeLink_.knownEra()));
     metrics_.setGauge("goldcrestwall_store_revision", {}, static_cast<double>(view_.at().revision_));
     metrics_.setGauge("goldcrestwall_configuration_version", {}, static_cast<double>(configurationVersion_));
     metrics_.setGauge("goldcrestwall_configuration_version_newest", {}, static_cast<double>(view_.newestConfigurationVersion()));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -47,6 +47,8 @@
     void viewChanged();
     // Logs that an entry of the store cannot be used.
     void reportEntry(const std::string &key, const std::string &reason, TimePoint now);
+    // Logs that the view has gone over to a higher era of the store.
+    void reportEra(TimePoint now);
     // Observes how old the view is that a change is being applied to, and returns it.
     std::optional<Duration> observeChangeAge(const char *change, TimePoint now);
     void reportServerChange(const ServerChange &change, TimePoint now);
@@ -84,6 +86,7 @@
     std::shared_ptr<ServerNotices> notices_;
     AnnouncementRecorder announcements_;
     EntryProblemLog entryProblems_;
+    std::optional<EraRead> reportedEraRead_;
     StoreView view_;
     Platform::PlatformStore store_;
     StoreLink storeLink_;
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -17,8 +17,6 @@
 constexpr Duration LeaseRenewInterval = 500ms;
 // The store is reachable while its last response is more recent than this.
 constexpr Duration ContactTimeout = 1500ms;
-// Entries that expired during a store outage are registered again within this time after it.
-constexpr Duration ExpiryGrace = 2200ms;
 // Shorter outages do not make entries expire.
 constexpr Duration MinOutage = 500ms;
 // Relayed changes replace an own watch while a peer has confirmed the view within this time. Even if all peers stop, a change takes effect
@@ -41,6 +39,9 @@
     , handlers_(std::move(handlers))
     , random_(stableHash(self_.name_ + self_.incarnation_))
 {
+    store_.setEraHandler([this](StoreEra before, StoreEra now) {
+        beginEra(before, now);
+    });
 }
 
 void StoreLink::start()
@@ -68,7 +69,7 @@
 
 bool StoreLink::isCurrent(TimePoint now) const
 {
-    return isLoaded_ && (isFollowing_ || !isWatchFailing_) && freshness_.isConfirmed(now);
+    return isLoaded_ && (isFollowing_ || !isWatchFailing_) && freshness_.isConfirmed(now) && !isEraOutdated();
 }
 
 bool StoreLink::mayFollow(TimePoint now) const
@@ -98,6 +99,17 @@
     return ClaimWithholdTime;
 }
 
+void StoreLink::beginEra(StoreEra before, StoreEra now)
+{
+    const TimePoint time = bootNow();
+    const bool isViewOutdated = view_.at().exists() && view_.at().era_ < now;
+    if (isViewOutdated || isRegistered_) {
+        log_.write(
+            LogLine("store-era-changed").add("before", before).add("era", now).add("known", view_.at()).add("lease", lease_), LogImportance::State, time);
+    }
+    expectVersion({now, 0}, time);
+}
+
 void StoreLink::invalidate()
 {
     leaseValidUntil_ = TimePoint();
@@ -135,6 +147,7 @@
         // The store may be back for a short time only, and it takes the lease and a complete read to claim a service again.
         retryNow();
         LogLine line("store-connected");
+        line.add("era", store_.era());
         if (failingSince_ != TimePoint()) {
             line.addDuration("outageMs", now - failingSince_);
             if (now - failingSince_ >= MinOutage) {
@@ -149,6 +162,9 @@
 
 void StoreLink::recordFailure(const char *call, StoreOutcome outcome, TimePoint sentAt, TimePoint now)
 {
+    if (outcome == StoreOutcome::OtherEra) {
+        return;
+    }
     if (failingSince_ == TimePoint()) {
         failingSince_ = now;
     }
@@ -202,12 +218,17 @@
         isLoaded_ = false;
         if (isWatchStale_) {
             isWatchStale_ = false;
+            const bool wasJustRead = now - readAt_ < MaxBackoff;
             log_.write(LogLine("store-watch-outdated")
                            .add("storeVersion", view_.at())
                            .add("expected", freshness_.expectedVersion())
                            .addDuration("waitedMs", now - watchSentAt_),
                        LogImportance::State,
                        now);
+            if (isEraOutdated() && wasJustRead) {
+                // The store does not state the era that peers know of.
+                co_await awaitRetry(backoff(vainReads++));
+            }
             continue;
         }
         if (changes.outcome_ == StoreOutcome::HistoryCompacted) {
@@ -279,7 +300,12 @@
 
 void StoreLink::expectVersion(StoreVersion version, TimePoint now)
 {
+    const bool wasEraOutdated = isEraOutdated();
+    view_.recordEra(version.era_, now);
     freshness_.expect(version, view_.at(), now);
+    if (isEraOutdated() && !wasEraOutdated) {
+        checkWatch(now);
+    }
 }
 
 Task<void> StoreLink::superviseWatch()
@@ -314,8 +340,11 @@
             recordFailure("range", page.outcome_, pageSentAt, bootNow());
             co_return false;
         }
-        // Pages are read at different versions. The watch starts at the first page's version and reports later changes again.
+        // Pages are read at different versions. The watch starts at the first page's version and reports later changes again, but not those of another era.
         at = at.exists() ? at : page.at_;
+        if (page.at_.era_ != at.era_) {
+            co_return false;
+        }
         hasMore = page.hasMore_ && !page.items_.empty();
         after = page.items_.empty() ? std::string() : page.items_.back().key_;
         std::move(page.items_.begin(), page.items_.end(), std::back_inserter(items));
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -31,8 +31,18 @@
 
     // Whether the store has responded to this instance lately, which says nothing about the view.
     bool isStoreReachable(TimePoint now) const;
-    // Whether the view was recently confirmed as complete, by the store's responses to this instance or to its peers.
+    // Whether the view was recently confirmed as complete, by the store's responses to this instance or to its peers, and is of the present era.
     bool isCurrent(TimePoint now) const;
+    // Whether the store is known to have come back from an older copy since the view was read.
+    bool isEraOutdated() const
+    {
+        return freshness_.isEraOutdated(view_.at());
+    }
+    // The highest era of the store that this instance knows of, from the store's responses or from peers.
+    StoreEra knownEra() const
+    {
+        return std::max({store_.era(), freshness_.expectedVersion().era_, view_.at().era_});
+    }
     // When the view was last confirmed as complete.
     TimePoint confirmedAt() const
     {
@@ -80,8 +90,13 @@
     {
         return claimsWithheldUntil_;
     }
-    // A peer knows this version: if the watch does not report it soon, the watch is stale.
+    // A peer knows this version: if the watch does not report it soon, the watch is stale; if it is of a higher era, at once.
     void expectVersion(StoreVersion version, TimePoint now);
+    // A peer's message is of this era: the content that it tells of may not have been read by anyone.
+    void expectEra(StoreEra era, TimePoint now)
+    {
+        expectVersion({era, 0}, now);
+    }
     // The highest version that the store or a peer is known to have, unless the view has reached it; 0 if there is none.
     StoreVersion expectedVersion() const
     {
@@ -93,6 +108,8 @@
     void invalidate();
 
 private:
+    // The store has stated a higher era.
+    void beginEra(StoreEra before, StoreEra now);
     Task<void> watch();
     Task<bool> load();
     // Applies the changes that a watch has reported.
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -61,7 +61,7 @@
         }
         // Earlier versions write only the member. They may coordinate, but this version never grants keys on such an entry.
         CoordinatorEntry coordinator{*member, {}, false, false, version};
-        coordinator.lease_.number_ = document.value("lease", coordinator.lease_.number_);
+        coordinator.lease_ = {version.era_, document.value("lease", coordinator.lease_.number_)};
         coordinator.isYielding_ = document.value("yielding", false);
         coordinator.hasPredecessorYielded_ = document.value("predecessorYielded", false);
         return coordinator;
@@ -117,6 +117,9 @@
 
 void StoreView::apply(const std::vector<Platform::StoreEvent> &events, StoreVersion at, TimePoint now)
 {
+    if (isOfOtherEra(at)) {
+        return;
+    }
     source_ = NoticeSource::Watch;
     for (const auto &event : events) {
         if (event.isRemoved_) {
@@ -159,6 +162,9 @@
     if (at < at_) {
         return;
     }
+    if (!at_.exists() || isOfOtherEra(at)) {
+        beginEra(items, at, now);
+    }
     std::set<std::string> present;
     for (const auto &item : items) {
         present.insert(item.key_);
@@ -183,7 +189,7 @@
 
 void StoreView::apply(const ViewUpdate &update, TimePoint now)
 {
-    if (update.at_ <= at_) {
+    if (update.at_ <= at_ || (isOfOtherEra(update.at_) && !update.isSnapshot_)) {
         return;
     }
     source_ = NoticeSource::Peer;
@@ -203,7 +209,7 @@
 
 bool StoreView::apply(const ViewChange &change, TimePoint now)
 {
-    if (!at_.exists()) {
+    if (!at_.exists() || isOfOtherEra(change.to_)) {
         return false;
     }
     source_ = NoticeSource::Peer;
@@ -363,9 +369,11 @@
         decodeConfiguration(item);
     } else if (const auto domain = withoutPrefix(item.key_, Platform::EvacuationPrefix)) {
         evacuatedDomains_.insert(*domain);
+        expired_.erase(item.key_);
     } else if (const auto name = withoutPrefix(item.key_, MemberPrefix)) {
         if (const auto member = decodeMember(item.value_)) {
             members_[*name] = *member;
+            expired_.erase(item.key_);
         } else {
             handler_(item.key_, "cannot decode the member's entry");
         }
@@ -387,7 +395,7 @@
 void StoreView::decodeServer(const std::string &id, const StoreItem &item, TimePoint now)
 {
     auto decoded = Platform::decodeServer(id, item.value_);
-    expired_.erase(id);
+    expired_.erase(item.key_);
     if (decoded.value_ && decoded.value_->startTime_ == 0 && idsWithStartTime_.contains(id)) {
         decoded = {std::nullopt, {"the start of the server's run is missing, unlike before"}};
     }
@@ -399,16 +407,24 @@
         }
         return;
     }
-    if (isOutdated(*decoded.value_)) {
+    if (isReplacedRun(*decoded.value_, item.version_)) {
+        handler_(item.key_, "a later run of the server has replaced the one of the entry");
+        keepYoungerRun(*decoded.value_, item.version_, now);
+        return;
+    }
+    if (isOutdated(*decoded.value_, item.version_)) {
         handler_(item.key_, "description is older than the one that says the server is leaving");
         return;
     }
+    if (isOlderDescription(*decoded.value_, item.version_)) {
+        return;
+    }
     if (decoded.value_->startTime_ != 0) {
         idsWithStartTime_.insert(id);
     }
     updateNotices(*decoded.value_, item.version_, now);
     beforeUnusable_.erase(id);
-    servers_[id] = {std::move(*decoded.value_), now};
+    servers_[id] = {std::move(*decoded.value_), now, item.version_};
 }
 
 const ServerDescription *StoreView::lastDescription(const std::string &id) const
@@ -417,8 +433,14 @@
     return earlier == beforeUnusable_.end() ? server(id) : &earlier->second;
 }
 
-bool StoreView::isOutdated(const ServerDescription &description) const
+bool StoreView::isOutdated(const ServerDescription &description, StoreVersion version) const
 {
+    const auto *signs = notices_->signs(description.incarnation());
+    const bool isLeaving = signs != nullptr && signs->store_;
+    if (isLeaving && signs->store_->version_.era_ < version.era_ && description.state_ != ServerState::Draining
+        && !isWrittenSince(*signs->store_, description, version)) {
+        return true;
+    }
     // A server's write whose response was lost may be applied after a later one, also after its entry was removed. A server that does not
     // state the start of its run may then be the next one, whose sequence starts anew.
     const auto known = servers_.find(description.id_);
@@ -426,8 +448,6 @@
     if (description.startTime_ == 0 && !isKnownDraining) {
         return false;
     }
-    const auto *signs = notices_->signs(description.incarnation());
-    const bool isLeaving = signs != nullptr && signs->store_;
     return isLeaving && description.sequence_ != 0 && description.sequence_ < signs->store_->sequence_;
 }
 
@@ -465,6 +485,14 @@
     configuration_ = std::make_shared<const RoutingConfiguration>(std::move(*decoded.value_));
 }
 
+bool StoreView::takeConfiguration(const StoreItem &item)
+{
+    const auto before = configuration_;
+    decodeConfiguration(item);
+    changeCount_ += configuration_ == before ? 0 : 1;
+    return configuration_ != before;
+}
+
 StoreVersion StoreView::configurationStoreVersion() const
 {
     const auto known = items_.find(Platform::ConfigurationKey);
@@ -474,7 +502,7 @@
 void StoreView::expectConfiguration(StoreVersion version, TimePoint now)
 {
     const bool wasLate = configurationLag(now) > Duration::zero();
-    if (version <= std::max(configurationStoreVersion(), at_)) {
+    if (!version.exists() || version <= std::max(configurationStoreVersion(), at_)) {
         return;
     }
     // Counted from the first one, also when others follow before it has come.
@@ -497,6 +525,7 @@
         evacuatedDomains_.erase(*domain);
     } else if (const auto name = withoutPrefix(key, MemberPrefix)) {
         members_.erase(*name);
+        expired_.erase(key);
     } else if (const auto service = withoutPrefix(key, CoordinatorPrefix)) {
         coordinators_.erase(*service);
     } else if (const auto sharded = withoutPrefix(key, AssignmentPrefix)) {
@@ -512,7 +541,7 @@
     }
     beforeUnusable_.erase(id);
     if (now < expiryGraceUntil_) {
-        expired_[id] = expiryGraceUntil_;
+        expired_[Platform::ServerPrefix + id] = expiryGraceUntil_;
     } else {
         servers_.erase(id);
     }
@@ -531,7 +560,7 @@
             ++expired;
             continue;
         }
-        servers_.erase(expired->first);
+        removeKept(expired->first);
         ++changeCount_;
         expired = expired_.erase(expired);
         isChanged = true;
@@ -539,6 +568,17 @@
     return isChanged;
 }
 
+void StoreView::removeKept(const std::string &key)
+{
+    if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
+        servers_.erase(*id);
+    } else if (const auto domain = withoutPrefix(key, Platform::EvacuationPrefix)) {
+        evacuatedDomains_.erase(*domain);
+    } else if (const auto name = withoutPrefix(key, MemberPrefix)) {
+        members_.erase(*name);
+    }
+}
+
 std::size_t StoreView::contentBytes() const
 {
     std::size_t bytes = 0;
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -13,6 +13,9 @@
 
 namespace Goldcrestwall::Gateway {
 
+// Entries that are missing after the store was away, or after it came back from an older copy, are written again within this time if their writers are there.
+inline constexpr Duration ExpiryGrace = 2200ms;
+
 // The store entry of one run of an instance.
 struct MemberEntry
 {
@@ -85,6 +88,24 @@
     auto operator<=>(const ViewChange &) const = default;
 };
 
+// The complete read by which a view went over to a higher era of the store.
+struct EraRead
+{
+    // The view's version before.
+    StoreVersion before_;
+    StoreVersion at_;
+    std::size_t itemCount_ = 0;
+    // Number of items that the view had and the read lacked.
+    std::size_t missingCount_ = 0;
+    // When the era was first heard of.
+    TimePoint seenAt_;
+    // Until then servers, evacuations and members that the read lacked stay, since their entries may be written again.
+    TimePoint keptUntil_;
+    NoticeSource source_ = NoticeSource::Read;
+
+    auto operator<=>(const EraRead &) const = default;
+};
+
 // Whether a change of the item has to be in force at every instance within a bounded time: configuration, servers and evacuations.
 bool bindsInTime(const std::string &key);
 
@@ -96,6 +117,10 @@
 
 // The store's items up to one version, and their decoded form. The version never decreases, whether changes come from the store or from
 // other instances.
+//
+// When the store comes back from an older copy, in a higher era, a complete read replaces the items; changes of any other era than the view's are ignored.
+// What the copy lacks stays for the grace period, so that it can be written again. What is final stays for good: a configuration does not go back, a run of a
+// server that was leaving or was replaced is not in use again by the copy's entry.
 class StoreView
 {
 public:
@@ -113,6 +138,11 @@
     {
         return at_;
     }
+    // The last change of the era; nothing if the view has had only one.
+    const std::optional<EraRead> &eraRead() const
+    {
+        return eraRead_;
+    }
 
     // Number of items that this view got although its version was not below theirs: changes that its watch or its peers had missed.
     std::uint64_t lateItemCount() const
@@ -146,9 +176,17 @@
 
     // Until then, servers whose entries are removed stay in the view: the entries may have expired during a store outage.
     void setExpiryGrace(TimePoint until);
-    // Removes servers whose entries were not registered again in time; returns whether there were any.
+    // Removes what was kept although its entry was missing, and was not written again in time; returns whether there was anything.
     bool removeExpired(TimePoint now);
 
+    // The store is known to be in the era, by its own responses or by a peer's messages.
+    void recordEra(StoreEra era, TimePoint now);
+    // When this instance first heard of the era of this view; the epoch without content.
+    TimePoint eraSeenAt() const
+    {
+        return eraSeenAt_;
+    }
+
     // Null until a valid configuration has been read.
     std::shared_ptr<const RoutingConfiguration> configuration() const
     {
@@ -161,6 +199,9 @@
     }
     // The store's version at the last change of the configuration, usable or not; 0 if none is known.
     StoreVersion configurationStoreVersion() const;
+    // Takes a configuration that was read from the store in another era than the view's: configurations are ordered by their own versions. Returns whether it
+    // is new. The store's item stays as it is.
+    bool takeConfiguration(const Platform::StoreItem &item);
     // A peer knows a configuration of that version.
     void expectConfiguration(StoreVersion version, TimePoint now);
     // The configuration has been read from the store, applied, and nothing newer is there: what was expected is in force or never was.
@@ -201,6 +242,8 @@
     {
         ServerDescription description_;
         TimePoint describedAt_;
+        // Of the entry with the description.
+        StoreVersion version_;
     };
 
     // `at` is the version that the view has once all changes are applied.
@@ -215,11 +258,35 @@
     void decode(const Platform::StoreItem &item, TimePoint now);
     void removeDecoded(const std::string &key, StoreVersion version, TimePoint now);
     void replaceItems(const std::vector<Platform::StoreItem> &items, StoreVersion at, TimePoint now);
+    // Whether the view has content of another era than this version, so that changes up to it do not join on.
+    bool isOfOtherEra(StoreVersion version) const
+    {
+        return at_.exists() && version.era_ != at_.era_;
+    }
+    // Prepares the view for the first complete content of an era: forgets all items, and keeps what the content lacks for the grace period.
+    void beginEra(const std::vector<Platform::StoreItem> &items, StoreVersion at, TimePoint now);
+    void recordEraRead(const std::set<std::string> &present, StoreVersion at);
+    void keepForGrace(const std::set<std::string> &present, StoreVersion at, TimePoint now);
+    void keepServersForGrace(const std::set<std::string> &present, StoreVersion at, TimePoint now);
+    // Until when entries stay that are missing from the first complete content of the view's era.
+    TimePoint eraGraceUntil() const
+    {
+        return eraSeenAt_ + ExpiryGrace;
+    }
+    // Whether the server has written the entry since the notice of an earlier era, so that the entry is not one that only the older copy has brought back.
+    bool isWrittenSince(const LeavingNotice &notice, const ServerDescription &description, StoreVersion version) const;
+    // Whether the same run of the server wrote the description in use later, in an earlier era. It writes its entry again soon.
+    bool isOlderDescription(const ServerDescription &description, StoreVersion version) const;
+    // Whether the entry is one of the older copy and describes a run of the server that a younger one has replaced.
+    bool isReplacedRun(const ServerDescription &description, StoreVersion version) const;
+    // Keeps the younger run that is known for the grace period.
+    void keepYoungerRun(const ServerDescription &older, StoreVersion version, TimePoint now);
+    void removeKept(const std::string &key);
     // What the last usable entry of the server said, if its entry was not removed since; null if there is none.
     const ServerDescription *lastDescription(const std::string &id) const;
     void removeServer(const std::string &id, StoreVersion version, TimePoint now);
     // Whether a server wrote the description before the last one of a run that is known to be leaving.
-    bool isOutdated(const ServerDescription &description) const;
+    bool isOutdated(const ServerDescription &description, StoreVersion version) const;
     void updateNotices(const ServerDescription &description, StoreVersion version, TimePoint now);
     void recordLeaving(const ServerDescription &server, LeavingReason reason, StoreVersion version, TimePoint bindsFrom, TimePoint now);
     void decodeServer(const std::string &id, const Platform::StoreItem &item, TimePoint now);
@@ -230,6 +297,7 @@
     // Where the changes come from that are being applied.
     NoticeSource source_ = NoticeSource::Watch;
     StoreVersion at_;
+    std::optional<EraRead> eraRead_;
     std::uint64_t changeCount_ = 0;
     std::uint64_t lateItemCount_ = 0;
     std::map<std::string, KnownItem> items_;
@@ -242,7 +310,15 @@
     // `removals_` holds all removals after this version.
     StoreVersion removalHistoryStart_;
     TimePoint expiryGraceUntil_;
+    // Keys of servers, evacuations and members that are in use although their entries are missing, and until when.
     std::map<std::string, TimePoint> expired_;
+    // The highest era that is known, and since when.
+    StoreEra knownEra_ = 0;
+    TimePoint knownEraAt_;
+    // When the era of this view was first heard of.
+    TimePoint eraSeenAt_;
+    // The version of the first complete content of this view's era.
+    StoreVersion eraReadAt_;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     std::uint64_t newestConfigurationVersion_ = 0;
     StoreVersion expectedConfiguration_;
--- a/Libraries/LibGateway/ViewFreshness.cpp
+++ b/Libraries/LibGateway/ViewFreshness.cpp
@@ -14,6 +14,9 @@
 
 void ViewFreshness::recordProof(StoreVersion version, TimePoint provedAt, StoreVersion known)
 {
+    if (version.era_ < known.era_) {
+        return;
+    }
     if (version <= known) {
         confirmedAt_ = std::max(confirmedAt_, provedAt);
     } else if (pending_.size() < MaxPendingProofs || pending_.contains(version)) {
@@ -24,6 +27,9 @@
 
 void ViewFreshness::recordView(StoreVersion known)
 {
+    std::erase_if(pending_, [known](const auto &proof) {
+        return proof.first.era_ < known.era_;
+    });
     while (!pending_.empty() && pending_.begin()->first <= known) {
         confirmedAt_ = std::max(confirmedAt_, pending_.begin()->second);
         pending_.erase(pending_.begin());
@@ -35,7 +41,8 @@
     if (version <= known) {
         return;
     }
-    if (expectedVersion_ <= known) {
+    // What was expected in an earlier era never comes.
+    if (expectedVersion_ <= known || expectedVersion_.era_ < version.era_) {
         expectedVersion_ = version;
         expectedSince_ = now;
     }
@@ -59,6 +66,9 @@
 
 bool ViewFreshness::isWatchStale(TimePoint watchSentAt, StoreVersion known, TimePoint now) const
 {
+    if (isEraOutdated(known)) {
+        return true;
+    }
     // A watch sent later has had less time. One that reports some changes and not this one is followed by another.
     return expectedVersion_ > known && now - std::max(expectedSince_, watchSentAt) >= StaleWatchTimeout;
 }
--- a/Libraries/LibGateway/ViewFreshness.h
+++ b/Libraries/LibGateway/ViewFreshness.h
@@ -21,7 +21,7 @@
 {
 public:
     // Records that the store had no higher version than this one at that time, which is not later than the sending of the call that showed it. `known` is
-    // the view's version now, as in the functions below.
+    // the view's version now, as in the functions below. What the store had in an earlier era than the view's proves nothing.
     void recordProof(StoreVersion version, TimePoint provedAt, StoreVersion known);
     // The view has changed.
     void recordView(StoreVersion known);
@@ -38,6 +38,11 @@
     // Nothing if the view was never confirmed.
     std::optional<Duration> age(TimePoint now) const;
     bool isConfirmed(TimePoint now) const;
+    // Whether the store is known to have come back from an older copy since the view was read.
+    bool isEraOutdated(StoreVersion known) const
+    {
+        return expectedVersion_.era_ > known.era_;
+    }
     // Whether a watch that was sent at that time had to report an expected version by now.
     bool isWatchStale(TimePoint watchSentAt, StoreVersion known, TimePoint now) const;
     // When the store is to be asked for its version if it was last asked at that time.
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -133,7 +133,8 @@
     wasCurrent_ = storeLink_.isCurrent(now);
     for (const auto &link : network_.openLinks(now)) {
         storeLink_.expectVersion(link->version(), now);
-        if (link->version() <= view_.at() && link->isViewCurrent()) {
+        const bool isSameEra = link->version().era_ == view_.at().era_;
+        if (isSameEra && link->version() <= view_.at() && link->isViewCurrent()) {
             storeLink_.recordRelayed(link->confirmedAt());
         }
     }
@@ -175,6 +176,7 @@
 bool ViewRelay::handleChange(const std::shared_ptr<PeerLink> &link, ViewChangeMessage message, TimePoint now)
 {
     link->recordVersion(message.to());
+    storeLink_.expectEra(message.era_, now);
     const auto before = view_.at();
     const auto changesBefore = view_.changeCount();
     auto change = toViewChange(std::move(message));
@@ -261,6 +263,7 @@
     for (const auto &server : message.leavingServers_) {
         notices_->recordLeaving({server.id_, server.startTime_}, {LeavingReason::Announced, NoticeSource::Peer, now, now, {}}, now);
     }
+    storeLink_.expectEra(message.era_, now);
     view_.expectConfiguration(message.configurationStoreVersion(), now);
     noteCurrentPeers(now);
     if (link->domain() == domain_ && link->version() > view_.at() && !storeLink_.isWatching()) {
@@ -270,6 +273,7 @@
 
 void ViewRelay::handleRequest(const std::shared_ptr<PeerLink> &link, const ViewRequestMessage &message, TimePoint now)
 {
+    storeLink_.expectEra(message.era_, now);
     if (view_.at() > message.version()) {
         answers_.request(link, message.version(), now);
         serve(now);
--- a/Libraries/LibGateway/ViewReport.cpp
+++ b/Libraries/LibGateway/ViewReport.cpp
@@ -1,4 +1,4 @@
-// Which unusable entries are logged.
+// Lines about eras of the store and unusable entries.
 #include "ViewReport.h"
 
 #include <algorithm>
@@ -33,4 +33,13 @@
     }));
 }
 
+LogLine makeEraLine(const EraRead &read, TimePoint now)
+{
+    LogLine line("store-era-in-force");
+    line.add("before", read.before_).add("storeVersion", read.at_).add("from", noticeSourceName(read.source_));
+    line.add("items", read.itemCount_).add("missing", read.missingCount_);
+    line.addDuration("missingKeptForMs", std::max(Duration::zero(), read.keptUntil_ - now)).addDuration("knownForMs", now - read.seenAt_);
+    return line;
+}
+
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibGateway/ViewReport.h
+++ b/Libraries/LibGateway/ViewReport.h
@@ -1,10 +1,8 @@
 // Log lines about what the view reads from the store.
 #pragma once
 
-#include <LibBase/LibBase.h>
-
-#include <map>
-#include <string>
+#include <LibGateway/EventLog.h>
+#include <LibGateway/StoreView.h>
 
 namespace Goldcrestwall::Gateway {
 
@@ -28,4 +26,7 @@
     std::map<std::string, Problem> problems_;
 };
 
+// The line for a view that has gone over to a higher era.
+LogLine makeEraLine(const EraRead &read, TimePoint now);
+
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/ServerNotices.cpp
+++ b/Libraries/LibPlacement/ServerNotices.cpp
@@ -2,6 +2,7 @@
 #include "ServerNotices.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Goldcrestwall::Gateway {
 
@@ -117,6 +118,14 @@
     }
 }
 
+void ServerNotices::withdrawPendingStoreSign(const ServerIncarnation &server, TimePoint now)
+{
+    const auto *known = signs(server);
+    if (known != nullptr && known->store_ && now < known->store_->bindsFrom_) {
+        withdrawStoreSign(server, now);
+    }
+}
+
 void ServerNotices::updateAnnouncedOnly(const ServerIncarnation &server, const ServerSigns &signs)
 {
     std::erase(announcedOnly_, server);
@@ -191,4 +200,13 @@
     return found == signs_.end() ? nullptr : &found->second;
 }
 
+bool ServerNotices::hasLaterRunLeft(const ServerIncarnation &server, StoreEra era) const
+{
+    const auto first = signs_.upper_bound(server);
+    const auto last = signs_.upper_bound({server.id_, std::numeric_limits<UnixMilliseconds>::max()});
+    return std::any_of(first, last, [era](const auto &entry) {
+        return entry.second.store_ && entry.second.store_->version_.era_ < era;
+    });
+}
+
 } // namespace Goldcrestwall::Gateway
--- a/Libraries/LibPlacement/ServerNotices.h
+++ b/Libraries/LibPlacement/ServerNotices.h
@@ -131,6 +131,8 @@
     bool recordLeaving(const ServerIncarnation &server, const LeavingNotice &notice, TimePoint now);
     // Withdraws the store's sign, because the server's entry says again that it is ready. An announcement of the server itself stays.
     void withdrawStoreSign(const ServerIncarnation &server, TimePoint now);
+    // Withdraws the store's sign if it does not bind yet.
+    void withdrawPendingStoreSign(const ServerIncarnation &server, TimePoint now);
     // The server has asked the instance for no requests for so long; a longer time counts as `MaxHoldBack`.
     void holdBack(const ServerIncarnation &server, const std::string &instance, Duration duration, TimePoint now);
 
@@ -154,6 +156,8 @@
     }
     // The signs about a run of a server that do not depend on the sender. Null if there are none.
     const ServerSigns *signs(const ServerIncarnation &server) const;
+    // Whether the store had a sign about a later run of the same server before that era.
+    bool hasLaterRunLeft(const ServerIncarnation &server, StoreEra era) const;
 
 private:
     using HeldBackKey = std::pair<ServerIncarnation, std::string>;
--- a/Tests/LibGateway/TestChangePush.cpp
+++ b/Tests/LibGateway/TestChangePush.cpp
@@ -281,6 +281,9 @@
     CPPUNIT_TEST(evacuationTakenBackDoesNotStay);
     CPPUNIT_TEST(sourceThatReadsAllTellsOfRemovals);
     CPPUNIT_TEST(heldUpWatchBringsNoCoordinatorBack);
+    CPPUNIT_TEST(changeOfAnotherEraIsNeitherAppliedNorPassedOn);
+    CPPUNIT_TEST(nextChangeAfterACopyIsPushed);
+    CPPUNIT_TEST(sourcesAreNotToldOfAnotherEra);
     CPPUNIT_TEST(messageRoundTrips);
     CPPUNIT_TEST(earlierInstancesReadPingsAndPongs);
     CPPUNIT_TEST(spreadDoesNotGrowWithTheNumber);
@@ -591,6 +594,53 @@
         CPPUNIT_ASSERT_MESSAGE("an ended coordinator came back", late.coordinator("one") == nullptr);
     }
 
+    void changeOfAnotherEraIsNeitherAppliedNorPassedOn()
+    {
+        auto view = makeView();
+        view.replace({{Platform::ConfigurationKey, configurationText(5), {2, 5}, {}}}, {2, 10}, at(0));
+        ChangePush changes;
+        changes.takeDue(view, at(0));
+        for (const StoreEra era : {1, 3}) {
+            for (const bool isComplete : {false, true}) {
+                const ViewChange change{{era, 10}, {era, 11}, isComplete, {{Platform::ConfigurationKey, configurationText(6), {era, 11}, {}}}, {}};
+                CPPUNIT_ASSERT(!changes.receive(change, view, at(1)));
+                CPPUNIT_ASSERT_EQUAL(StoreVersion(2, 10), view.at());
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), view.configuration()->version_);
+            }
+        }
+    }
+
+    // The complete content of another era is fetched, not pushed.
+    void nextChangeAfterACopyIsPushed()
+    {
+        auto view = makeView();
+        view.replace({{Platform::ConfigurationKey, configurationText(5), {1, 5}, {}}}, {1, 10}, at(0));
+        ChangePush changes;
+        changes.takeDue(view, at(0));
+        view.replace({{Platform::ConfigurationKey, configurationText(5), {2, 5}, {}}}, {2, 7}, at(1));
+        CPPUNIT_ASSERT(!changes.takeDue(view, at(1)));
+        view.apply({StoreEvent{{Platform::ConfigurationKey, configurationText(6), {2, 8}, {}}, false}}, {2, 8}, at(2));
+        const auto change = changes.takeDue(view, at(2));
+        CPPUNIT_ASSERT(change && change->isComplete_);
+        CPPUNIT_ASSERT_EQUAL(StoreVersion(2, 7), change->from_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), change->items_.size());
+    }
+
+    void sourcesAreNotToldOfAnotherEra()
+    {
+        auto view = makeView();
+        view.replace({{Platform::ConfigurationKey, configurationText(5), {2, 5}, {}}}, {2, 7}, at(0));
+        ChangePush changes;
+        changes.takeDue(view, at(0));
+        view.apply({StoreEvent{{Platform::ConfigurationKey, configurationText(6), {2, 8}, {}}, false}}, {2, 8}, at(1));
+        changes.takeDue(view, at(1));
+        StoreVersion told{1, 20};
+        CPPUNIT_ASSERT(changes.takeMissing({1, 20}, told, at(500)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.takeMissing({2, 7}, told, at(550)).size());
+        CPPUNIT_ASSERT_EQUAL(StoreVersion(2, 8), told);
+        CPPUNIT_ASSERT(changes.takeMissing({2, 7}, told, at(600)).empty());
+    }
+
     void messageRoundTrips()
     {
         const ViewChange change{atRevision(10), atRevision(13), true, {configurationItem(11), serverItem(12)}, {{"servers/gone", atRevision(13)}}};
--- a/Tests/LibGateway/TestStoreLink.cpp
+++ b/Tests/LibGateway/TestStoreLink.cpp
@@ -35,6 +35,32 @@
         loop_.restart();
         loop_.run_for(duration);
     }
+    // Number of log lines that have this text.
+    std::size_t countLines(const std::string &text) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(log_.pendingLines(), [&text](const std::string &line) {
+            return line.find(text) != std::string::npos;
+        }));
+    }
+    // Runs until there is a lease of the era. Returns whether there is one in time.
+    bool awaitLease(StoreEra era)
+    {
+        const auto hasLease = [&] {
+            return link_.isLeaseValid(bootNow()) && link_.lease().era_ == era;
+        };
+        for (const TimePoint until = bootNow() + ChangeBound; !hasLease() && bootNow() < until;) {
+            runFor(10ms);
+        }
+        return hasLease();
+    }
+    // Runs until the view is of the era, for this time at most. Returns whether it is.
+    bool awaitEra(StoreEra era, std::chrono::milliseconds longest)
+    {
+        for (const TimePoint until = bootNow() + longest; view_.at().era_ != era && bootNow() < until;) {
+            runFor(10ms);
+        }
+        return view_.at().era_ == era;
+    }
     // Runs until the view has a revision, for this time at most. Returns whether it has.
     bool awaitRevision(std::uint64_t revision, std::chrono::milliseconds longest)
     {
@@ -57,6 +83,12 @@
     CPPUNIT_TEST(slowStoreIsNotReadCompletelyAgain);
     CPPUNIT_TEST(quietStoreIsAskedSeldom);
     CPPUNIT_TEST(renewalOfTheLeaseDoesNotConfirmTheView);
+    CPPUNIT_TEST(higherEraLeadsToACompleteReadAndAnotherLease);
+    CPPUNIT_TEST(viewOfAnEarlierEraIsNotCurrent);
+    CPPUNIT_TEST(eraThatOnlyPeersKnowOfEndsTheWatch);
+    CPPUNIT_TEST(eraThatTheStoreDoesNotStateIsNotReadWithoutPause);
+    CPPUNIT_TEST(linesTellOfAnEraAndOfWhatIsWrittenAgain);
+    CPPUNIT_TEST(firstEraOfAProcessIsNoChange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +197,112 @@
         link.runFor(1500ms);
         CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
     }
+
+    // Guards against a view, a lease and a member entry from before the store came back from an older copy, which go on as if nothing had been lost.
+    void higherEraLeadsToACompleteReadAndAnotherLease()
+    {
+        Link link;
+        link.standIn_.setEra(1);
+        link.link_.start();
+        CPPUNIT_ASSERT(link.awaitLease(1));
+        CPPUNIT_ASSERT(link.awaitRevision(link.standIn_.revision(), ChangeBound));
+        link.standIn_.takeCopy();
+        link.standIn_.put("servers/i-1", "{}");
+        CPPUNIT_ASSERT(link.awaitRevision(link.standIn_.revision(), ChangeBound));
+        link.standIn_.restoreCopy(RestoredLeases::Ended);
+        CPPUNIT_ASSERT(link.awaitLease(2));
+        link.runFor(500ms);
+        CPPUNIT_ASSERT_EQUAL(StoreVersion(2, link.standIn_.revision()), link.view_.at());
+        CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
+        CPPUNIT_ASSERT(!link.standIn_.get(memberKey("edge-1")).empty());
+    }
+
+    void viewOfAnEarlierEraIsNotCurrent()
+    {
+        Link link;
+        link.standIn_.setEra(1);
+        link.link_.start();
+        CPPUNIT_ASSERT(link.awaitLease(1));
+        CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
+        link.standIn_.takeCopy();
+        // Only renewals of the lease are answered, and tell the era.
+        link.standIn_.setFault(PlatformStoreFault::IgnoresReads);
+        link.standIn_.restoreCopy();
+        link.runFor(700ms);
+        CPPUNIT_ASSERT(link.link_.isEraOutdated());
+        CPPUNIT_ASSERT(!link.link_.isCurrent(bootNow()));
+        CPPUNIT_ASSERT(*link.link_.viewAge(bootNow()) < 2s);
+        link.standIn_.setFault(PlatformStoreFault::None);
+        link.runFor(1s);
+        CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
+    }
+
+    // Guards against an instance whose connections to the store are silent, and that relies on its watch although others know better.
+    void eraThatOnlyPeersKnowOfEndsTheWatch()
+    {
+        Link link;
+        link.standIn_.setEra(1);
+        link.link_.start();
+        CPPUNIT_ASSERT(link.awaitLease(1));
+        link.runFor(500ms);
+        link.proxy_.silenceOpenConnections(ProxyDirection::Both);
+        link.standIn_.takeCopy();
+        link.standIn_.restoreCopy();
+        link.link_.expectVersion({2, 1}, bootNow());
+        CPPUNIT_ASSERT(!link.link_.isCurrent(bootNow()));
+        CPPUNIT_ASSERT(link.awaitEra(2, ChangeBound));
+        // At once if the connections work.
+        link.standIn_.setEra(3);
+        link.link_.expectVersion({3, 1}, bootNow());
+        CPPUNIT_ASSERT(link.awaitEra(3, 200ms));
+        CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
+    }
+
+    void eraThatTheStoreDoesNotStateIsNotReadWithoutPause()
+    {
+        Link link;
+        link.standIn_.setEra(1);
+        link.link_.start();
+        CPPUNIT_ASSERT(link.awaitLease(1));
+        const auto before = link.standIn_.callCount();
+        link.link_.expectVersion({9, 1}, bootNow());
+        link.runFor(2s);
+        // No more than one call each 50 ms, with those for the lease.
+        CPPUNIT_ASSERT_LESSEQUAL(before + 40, link.standIn_.callCount());
+        CPPUNIT_ASSERT(!link.link_.isCurrent(bootNow()));
+    }
+
+    // Guards against logs that do not tell a store which has lost changes from one that was away.
+    void linesTellOfAnEraAndOfWhatIsWrittenAgain()
+    {
+        Link link;
+        link.standIn_.setEra(1);
+        link.link_.start();
+        CPPUNIT_ASSERT(link.awaitLease(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), link.countLines(R"("event":"store-connected","era":1)"));
+        link.standIn_.takeCopy();
+        link.standIn_.restoreCopy(RestoredLeases::Ended);
+        CPPUNIT_ASSERT(link.awaitLease(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), link.countLines(R"("event":"store-era-changed","before":1,"era":2)"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), link.countLines(R"("event":"lease-granted","lease":"2.)"));
+        link.runFor(500ms);
+        CPPUNIT_ASSERT_EQUAL(StoreEra(2), link.link_.knownEra());
+        CPPUNIT_ASSERT(link.view_.eraRead().has_value());
+    }
+
+    // Guards against a line of a change that was none, where peers have told a started instance the era before the store has.
+    void firstEraOfAProcessIsNoChange()
+    {
+        Link link;
+        link.standIn_.setEra(1);
+        ViewUpdate update;
+        update.at_ = {1, 5};
+        update.isSnapshot_ = true;
+        link.view_.apply(update, bootNow());
+        link.link_.start();
+        CPPUNIT_ASSERT(link.awaitLease(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), link.countLines("store-era-changed"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreLink);
--- a/Tests/LibGateway/TestStoreView.cpp
+++ b/Tests/LibGateway/TestStoreView.cpp
@@ -1,6 +1,7 @@
 // Tests of the store view and of the encoding of peer messages.
 #include <LibGateway/LibGateway.h>
 
+#include <Tests/LibGateway/StoreEntries.h>
 #include <Tests/StoreVersions.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,17 +19,6 @@
     return TimePoint(std::chrono::hours(1) + std::chrono::milliseconds(milliseconds));
 }
 
-std::string configurationText(int version)
-{
-    return R"({"version":)" + std::to_string(version) + R"(,"resources":[]})";
-}
-
-std::string serverText(const std::string &state = "ready", UnixMilliseconds startTime = 0, int sequence = 0)
-{
-    return R"({"service":"one","address":"10.1.0.9:8080","zone":"north","version":"v1","capacity":2,"state":")" + state + R"(","warmupLeftS":0,"sequence":)"
-        + std::to_string(sequence) + R"(,"born":)" + std::to_string(startTime) + "}";
-}
-
 std::string replaced(std::string text, const std::string &from, const std::string &to)
 {
     const auto position = text.find(from);
--- a/Tests/LibGateway/TestViewFreshness.cpp
+++ b/Tests/LibGateway/TestViewFreshness.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(watchIsStaleIfItDoesNotReportAnExpectedRevision);
     CPPUNIT_TEST(laterWatchGetsItsTime);
     CPPUNIT_TEST(storeIsNotAskedWhileTheViewIsConfirmedOtherwise);
+    CPPUNIT_TEST(proofOfAnEarlierEraConfirmsNothing);
+    CPPUNIT_TEST(proofsThatWaitAreOfTheirEra);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +123,26 @@
         freshness.recordProof(atRevision(7), Start + 200ms, atRevision(7));
         CPPUNIT_ASSERT(freshness.checkDueAt(Start + 100ms) == Start + 200ms + PositionCheckInterval);
     }
+
+    void proofOfAnEarlierEraConfirmsNothing()
+    {
+        ViewFreshness freshness;
+        freshness.recordProof({1, 99}, Start, {2, 5});
+        CPPUNIT_ASSERT(!freshness.isConfirmed(Start));
+        freshness.recordProof({2, 5}, Start, {2, 5});
+        CPPUNIT_ASSERT(freshness.isConfirmed(Start));
+    }
+
+    void proofsThatWaitAreOfTheirEra()
+    {
+        ViewFreshness freshness;
+        freshness.recordProof({1, 50}, Start + 1s, {1, 40});
+        freshness.recordProof({2, 8}, Start, {1, 40});
+        freshness.recordView({2, 7});
+        CPPUNIT_ASSERT(!freshness.isConfirmed(Start + 1s));
+        freshness.recordView({2, 8});
+        CPPUNIT_ASSERT(freshness.confirmedAt() == Start);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestViewFreshness);
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -1,6 +1,9 @@
 // Tests of the exchange of views between instances, on real connections.
 #include <LibGateway/LibGateway.h>
 
+#include <StandIns/PlatformStoreStandIn.h>
+
+#include <Tests/LibGateway/StoreEntries.h>
 #include <Tests/StoreVersions.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -36,8 +39,9 @@
 // An instance's side of the exchange.
 struct Side
 {
-    explicit Side(PeerLimits limits = {})
+    explicit Side(PeerLimits limits = {}, std::string storeAddress = "127.0.0.1:1")
         : limits_(limits)
+        , storeAddress_(std::move(storeAddress))
     {
         CPPUNIT_ASSERT(!network_.listen(address_));
         view_.replace(largeContent(5), atRevision(5), bootNow());
@@ -84,6 +88,13 @@
                 relay_.handlePing(link, *ping, bootNow());
             }
         };
+        handlers.outgoing_ = [this](const std::shared_ptr<PeerLink> &link, PeerMessage message) {
+            if (auto *update = std::get_if<ViewUpdateMessage>(&message)) {
+                relay_.handleUpdate(link, std::move(*update), bootNow());
+            } else if (const auto *pong = std::get_if<PongMessage>(&message)) {
+                relay_.handlePong(link, *pong, bootNow());
+            }
+        };
         handlers.incomingClosed_ = [this](const std::shared_ptr<PeerLink> &link) {
             relay_.removePeer(link);
         };
@@ -91,13 +102,14 @@
     }
 
     PeerLimits limits_;
+    std::string storeAddress_;
     asio::io_context loop_{1};
     EventLog log_{"edge-1"};
     std::shared_ptr<ServerNotices> notices_ = std::make_shared<ServerNotices>();
     StoreView view_{[](const std::string &, const std::string &) {}, notices_};
     MemoryAccount memory_{MemoryCapacity};
-    Platform::PlatformStore store_{loop_, "127.0.0.1:1", memory_};
-    StoreLink storeLink_{loop_, store_, view_, MemberEntry{"edge-1", "1", "127.0.0.1:1", "north", 100}, log_, {}};
+    Platform::PlatformStore store_{loop_, storeAddress_, memory_};
+    StoreLink storeLink_{loop_, store_, view_, MemberEntry{"edge-1", "1", "127.0.0.1:1", "north", 100}, log_, {[] {}, [] {}}};
     PeerNetwork network_{loop_, HelloMessage{"edge-1", "1", "north"}, log_, makeHandlers(), limits_};
     ViewRelay relay_{"edge-1", "north", view_, storeLink_, network_, notices_, log_};
     std::string address_ = freeAddress(loop_);
@@ -130,6 +142,56 @@
     Tcp::socket socket_;
 };
 
+// Instances that accept connections and say nothing.
+class SilentInstances
+{
+public:
+    // Each is in a failure domain of its own.
+    SilentInstances(asio::io_context &loop, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            acceptors_.emplace_back(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+            acceptors_.back().non_blocking(true);
+        }
+    }
+
+    std::vector<MemberEntry> members() const
+    {
+        std::vector<MemberEntry> members;
+        for (const auto &acceptor : acceptors_) {
+            const auto number = std::to_string(members.size() + 2);
+            members.push_back({"edge-" + number, "1", "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), "domain-" + number, 100});
+        }
+        return members;
+    }
+
+    // Number of instances to which there has been a connection.
+    std::size_t connectedCount()
+    {
+        for (std::size_t i = 0; i < acceptors_.size(); ++i) {
+            ErrorCode error;
+            auto socket = acceptors_[i].accept(error);
+            if (!error) {
+                sockets_.emplace(i, std::move(socket));
+            }
+        }
+        return sockets_.size();
+    }
+
+    void tellAll(const PeerMessage &message)
+    {
+        connectedCount();
+        for (auto &[number, socket] : sockets_) {
+            ErrorCode ignored;
+            asio::write(socket, asio::buffer(encodeFrame(message)), ignored);
+        }
+    }
+
+private:
+    std::vector<Tcp::acceptor> acceptors_;
+    std::map<std::size_t, Tcp::socket> sockets_;
+};
+
 // The beginning of a frame of 16,000,000 bytes.
 std::string unfinishedFrame(std::size_t size)
 {
@@ -158,6 +220,9 @@
     CPPUNIT_TEST(revisionInAPeersPingIsExpected);
     CPPUNIT_TEST(pingOfAnEarlierVersionIsUnderstood);
     CPPUNIT_TEST(pingsStateTheRevision);
+    CPPUNIT_TEST(peersTellOfAHigherEra);
+    CPPUNIT_TEST(peerOfAnEarlierEraIsGivenTheCompleteView);
+    CPPUNIT_TEST(peerOfAnEarlierEraConfirmsNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -348,6 +413,73 @@
         }
         CPPUNIT_ASSERT_EQUAL(atRevision(6), watcher.storeLink_.expectedVersion());
     }
+
+    void peersTellOfAHigherEra()
+    {
+        const std::vector<std::function<void(Side &, const std::shared_ptr<PeerLink> &)>> ways{
+            [](Side &side, const auto &link) {
+                side.relay_.handlePing(link, PingMessage{1, 2, false, 1}, bootNow());
+            },
+            [](Side &side, const auto &link) {
+                PongMessage pong;
+                pong.revision_ = 2;
+                pong.era_ = 1;
+                side.relay_.handlePong(link, pong, bootNow());
+            },
+            [](Side &side, const auto &link) {
+                ViewChange change;
+                change.to_ = {1, 2};
+                side.relay_.handleChange(link, toMessage(change), bootNow());
+            },
+            [](Side &side, const auto &link) {
+                side.relay_.handleRequest(link, ViewRequestMessage{2, 1}, bootNow());
+            },
+        };
+        for (const auto &tell : ways) {
+            Side side;
+            SilentReader peer(side.loop_, side.address_);
+            peer.send(HelloMessage{"edge-2", "1", "north"});
+            side.run(50ms);
+            CPPUNIT_ASSERT(!side.storeLink_.isEraOutdated());
+            tell(side, side.network_.allLinks().front());
+            CPPUNIT_ASSERT(side.storeLink_.isEraOutdated());
+            CPPUNIT_ASSERT_EQUAL(atRevision(5), side.view_.at());
+        }
+    }
+
+    void peerOfAnEarlierEraIsGivenTheCompleteView()
+    {
+        Side follower;
+        Side watcher;
+        watcher.view_.replace({{"other/key", "x", {1, 2}, {}}}, {1, 3}, bootNow());
+        for (const TimePoint until = bootNow() + 3s; follower.view_.at() != StoreVersion(1, 3) && bootNow() < until;) {
+            follower.relay_.refresh({watcher.address_}, bootNow());
+            follower.run(10ms);
+            watcher.run(10ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(StoreVersion(1, 3), follower.view_.at());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), follower.view_.changesSince({}).items_.size());
+    }
+
+    // Guards against a view that is said to be complete because a peer's is, which is of before the store came back from an older copy.
+    void peerOfAnEarlierEraConfirmsNothing()
+    {
+        for (const StoreEra era : {1, 2}) {
+            Side side;
+            SilentInstances peers(side.loop_, 1);
+            side.view_.replace(largeContent(5), {2, 5}, bootNow());
+            side.relay_.refresh({peers.members().front().peerAddress_}, bootNow());
+            side.run(50ms);
+            PongMessage pong;
+            pong.revision_ = 5;
+            pong.era_ = era;
+            pong.isViewCurrent_ = true;
+            pong.pingSentAt_ = bootNow().time_since_epoch().count();
+            peers.tellAll(pong);
+            side.run(100ms);
+            CPPUNIT_ASSERT_EQUAL(era == 2, side.storeLink_.viewAge(bootNow()).has_value());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestViewRelay);
--- a/Tests/LibPlacement/TestServerNotices.cpp
+++ b/Tests/LibPlacement/TestServerNotices.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(shorterHoldBackDoesNotEndALongerOne);
     CPPUNIT_TEST(wrongTimeDoesNotExcludeAServerForGood);
     CPPUNIT_TEST(announcementsThatTheStoreLacksAreListed);
+    CPPUNIT_TEST(signThatBindsAlreadyIsNotWithdrawnAsPending);
+    CPPUNIT_TEST(laterRunOfAnEarlierEraIsKnown);
     CPPUNIT_TEST(memoryIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -138,6 +140,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), notices_.announcedOnly().size());
     }
 
+    void signThatBindsAlreadyIsNotWithdrawnAsPending()
+    {
+        notices_.recordLeaving(server_, makeNotice(LeavingReason::Removed, at(0), at(2000)), at(0));
+        notices_.withdrawPendingStoreSign(server_, at(2000));
+        CPPUNIT_ASSERT(notices_.isLeaving(server_, at(2000)));
+        notices_.withdrawPendingStoreSign(server_, at(1999));
+        CPPUNIT_ASSERT(!notices_.isLeaving(server_, at(2000)));
+    }
+
+    void laterRunOfAnEarlierEraIsKnown()
+    {
+        auto notice = makeNotice(LeavingReason::Removed, at(0));
+        notice.version_ = {2, 5};
+        notices_.recordLeaving({"i-1", 7}, notice, at(0));
+        notices_.recordLeaving({"i-2", 9}, notice, at(0));
+        CPPUNIT_ASSERT(notices_.hasLaterRunLeft({"i-1", 6}, 3));
+        CPPUNIT_ASSERT(!notices_.hasLaterRunLeft({"i-1", 6}, 2));
+        CPPUNIT_ASSERT(!notices_.hasLaterRunLeft({"i-1", 7}, 3));
+        CPPUNIT_ASSERT(!notices_.hasLaterRunLeft({"i-0", 6}, 3));
+    }
+
     void memoryIsBounded()
     {
         for (int i = 0; i < 20000; ++i) {
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -2,6 +2,7 @@
 #include <StandIns/PlatformStoreStandIn.h>
 #include <platform/Platform.h>
 
+#include <Tests/Platform/AwaitTask.h>
 #include <Tests/StoreVersions.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -13,21 +14,6 @@
 
 constexpr std::uint64_t Capacity = 4'000'000;
 
-// Runs a task on the event loop until it completes and returns its result.
-template<typename T>
-T await(boost::asio::io_context &loop, Gateway::Task<T> task)
-{
-    std::optional<T> result;
-    boost::asio::co_spawn(loop, std::move(task), [&result](const std::exception_ptr &error, T value) {
-        CPPUNIT_ASSERT(!error);
-        result = std::move(value);
-    });
-    loop.restart();
-    loop.run();
-    CPPUNIT_ASSERT(result);
-    return std::move(*result);
-}
-
 StoreWrite makeWrite(const std::string &key, const std::string &value, std::uint64_t expected, StoreLeaseId lease = {})
 {
     StoreWrite write;
