LibGateway: Let few instances read the store when it comes back from an older copy

Seen in a test: once an instance heard of a higher era, its view was not current, so that it connected to all instances (8 of 8 in place of 2) and read the whole store itself, as all others did at the same moment. At 195 instances that is 195 complete reads for one return of the store.

Change: while the view was confirmed lately, an instance that follows others in a new era goes on asking those that watch the store, and leaves the content to them for 3 s as long as one of them has it. A complete view is sent without the values that the receiver has from the earlier era; it checks them by their hashes and asks for everything if one is missing.

Failed before: TestViewRelay::higherEraAloneLeadsToNoConnectionsToAll (8 instances connected, 2 expected).

--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -146,6 +146,9 @@
         message.items_.push_back({std::move(item.key_), std::move(item.value_), item.version_.revision_});
     }
     message.removedKeys_ = std::move(update.removedKeys_);
+    for (auto &item : update.unchanged_) {
+        message.unchanged_.push_back({std::move(item.key_), item.version_.revision_, item.valueHash_});
+    }
     return message;
 }
 
@@ -158,6 +161,9 @@
         update.items_.push_back({std::move(item.key_), std::move(item.value_), {message.era_, item.revision_}, {}});
     }
     update.removedKeys_ = std::move(message.removedKeys_);
+    for (auto &item : message.unchanged_) {
+        update.unchanged_.push_back({std::move(item.key_), {message.era_, item.revision_}, item.valueHash_});
+    }
     return update;
 }
 
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -234,6 +234,16 @@
     MSGPACK_DEFINE(key_, value_, revision_)
 };
 
+// An item of the view whose value the receiver has. Its revision is one of the message's era.
+struct ViewUnchangedItem
+{
+    std::string key_;
+    std::uint64_t revision_ = 0;
+    std::uint64_t valueHash_ = 0;
+
+    MSGPACK_DEFINE(key_, revision_, valueHash_)
+};
+
 struct ViewUpdateMessage
 {
     std::uint64_t at_ = 0;
@@ -241,13 +251,15 @@
     std::vector<ViewItem> items_;
     std::vector<std::string> removedKeys_;
     StoreEra era_ = 0;
+    // Left out only for instances that have stated an era; earlier versions of the program state none.
+    std::vector<ViewUnchangedItem> unchanged_;
 
     StoreVersion version() const
     {
         return {era_, at_};
     }
 
-    MSGPACK_DEFINE(at_, isSnapshot_, items_, removedKeys_, era_)
+    MSGPACK_DEFINE(at_, isSnapshot_, items_, removedKeys_, era_, unchanged_)
 };
 
 // A removal from the view. Its revision is one of the message's era.
--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -74,7 +74,7 @@
 
 bool StoreLink::mayFollow(TimePoint now) const
 {
-    return isLoaded_ && isRelayed_ && now - relayedAt_ < RelayTimeout;
+    return isLoaded_ && isRelayed_ && (isBrought_ || now - relayedAt_ < RelayTimeout);
 }
 
 void StoreLink::recordRelayed(TimePoint confirmedAt)
@@ -291,7 +291,7 @@
         log_.write(LogLine("store-watch-left-to-others").add("storeVersion", view_.at()), LogImportance::State, bootNow());
     }
     const TimePoint now = bootNow();
-    co_await sleepFor(loop_, relayedAt_ + RelayTimeout - now);
+    co_await sleepFor(loop_, std::max<Duration>(SupervisionInterval, relayedAt_ + RelayTimeout - now));
     if (!mayFollow(bootNow())) {
         log_.write(
             LogLine("store-watch-resumed").add("storeVersion", view_.at()).addDuration("viewAgeMs", bootNow() - relayedAt_), LogImportance::State, bootNow());
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -43,6 +43,11 @@
     {
         return std::max({store_.era(), freshness_.expectedVersion().era_, view_.at().era_});
     }
+    // Whether the view was recently confirmed as complete. It may be of an earlier era.
+    bool isConfirmed(TimePoint now) const
+    {
+        return freshness_.isConfirmed(now);
+    }
     // When the view was last confirmed as complete.
     TimePoint confirmedAt() const
     {
@@ -59,10 +64,12 @@
     {
         return isLoaded_ && !isFollowing_;
     }
-    // Sets whether another instance watches the store and relays its changes.
-    void setRelayed(bool isRelayed)
+    // Sets whether another instance watches the store and relays its changes, and whether a peer brings the content of a new era, so that this instance need
+    // not read it itself.
+    void setRelayed(bool isRelayed, bool isBrought)
     {
         isRelayed_ = isRelayed;
+        isBrought_ = isBrought;
     }
     // Records that the store confirmed a peer's view, which this instance also has, at that time.
     void recordRelayed(TimePoint confirmedAt);
@@ -139,6 +146,7 @@
     std::mt19937_64 random_;
     bool isLoaded_ = false;
     bool isRelayed_ = false;
+    bool isBrought_ = false;
     bool isFollowing_ = false;
     TimePoint relayedAt_;
     // Null unless a watch is in progress.
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -16,6 +16,8 @@
 constexpr const char *CoordinatorPrefix = "goldcrestwall/leaders/";
 constexpr const char *AssignmentPrefix = "goldcrestwall/shards/";
 constexpr std::size_t MaxRemovals = 2000;
+// Instances ask for the content of a new era within this time.
+constexpr Duration EarlierContentTime = 10s;
 // No machine has more.
 constexpr std::uint64_t MaxCpuMillicores = 1'000'000;
 
@@ -273,7 +275,11 @@
     const bool isSnapshot = needsSnapshot(version);
     std::size_t bytes = 0;
     for (const auto &[key, known] : items_) {
-        bytes += isSnapshot || known.relayVersion_ > version ? key.size() + known.item_.value_.size() : 0;
+        if (isSnapshot && isValueKnownAt(version, known.item_)) {
+            bytes += key.size() + sizeof(UnchangedItem::valueHash_);
+        } else if (isSnapshot || known.relayVersion_ > version) {
+            bytes += key.size() + known.item_.value_.size();
+        }
     }
     for (const auto &[removedAt, key] : removals_) {
         bytes += !isSnapshot && removedAt > version ? key.size() : 0;
@@ -287,7 +293,9 @@
     update.at_ = at_;
     update.isSnapshot_ = needsSnapshot(version);
     for (const auto &[key, known] : items_) {
-        if (update.isSnapshot_ || known.relayVersion_ > version) {
+        if (update.isSnapshot_ && isValueKnownAt(version, known.item_)) {
+            update.unchanged_.push_back({key, known.item_.version_, stableHash(known.item_.value_)});
+        } else if (update.isSnapshot_ || known.relayVersion_ > version) {
             update.items_.push_back(known.item_);
         }
     }
@@ -554,6 +562,9 @@
 
 bool StoreView::removeExpired(TimePoint now)
 {
+    if (now - eraSeenAt_ >= EarlierContentTime) {
+        earlierItems_.clear();
+    }
     bool isChanged = false;
     for (auto expired = expired_.begin(); expired != expired_.end();) {
         if (expired->second > now) {
@@ -582,8 +593,10 @@
 std::size_t StoreView::contentBytes() const
 {
     std::size_t bytes = 0;
-    for (const auto &[key, known] : items_) {
-        bytes += key.size() + known.item_.value_.size();
+    for (const auto *items : {&items_, &earlierItems_}) {
+        for (const auto &[key, known] : *items) {
+            bytes += key.size() + known.item_.value_.size();
+        }
     }
     return bytes;
 }
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -56,14 +56,26 @@
     auto operator<=>(const AssignmentEntry &) const = default;
 };
 
+// An item whose value is left out, because the receiver has it in its view of the earlier era.
+struct UnchangedItem
+{
+    std::string key_;
+    StoreVersion version_;
+    std::uint64_t valueHash_ = 0;
+
+    auto operator<=>(const UnchangedItem &) const = default;
+};
+
 // Changes that bring another view up to date.
 struct ViewUpdate
 {
     StoreVersion at_;
-    // Whether `items_` is the complete content, so that keys missing from it are removed.
+    // Whether `items_` and `unchanged_` are the complete content, so that keys missing from it are removed.
     bool isSnapshot_ = false;
     std::vector<Platform::StoreItem> items_;
     std::vector<std::string> removedKeys_;
+    // Only of a complete content.
+    std::vector<UnchangedItem> unchanged_ = {};
 };
 
 // A key that was removed from the store.
@@ -169,6 +181,13 @@
     // All changes since the version; incomplete and empty if only the complete content brings a view at the version up to date.
     ViewChange changeSince(StoreVersion version) const;
     ViewUpdate changesSince(StoreVersion version) const;
+    // Adds the values that the update leaves out to its items. Returns false if this view does not have one of them; it then needs the complete content.
+    bool completeUpdate(ViewUpdate &update) const;
+    // Whether the complete content can leave out values that a view at the version has, since this view remembers that era's content.
+    bool remembersEraOf(StoreVersion version) const
+    {
+        return version.era_ != 0 && version.era_ == earlierEra_ && !earlierItems_.empty();
+    }
     // Whether only the complete content brings a view at the version up to date.
     bool needsSnapshot(StoreVersion version) const;
     // Size of the keys and values of these changes.
@@ -176,7 +195,8 @@
 
     // Until then, servers whose entries are removed stay in the view: the entries may have expired during a store outage.
     void setExpiryGrace(TimePoint until);
-    // Removes what was kept although its entry was missing, and was not written again in time; returns whether there was anything.
+    // Removes what was kept although its entry was missing, and was not written again in time; returns whether there was anything. Forgets an earlier era's
+    // content that nobody needs any more.
     bool removeExpired(TimePoint now);
 
     // The store is known to be in the era, by its own responses or by a peer's messages.
@@ -186,6 +206,11 @@
     {
         return eraSeenAt_;
     }
+    // When this instance first heard of the highest era that it knows of, which the view may not have reached.
+    TimePoint knownEraAt() const
+    {
+        return knownEraAt_;
+    }
 
     // Null until a valid configuration has been read.
     std::shared_ptr<const RoutingConfiguration> configuration() const
@@ -263,6 +288,8 @@
     {
         return at_.exists() && version.era_ != at_.era_;
     }
+    // Whether a view at a version of the earlier era has the item's value.
+    bool isValueKnownAt(StoreVersion version, const Platform::StoreItem &item) const;
     // Prepares the view for the first complete content of an era: forgets all items, and keeps what the content lacks for the grace period.
     void beginEra(const std::vector<Platform::StoreItem> &items, StoreVersion at, TimePoint now);
     void recordEraRead(const std::set<std::string> &present, StoreVersion at);
@@ -319,6 +346,9 @@
     TimePoint eraSeenAt_;
     // The version of the first complete content of this view's era.
     StoreVersion eraReadAt_;
+    // The content at the end of the era before, for a while, and that era.
+    std::map<std::string, KnownItem> earlierItems_;
+    StoreEra earlierEra_ = 0;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     std::uint64_t newestConfigurationVersion_ = 0;
     StoreVersion expectedConfiguration_;
--- a/Libraries/LibGateway/StoreViewEras.cpp
+++ b/Libraries/LibGateway/StoreViewEras.cpp
@@ -25,7 +25,8 @@
         setExpiryGrace(eraGraceUntil());
         keepForGrace(present, at, now);
     }
-    items_.clear();
+    earlierItems_ = std::exchange(items_, {});
+    earlierEra_ = at_.era_;
     coordinators_.clear();
     assignments_.clear();
     itemsAhead_.clear();
@@ -43,6 +44,28 @@
     eraRead_ = EraRead{at_, at, present.size(), static_cast<std::size_t>(missing), eraSeenAt_, eraGraceUntil(), source_};
 }
 
+bool StoreView::isValueKnownAt(StoreVersion version, const Platform::StoreItem &item) const
+{
+    if (!remembersEraOf(version)) {
+        return false;
+    }
+    const auto earlier = earlierItems_.find(item.key_);
+    return earlier != earlierItems_.end() && earlier->second.relayVersion_ <= version && earlier->second.item_.value_ == item.value_;
+}
+
+bool StoreView::completeUpdate(ViewUpdate &update) const
+{
+    for (auto &unchanged : update.unchanged_) {
+        const auto known = items_.find(unchanged.key_);
+        if (known == items_.end() || stableHash(known->second.item_.value_) != unchanged.valueHash_) {
+            return false;
+        }
+        update.items_.push_back({std::move(unchanged.key_), known->second.item_.value_, unchanged.version_, {}});
+    }
+    update.unchanged_.clear();
+    return true;
+}
+
 void StoreView::keepForGrace(const std::set<std::string> &present, StoreVersion at, TimePoint now)
 {
     keepServersForGrace(present, at, now);
--- a/Libraries/LibGateway/ViewAsker.h
+++ b/Libraries/LibGateway/ViewAsker.h
@@ -12,6 +12,9 @@
 
 namespace Goldcrestwall::Gateway {
 
+// An instance that does not watch the store leaves the content of a new era to its peers for this time, as long as one of them has it.
+inline constexpr Duration MaxEraRelayTime = 3s;
+
 // A peer that may be asked.
 struct ViewSource
 {
@@ -63,6 +66,11 @@
     // Returns the address of the peer to ask now, if any. To be called often, with the peers that respond.
     std::optional<std::string> choose(const std::vector<ViewSource> &sources, const OwnView &own, TimePoint now);
     AskerTiming timing(TimePoint now) const;
+    // Whether a peer had a newer view when a peer to ask was last chosen.
+    bool isBehind() const
+    {
+        return behindSince_ != TimePoint();
+    }
     // An answer has been received.
     void recordAnswer(const std::string &address);
 
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -100,10 +100,13 @@
 
 void ViewRelay::refresh(const std::vector<std::string> &seeds, TimePoint now)
 {
-    const bool isCurrent = view_.configuration() && storeLink_.isCurrent(now);
-    storeLink_.setRelayed(isCurrent && role().isFollower_);
+    // In a new era, those that watch the store read its content first, and whom to ask for it is known as long as the view was confirmed lately.
+    const bool isBrought = storeLink_.isEraOutdated() && asker_.isBehind() && now - view_.knownEraAt() < MaxEraRelayTime;
+    const bool isEraRelayed = isBrought || (storeLink_.isEraOutdated() && storeLink_.isConfirmed(now));
+    const bool isRelayed = view_.configuration() && (storeLink_.isCurrent(now) || isEraRelayed);
+    storeLink_.setRelayed(isRelayed && role().isFollower_, isBrought);
     // While the view is stale, any reachable instance may have a newer one.
-    auto addresses = isCurrent ? role().watchers_ : allAddresses(seeds);
+    auto addresses = isRelayed ? role().watchers_ : allAddresses(seeds);
     if (const auto self = view_.members().find(instance_); self != view_.members().end()) {
         addresses.erase(self->second.peerAddress_);
     }
@@ -210,7 +213,8 @@
         const auto link = std::ranges::find_if(links, [&chosen](const std::shared_ptr<PeerLink> &candidate) {
             return candidate->address() == *chosen;
         });
-        (*link)->send(ViewRequestMessage{view_.at().revision_, view_.at().era_});
+        const auto version = needsCompleteContent_ ? StoreVersion() : view_.at();
+        (*link)->send(ViewRequestMessage{version.revision_, version.era_});
     }
 }
 
@@ -307,7 +311,7 @@
     if (encodings_.changeCount_ != view_.changeCount() || encodings_.at_ != view_.at()) {
         encodings_ = {view_.changeCount(), view_.at(), {}};
     }
-    auto &known = encodings_.frames_[view_.needsSnapshot(version) ? StoreVersion() : version];
+    auto &known = encodings_.frames_[view_.needsSnapshot(version) && !view_.remembersEraOf(version) ? StoreVersion() : version];
     auto frame = known.lock();
     if (!frame) {
         frame = std::make_shared<const std::string>(encodeFrame(toMessage(view_.changesSince(version))));
@@ -347,13 +351,20 @@
                    .add("storeVersion", message.version())
                    .add("known", view_.at())
                    .add("items", message.items_.size())
+                   .add("unchanged", message.unchanged_.size())
                    .add("bytes", contentBytes(message))
                    .addDuration("behindForMs", timing.behindFor_)
                    .addDuration("askedForMs", timing.askedFor_)
                    .addDuration("firstByteMs", timing.firstByteAfter_),
                LogImportance::Sampled,
                now);
-    view_.apply(toViewUpdate(std::move(message)), now);
+    auto update = toViewUpdate(std::move(message));
+    // Another part of it may have been pushed meanwhile, or the peer's view was another one.
+    needsCompleteContent_ = !view_.completeUpdate(update);
+    if (needsCompleteContent_) {
+        return false;
+    }
+    view_.apply(update, now);
     return true;
 }
 
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -114,6 +114,8 @@
     ViewAnswerQueue<std::shared_ptr<PeerLink>> answers_;
     std::map<std::shared_ptr<PeerLink>, Sending> sending_;
     Encodings encodings_;
+    // Whether this instance did not have a value that a peer had left out.
+    bool needsCompleteContent_ = false;
     // Whether a peer's view was current when this was last looked at.
     bool isPeerCurrent_ = false;
     // Whether the own view was current when `follow` was called last.
--- a/Tests/LibGateway/TestStoreViewEras.cpp
+++ b/Tests/LibGateway/TestStoreViewEras.cpp
@@ -49,6 +49,8 @@
     CPPUNIT_TEST(completeReadOfAHigherEraReplacesTheView);
     CPPUNIT_TEST(changesOfAnotherEraAreIgnored);
     CPPUNIT_TEST(viewOfAnEarlierEraNeedsTheCompleteContent);
+    CPPUNIT_TEST(contentOfANewEraLeavesOutKnownValues);
+    CPPUNIT_TEST(valueThatIsNotThereIsNoticed);
     CPPUNIT_TEST(whatTheCopyLacksStaysForTheGrace);
     CPPUNIT_TEST(whatIsWrittenAgainStays);
     CPPUNIT_TEST(secondCopyWithinTheGraceBeginsItAnew);
@@ -108,6 +110,57 @@
         CPPUNIT_ASSERT(!view_.needsSnapshot({After, 41}));
     }
 
+    // Guards against complete views on slow links to all instances whenever the store comes back from an older copy.
+    void contentOfANewEraLeavesOutKnownValues()
+    {
+        const std::string same(100, 's');
+        const std::vector<StoreItem> before{item("other/a", same, {Before, 10}), item("other/b", "old", {Before, 11}), item("other/c", "late", {Before, 49})};
+        StoreView follower(handler());
+        read(follower, before, {Before, 50}, at(0));
+        read(view_, before, {Before, 50}, at(0));
+        begin(view_,
+              {item("other/a", same, {After, 10}),
+               item("other/b", "new", {After, 12}),
+               item("other/c", "late", {After, 13}),
+               item("other/d", "added", {After, 14})},
+              {After, 31},
+              at(10),
+              false);
+        auto update = view_.changesSince({Before, 50});
+        CPPUNIT_ASSERT(update.isSnapshot_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), update.items_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), update.unchanged_.size());
+        CPPUNIT_ASSERT(view_.changeBytes({Before, 50}) < view_.changeBytes({}));
+        // The last change of an item is not in a view from before.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), view_.changesSince({Before, 40}).unchanged_.size());
+        // It is the same content for the receiver.
+        CPPUNIT_ASSERT(follower.completeUpdate(update));
+        follower.apply(update, at(20));
+        CPPUNIT_ASSERT_EQUAL(view_.at(), follower.at());
+        CPPUNIT_ASSERT(sortedItems(follower) == sortedItems(view_));
+        // Nobody else has these values, and after a while nobody asks.
+        CPPUNIT_ASSERT(view_.changesSince({}).unchanged_.empty());
+        CPPUNIT_ASSERT(view_.changesSince({Before - 1, 50}).unchanged_.empty());
+        const auto bytes = view_.contentBytes();
+        view_.removeExpired(at(10010));
+        CPPUNIT_ASSERT(view_.changesSince({Before, 50}).unchanged_.empty());
+        CPPUNIT_ASSERT(view_.contentBytes() < bytes);
+    }
+
+    void valueThatIsNotThereIsNoticed()
+    {
+        read(view_, {item("other/a", "same", {Before, 10})}, {Before, 50}, at(0));
+        begin(view_, {item("other/a", "same", {After, 10})}, {After, 31}, at(10), false);
+        for (const auto &items :
+             {std::vector<StoreItem>{item("other/a", "another", {Before, 10})}, std::vector<StoreItem>{item("other/b", "same", {Before, 10})}}) {
+            StoreView follower(handler());
+            read(follower, items, {Before, 50}, at(0));
+            auto update = view_.changesSince(follower.at());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), update.unchanged_.size());
+            CPPUNIT_ASSERT(!follower.completeUpdate(update));
+        }
+    }
+
     void whatTheCopyLacksStaysForTheGrace()
     {
         for (const bool isFromPeer : {false, true}) {
@@ -375,6 +428,13 @@
         CPPUNIT_ASSERT_EQUAL(isThere, view.members().contains("a"));
     }
 
+    static std::vector<StoreItem> sortedItems(const StoreView &view)
+    {
+        auto items = view.changesSince({}).items_;
+        std::ranges::sort(items, {}, &StoreItem::key_);
+        return items;
+    }
+
     // Tells the view of changes of another era in each way in which it can hear of them.
     void expectNothingNewOf(StoreVersion version)
     {
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -220,8 +220,10 @@
     CPPUNIT_TEST(revisionInAPeersPingIsExpected);
     CPPUNIT_TEST(pingOfAnEarlierVersionIsUnderstood);
     CPPUNIT_TEST(pingsStateTheRevision);
+    CPPUNIT_TEST(higherEraAloneLeadsToNoConnectionsToAll);
     CPPUNIT_TEST(peersTellOfAHigherEra);
     CPPUNIT_TEST(peerOfAnEarlierEraIsGivenTheCompleteView);
+    CPPUNIT_TEST(valueThatAPeerWronglyLeftOutIsFetched);
     CPPUNIT_TEST(peerOfAnEarlierEraConfirmsNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -414,6 +416,31 @@
         CPPUNIT_ASSERT_EQUAL(atRevision(6), watcher.storeLink_.expectedVersion());
     }
 
+    // Guards against connections from each instance to each other one whenever the store comes back from an older copy.
+    void higherEraAloneLeadsToNoConnectionsToAll()
+    {
+        PlatformStoreStandIn store(0);
+        store.setEra(1);
+        Side side({}, store.address());
+        SilentInstances others(side.loop_, 8);
+        store.put(Platform::ConfigurationKey, configurationText(1));
+        for (const auto &member : others.members()) {
+            store.put(memberKey(member.name_), encodeMember(member));
+        }
+        side.storeLink_.start();
+        awaitCurrent(side);
+        refreshFor(side, 300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), others.connectedCount());
+        store.setFault(PlatformStoreFault::IgnoresReads);
+        side.storeLink_.expectEra(2, bootNow());
+        refreshFor(side, 300ms);
+        CPPUNIT_ASSERT(!side.storeLink_.isCurrent(bootNow()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), others.connectedCount());
+        // Nobody has proved the view for long: any instance may know more.
+        refreshFor(side, MaxViewAge);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), others.connectedCount());
+    }
+
     void peersTellOfAHigherEra()
     {
         const std::vector<std::function<void(Side &, const std::shared_ptr<PeerLink> &)>> ways{
@@ -461,6 +488,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), follower.view_.changesSince({}).items_.size());
     }
 
+    void valueThatAPeerWronglyLeftOutIsFetched()
+    {
+        Side follower;
+        Side watcher;
+        follower.view_.replace({{"other/key", "another", {1, 2}, {}}}, {1, 9}, bootNow());
+        watcher.view_.replace({{"other/key", "x", {1, 2}, {}}}, {1, 9}, bootNow());
+        watcher.view_.replace({{"other/key", "x", {2, 2}, {}}}, {2, 3}, bootNow());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), watcher.view_.changesSince({1, 9}).unchanged_.size());
+        for (const TimePoint until = bootNow() + 3s; follower.view_.at() != StoreVersion(2, 3) && bootNow() < until;) {
+            follower.relay_.refresh({watcher.address_}, bootNow());
+            follower.run(10ms);
+            watcher.run(10ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(StoreVersion(2, 3), follower.view_.at());
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), follower.view_.changesSince({}).items_.front().value_);
+    }
+
     // Guards against a view that is said to be complete because a peer's is, which is of before the store came back from an older copy.
     void peerOfAnEarlierEraConfirmsNothing()
     {
@@ -480,6 +524,23 @@
             CPPUNIT_ASSERT_EQUAL(era == 2, side.storeLink_.viewAge(bootNow()).has_value());
         }
     }
+
+private:
+    static void refreshFor(Side &side, Duration duration)
+    {
+        for (const TimePoint until = bootNow() + duration; bootNow() < until;) {
+            side.relay_.refresh({}, bootNow());
+            side.run(10ms);
+        }
+    }
+
+    static void awaitCurrent(Side &side)
+    {
+        for (const TimePoint until = bootNow() + 3s; !side.storeLink_.isCurrent(bootNow()) && bootNow() < until;) {
+            side.run(10ms);
+        }
+        CPPUNIT_ASSERT(side.storeLink_.isCurrent(bootNow()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestViewRelay);
