LibGateway: Tell instances which servers are leaving although the copy has them as ready

Seen in a test: an instance that has started, or was cut off, during the return of the store from an older copy takes the ready entry of a server that had reported that it is draining for what it is, and sends it requests until the server writes its entry again (DRAIN, for one heartbeat or more).

Cause: what is final outlives the era only where it was seen. The store does not tell of it any more.

Change: instances that ignore such an entry tell the others why in their answers to pings, with the version and the sequence of the sign. It ends as at the instance that saw it: by an entry that the server has written since.

Failed without the telling: TestViewRelay::leavingServerThatTheCopyHasAsReadyIsToldToOthers.

--- a/Libraries/LibGateway/PeerMessages.cpp
+++ b/Libraries/LibGateway/PeerMessages.cpp
@@ -167,6 +167,24 @@
     return update;
 }
 
+ForgottenServer toForgottenServer(const ServerChange &change)
+{
+    const auto &notice = *change.notice_;
+    return {change.server_.id_,
+            change.server_.startTime_,
+            static_cast<std::uint8_t>(notice.reason_),
+            notice.version_.era_,
+            notice.version_.revision_,
+            notice.sequence_};
+}
+
+LeavingNotice toLeavingNotice(const ForgottenServer &server, TimePoint now)
+{
+    const auto reason =
+        server.reason_ < static_cast<std::uint8_t>(LeavingReason::Announced) ? static_cast<LeavingReason>(server.reason_) : LeavingReason::Removed;
+    return {reason, NoticeSource::Peer, now, now, {server.era_, server.revision_}, server.sequence_};
+}
+
 ViewChangeMessage toMessage(ViewChange change)
 {
     ViewChangeMessage message;
--- a/Libraries/LibGateway/PeerMessages.h
+++ b/Libraries/LibGateway/PeerMessages.h
@@ -174,6 +174,20 @@
     MSGPACK_DEFINE(id_, startTime_)
 };
 
+// One run of a server that left in an earlier era, while its entry of the present one does not tell.
+struct ForgottenServer
+{
+    std::string id_;
+    UnixMilliseconds startTime_ = 0;
+    std::uint8_t reason_ = 0;
+    // The version of the notice, and the server's highest sequence then.
+    StoreEra era_ = 0;
+    std::uint64_t revision_ = 0;
+    std::uint64_t sequence_ = 0;
+
+    MSGPACK_DEFINE(id_, startTime_, reason_, era_, revision_, sequence_)
+};
+
 // State of the sender's view of the store. Sent in reply to a ping, and unsolicited when the view has changed.
 struct PongMessage
 {
@@ -196,6 +210,7 @@
     std::uint64_t configurationRevision_ = 0;
     // The era of the sender's view, and so of both revisions.
     StoreEra era_ = 0;
+    std::vector<ForgottenServer> forgottenServers_;
 
     StoreVersion version() const
     {
@@ -206,8 +221,17 @@
         return {era_, configurationRevision_};
     }
 
-    MSGPACK_DEFINE(
-        revision_, isViewCurrent_, pingSentAt_, viewAge_, leavingServers_, claimsWithheldFor_, sentAt_, acceptsChanges_, configurationRevision_, era_)
+    MSGPACK_DEFINE(revision_,
+                   isViewCurrent_,
+                   pingSentAt_,
+                   viewAge_,
+                   leavingServers_,
+                   claimsWithheldFor_,
+                   sentAt_,
+                   acceptsChanges_,
+                   configurationRevision_,
+                   era_,
+                   forgottenServers_)
 };
 
 // Requests the changes of the store's content since a version.
@@ -325,6 +349,8 @@
 FinishMessage toMessage(const std::string &service, std::uint64_t number, const ServerIncarnation &server, const PlacementReport &report);
 PlacementReport toPlacementReport(const FinishMessage &message);
 ViewUpdateMessage toMessage(ViewUpdate update);
+ForgottenServer toForgottenServer(const ServerChange &change);
+LeavingNotice toLeavingNotice(const ForgottenServer &server, TimePoint now);
 ViewUpdate toViewUpdate(ViewUpdateMessage message);
 ViewChangeMessage toMessage(ViewChange change);
 ViewChange toViewChange(ViewChangeMessage message);
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -418,10 +418,12 @@
     if (isReplacedRun(*decoded.value_, item.version_)) {
         handler_(item.key_, "a later run of the server has replaced the one of the entry");
         keepYoungerRun(*decoded.value_, item.version_, now);
+        notices_->recordForgotten(decoded.value_->incarnation());
         return;
     }
     if (isOutdated(*decoded.value_, item.version_)) {
         handler_(item.key_, "description is older than the one that says the server is leaving");
+        notices_->recordForgotten(decoded.value_->incarnation());
         return;
     }
     if (isOlderDescription(*decoded.value_, item.version_)) {
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -201,6 +201,8 @@
 
     // The store is known to be in the era, by its own responses or by a peer's messages.
     void recordEra(StoreEra era, TimePoint now);
+    // Another instance knows of a notice from an earlier era that the store does not tell of any more. Ignored if the server has written its entry since.
+    void recordForgottenLeaving(const ServerIncarnation &server, const LeavingNotice &notice, TimePoint now);
     // When this instance first heard of the era of this view; the epoch without content.
     TimePoint eraSeenAt() const
     {
--- a/Libraries/LibGateway/StoreViewEras.cpp
+++ b/Libraries/LibGateway/StoreViewEras.cpp
@@ -104,6 +104,17 @@
     return description.sequence_ > notice.sequence_;
 }
 
+void StoreView::recordForgottenLeaving(const ServerIncarnation &server, const LeavingNotice &notice, TimePoint now)
+{
+    const auto known = servers_.find(server.id_);
+    const bool isKnown = known != servers_.end() && known->second.description_.incarnation() == server;
+    const bool isLater =
+        isKnown && known->second.version_.era_ > notice.version_.era_ && isWrittenSince(notice, known->second.description_, known->second.version_);
+    if (notice.version_.era_ < at_.era_ && !isLater) {
+        notices_->recordForgottenLeaving(server, notice, now);
+    }
+}
+
 bool StoreView::isOlderDescription(const ServerDescription &description, StoreVersion version) const
 {
     const auto known = servers_.find(description.id_);
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -232,6 +232,9 @@
     for (const auto &server : notices_->announcedOnly()) {
         pong.leavingServers_.push_back({server.id_, server.startTime_});
     }
+    for (const auto &change : notices_->forgotten(now)) {
+        pong.forgottenServers_.push_back(toForgottenServer(change));
+    }
     if (pingSentAt != 0) {
         pong.claimsWithheldFor_ = storeLink_.withholdClaims(now).count();
     }
@@ -267,6 +270,9 @@
     for (const auto &server : message.leavingServers_) {
         notices_->recordLeaving({server.id_, server.startTime_}, {LeavingReason::Announced, NoticeSource::Peer, now, now, {}}, now);
     }
+    for (const auto &server : message.forgottenServers_) {
+        view_.recordForgottenLeaving({server.id_, server.startTime_}, toLeavingNotice(server, now), now);
+    }
     storeLink_.expectEra(message.era_, now);
     view_.expectConfiguration(message.configurationStoreVersion(), now);
     noteCurrentPeers(now);
--- a/Libraries/LibPlacement/ServerNotices.cpp
+++ b/Libraries/LibPlacement/ServerNotices.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t MaxHeldBackEntries = 4000;
 // Other instances are told of so many; the store soon says the same of them.
 constexpr std::size_t MaxAnnouncedOnly = 64;
+constexpr std::size_t MaxForgotten = 64;
 
 } // namespace
 
@@ -112,6 +113,7 @@
         return;
     }
     known->second.store_.reset();
+    std::erase(forgotten_, server);
     updateAnnouncedOnly(server, known->second);
     if (handler_) {
         handler_({server, std::nullopt}, now);
@@ -126,6 +128,39 @@
     }
 }
 
+void ServerNotices::recordForgotten(const ServerIncarnation &server)
+{
+    const auto *known = signs(server);
+    if (known == nullptr || !known->store_) {
+        return;
+    }
+    std::erase(forgotten_, server);
+    forgotten_.push_back(server);
+    if (forgotten_.size() > MaxForgotten) {
+        forgotten_.pop_front();
+    }
+}
+
+void ServerNotices::recordForgottenLeaving(const ServerIncarnation &server, const LeavingNotice &notice, TimePoint now)
+{
+    hasAnnounced_ = true;
+    if (recordLeaving(server, notice, now)) {
+        recordForgotten(server);
+    }
+}
+
+std::vector<ServerChange> ServerNotices::forgotten(TimePoint now) const
+{
+    std::vector<ServerChange> changes;
+    for (const auto &server : forgotten_) {
+        const auto *known = signs(server);
+        if (known != nullptr && known->store_ && now >= known->store_->bindsFrom_) {
+            changes.push_back({server, known->store_});
+        }
+    }
+    return changes;
+}
+
 void ServerNotices::updateAnnouncedOnly(const ServerIncarnation &server, const ServerSigns &signs)
 {
     std::erase(announcedOnly_, server);
--- a/Libraries/LibPlacement/ServerNotices.h
+++ b/Libraries/LibPlacement/ServerNotices.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Goldcrestwall::Gateway {
 
@@ -136,13 +137,21 @@
     // The server has asked the instance for no requests for so long; a longer time counts as `MaxHoldBack`.
     void holdBack(const ServerIncarnation &server, const std::string &instance, Duration duration, TimePoint now);
 
+    // The store's present entry of the server, of an older copy, does not tell of the store's sign. Instances that lack the sign are to be told.
+    void recordForgotten(const ServerIncarnation &server);
+    // Records a sign that the store does not tell of any more, as another instance says.
+    void recordForgottenLeaving(const ServerIncarnation &server, const LeavingNotice &notice, TimePoint now);
+    // Those signs that bind. If there are many, only the newest.
+    std::vector<ServerChange> forgotten(TimePoint now) const;
+
     // Whether the instance may send a request to the server now.
     SendDecision decide(const ServerIncarnation &server, const std::string &instance, bool isEvacuated, TimePoint now) const;
     // Whether the server is leaving, whoever asks.
     bool isLeaving(const ServerIncarnation &server, TimePoint now) const;
     // Until when the server is held back from the instance; in the past if it is not.
     TimePoint heldBackUntil(const ServerIncarnation &server, const std::string &instance) const;
-    // Whether any server has announced its leaving; a cheap check before `isLeaving` is called for many servers.
+    // Whether any server has announced its leaving, or is leaving although its entry does not tell; a cheap check before `isLeaving` is called for many
+    // servers.
     bool hasAnnounced() const
     {
         return hasAnnounced_;
@@ -172,6 +181,8 @@
     // The keys of `signs_`, oldest first.
     std::deque<ServerIncarnation> order_;
     std::deque<ServerIncarnation> announcedOnly_;
+    // The servers whose store sign the store's entry does not tell of, oldest first.
+    std::deque<ServerIncarnation> forgotten_;
     std::map<HeldBackKey, TimePoint> heldBack_;
     TimePoint lastHeldBackUntil_;
     bool hasAnnounced_ = false;
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -224,6 +224,7 @@
     CPPUNIT_TEST(peersTellOfAHigherEra);
     CPPUNIT_TEST(peerOfAnEarlierEraIsGivenTheCompleteView);
     CPPUNIT_TEST(valueThatAPeerWronglyLeftOutIsFetched);
+    CPPUNIT_TEST(leavingServerThatTheCopyHasAsReadyIsToldToOthers);
     CPPUNIT_TEST(peerOfAnEarlierEraConfirmsNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -505,6 +506,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string("x"), follower.view_.changesSince({}).items_.front().value_);
     }
 
+    // Guards against requests to a leaving server from an instance that has started since the store came back, and knows the older copy alone.
+    void leavingServerThatTheCopyHasAsReadyIsToldToOthers()
+    {
+        Side knowing;
+        Side started;
+        const ServerIncarnation server{"i-1", 5};
+        knowing.view_.replace({{"servers/i-1", serverText("draining", 5, 10), {1, 40}, {}}}, {1, 50}, bootNow());
+        for (auto *side : {&knowing, &started}) {
+            side->view_.replace({{"servers/i-1", serverText("ready", 5, 8), {2, 30}, {}}}, {2, 31}, bootNow());
+        }
+        CPPUNIT_ASSERT(!started.notices_->isLeaving(server, bootNow()));
+        for (const TimePoint until = bootNow() + 2s; !started.notices_->isLeaving(server, bootNow()) && bootNow() < until;) {
+            started.relay_.refresh({knowing.address_}, bootNow());
+            started.run(10ms);
+            knowing.run(10ms);
+        }
+        CPPUNIT_ASSERT(started.notices_->isLeaving(server, bootNow()));
+        CPPUNIT_ASSERT(started.notices_->hasAnnounced());
+        // What the server has written since counts.
+        for (auto *side : {&knowing, &started}) {
+            side->view_.apply({Platform::StoreEvent{{"servers/i-1", serverText("ready", 5, 11), {2, 32}, {}}, false}}, {2, 32}, bootNow());
+            CPPUNIT_ASSERT(!side->notices_->isLeaving(server, bootNow()));
+        }
+        started.run(500ms);
+        CPPUNIT_ASSERT(!started.notices_->isLeaving(server, bootNow()));
+    }
+
     // Guards against a view that is said to be complete because a peer's is, which is of before the store came back from an older copy.
     void peerOfAnEarlierEraConfirmsNothing()
     {
--- a/Tests/LibPlacement/TestServerNotices.cpp
+++ b/Tests/LibPlacement/TestServerNotices.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(announcementsThatTheStoreLacksAreListed);
     CPPUNIT_TEST(signThatBindsAlreadyIsNotWithdrawnAsPending);
     CPPUNIT_TEST(laterRunOfAnEarlierEraIsKnown);
+    CPPUNIT_TEST(signsThatTheStoreDoesNotTellOfAreListed);
     CPPUNIT_TEST(memoryIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -161,6 +162,27 @@
         CPPUNIT_ASSERT(!notices_.hasLaterRunLeft({"i-0", 6}, 3));
     }
 
+    void signsThatTheStoreDoesNotTellOfAreListed()
+    {
+        notices_.recordForgotten(server_);
+        CPPUNIT_ASSERT(notices_.forgotten(at(0)).empty());
+        notices_.recordLeaving(server_, makeNotice(LeavingReason::Removed, at(0), at(1000)), at(0));
+        notices_.recordForgotten(server_);
+        notices_.recordForgotten(server_);
+        CPPUNIT_ASSERT(notices_.forgotten(at(999)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), notices_.forgotten(at(1000)).size());
+        CPPUNIT_ASSERT(!notices_.hasAnnounced());
+        notices_.withdrawStoreSign(server_, at(1001));
+        CPPUNIT_ASSERT(notices_.forgotten(at(1001)).empty());
+        notices_.recordForgottenLeaving(server_, makeNotice(LeavingReason::Draining, at(1002)), at(1002));
+        CPPUNIT_ASSERT(notices_.hasAnnounced());
+        CPPUNIT_ASSERT(notices_.isLeaving(server_, at(1002)));
+        for (UnixMilliseconds startTime = 100; startTime < 1000; ++startTime) {
+            notices_.recordForgottenLeaving({"i-1", startTime}, makeNotice(LeavingReason::Draining, at(1002)), at(1002));
+        }
+        CPPUNIT_ASSERT(notices_.forgotten(at(1002)).size() <= 64);
+    }
+
     void memoryIsBounded()
     {
         for (int i = 0; i < 20000; ++i) {
