LibGateway, platform: Take a lease of an earlier era for lost, even if it can be renewed

Seen in tests: after a return of the store from an older copy an instance renewed its lease by the number, which the store had given out again to another instance: both counted as leased by it, and whoever had written an entry with it could coordinate and grant keys on what others had replaced (OWNER). Where the copy had the lease, the renewal succeeded, while the instance's entry was the copy's, which nothing removes once its lease is lost.

Change: a lease belongs to its era. One of an earlier era is not renewed, and a renewal that is answered in a higher era than the lease's has failed, whatever it says. The instance then has no lease at once and registers anew, spread over 0.5 s at most if there are many, coordinators first. The entry of an instance names the era that it was written in; one of an earlier era counts for 2.2 s, like one that is missing.

--- a/Libraries/LibGateway/StoreLink.cpp
+++ b/Libraries/LibGateway/StoreLink.cpp
@@ -15,6 +15,8 @@
 constexpr Duration WatchCoalescingDelay = 150ms;
 constexpr Duration LeaseLifetime = 1500ms;
 constexpr Duration LeaseRenewInterval = 500ms;
+// All instances together register at this pace, and within `LeaseRenewInterval` at most, when all have lost their leases.
+constexpr Duration RegistrationPace = Duration(400);
 // The store is reachable while its last response is more recent than this.
 constexpr Duration ContactTimeout = 1500ms;
 // Shorter outages do not make entries expire.
@@ -30,6 +32,11 @@
 
 } // namespace
 
+Duration registrationSpread(std::size_t instances)
+{
+    return std::min<Duration>(LeaseRenewInterval, RegistrationPace * instances);
+}
+
 StoreLink::StoreLink(asio::io_context &loop, Platform::PlatformStore &store, StoreView &view, MemberEntry self, EventLog &log, Handlers handlers)
     : loop_(loop)
     , store_(store)
@@ -108,6 +115,27 @@
             LogLine("store-era-changed").add("before", before).add("era", now).add("known", view_.at()).add("lease", lease_), LogImportance::State, time);
     }
     expectVersion({now, 0}, time);
+    registersFrom_ = time + registrationDelay();
+    endLease();
+}
+
+Duration StoreLink::registrationDelay()
+{
+    const auto instances = view_.instances();
+    const bool isCoordinator = std::ranges::any_of(instances, [this](const InstanceProfile &profile) {
+        return profile.name_ == self_.name_ && profile.coordinatedServices_ > 0;
+    });
+    const auto longest = registrationSpread(instances.size()).count();
+    return isCoordinator ? Duration::zero() : Duration(std::uniform_int_distribution<Duration::rep>(0, longest)(random_));
+}
+
+void StoreLink::endLease()
+{
+    if (isRegistered_) {
+        isRegistered_ = false;
+        leaseValidUntil_ = TimePoint();
+        handlers_.leaseLost_();
+    }
 }
 
 void StoreLink::invalidate()
@@ -368,6 +396,12 @@
 {
     std::uint32_t failures = 0;
     while (!isStopping_) {
+        if (!isRegistered_) {
+            co_await sleepFor(loop_, std::max<Duration>(Duration::zero(), registersFrom_ - bootNow()));
+        }
+        if (isStopping_) {
+            break;
+        }
         if (!isRegistered_ && !co_await registerMember()) {
             co_await awaitRetry(backoff(failures++));
             continue;
@@ -392,10 +426,8 @@
         }
         ++failures;
         if (renewal.outcome_ == StoreOutcome::LeaseEnded) {
-            isRegistered_ = false;
-            leaseValidUntil_ = TimePoint();
             log_.write(LogLine("lease-lost").add("lease", lease_), LogImportance::State, now);
-            handlers_.leaseLost_();
+            endLease();
             continue;
         }
         recordFailure("keep", renewal.outcome_, sentAt, now);
@@ -410,6 +442,7 @@
         recordFailure("lease", lease.outcome_, sentAt, bootNow());
         co_return false;
     }
+    self_.era_ = lease.id_.era_;
     Platform::StoreWrite write;
     write.puts_.push_back({memberKey(self_.name_), encodeMember(self_), {}, lease.id_});
     const auto commit = co_await store_.commit(std::move(write));
--- a/Libraries/LibGateway/StoreLink.h
+++ b/Libraries/LibGateway/StoreLink.h
@@ -9,6 +9,9 @@
 
 namespace Goldcrestwall::Gateway {
 
+// Time over which so many instances register again when all of them have lost their leases.
+Duration registrationSpread(std::size_t instances);
+
 // Watches the store, renews this instance's lease and writes its member entry. A watch may be silent for long, so the store is also asked for its version
 // while this instance watches it: that confirms the view, and shows a change that the watch has not reported. While another instance of the failure domain
 // watches the store and relays its changes, this instance does not watch, so that store calls do not grow with the number of instances.
@@ -115,8 +118,11 @@
     void invalidate();
 
 private:
-    // The store has stated a higher era.
+    // The store has stated a higher era. What it had acknowledged before may be lost: the lease, and what this instance has written.
     void beginEra(StoreEra before, StoreEra now);
+    void endLease();
+    // For how long registration is put off when all instances have lost their leases; coordinators come first.
+    Duration registrationDelay();
     Task<void> watch();
     Task<bool> load();
     // Applies the changes that a watch has reported.
@@ -162,6 +168,7 @@
     bool isRegistered_ = false;
     TimePoint contactAt_;
     TimePoint failingSince_;
+    TimePoint registersFrom_;
     StoreLeaseId lease_;
     TimePoint leaseValidUntil_;
     TimePoint renewedAt_;
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -41,10 +41,12 @@
         return std::nullopt;
     }
     member.cpuMillicores_ = cpu.get<std::uint32_t>();
+    // Earlier versions do not write it.
+    member.era_ = document.value("era", StoreEra(0));
     return member;
 }
 
-std::optional<MemberEntry> decodeMember(const std::string &text)
+std::optional<MemberEntry> parseMember(const std::string &text)
 {
     try {
         return readMember(Json::parse(text));
@@ -78,7 +80,8 @@
                 {"incarnation", member.incarnation_},
                 {"peerAddress", member.peerAddress_},
                 {"domain", member.domain_},
-                {"processorMilli", member.cpuMillicores_}};
+                {"processorMilli", member.cpuMillicores_},
+                {"era", member.era_}};
 }
 
 } // namespace
@@ -379,12 +382,7 @@
         evacuatedDomains_.insert(*domain);
         expired_.erase(item.key_);
     } else if (const auto name = withoutPrefix(item.key_, MemberPrefix)) {
-        if (const auto member = decodeMember(item.value_)) {
-            members_[*name] = *member;
-            expired_.erase(item.key_);
-        } else {
-            handler_(item.key_, "cannot decode the member's entry");
-        }
+        decodeMember(*name, item);
     } else if (const auto service = withoutPrefix(item.key_, CoordinatorPrefix)) {
         if (const auto coordinator = decodeCoordinator(item.value_, item.version_)) {
             coordinators_[*service] = *coordinator;
@@ -400,6 +398,22 @@
     }
 }
 
+void StoreView::decodeMember(const std::string &name, const StoreItem &item)
+{
+    const auto member = parseMember(item.value_);
+    if (!member) {
+        handler_(item.key_, "cannot decode the member's entry");
+        return;
+    }
+    members_[name] = *member;
+    // Nothing removes an entry whose lease the store has lost.
+    if (member->era_ == item.version_.era_ || item.version_ > eraReadAt_) {
+        expired_.erase(item.key_);
+    } else {
+        expired_[item.key_] = eraGraceUntil();
+    }
+}
+
 void StoreView::decodeServer(const std::string &id, const StoreItem &item, TimePoint now)
 {
     auto decoded = Platform::decodeServer(id, item.value_);
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -26,6 +26,8 @@
     std::string domain_;
     // Its share of a processor, in thousandths of a core.
     std::uint32_t cpuMillicores_ = 0;
+    // The era in which the entry was written; 0 if it does not say.
+    StoreEra era_ = 0;
 
     auto operator<=>(const MemberEntry &) const = default;
 };
@@ -297,7 +299,7 @@
     void recordEraRead(const std::set<std::string> &present, StoreVersion at);
     void keepForGrace(const std::set<std::string> &present, StoreVersion at, TimePoint now);
     void keepServersForGrace(const std::set<std::string> &present, StoreVersion at, TimePoint now);
-    // Until when entries stay that are missing from the first complete content of the view's era.
+    // Until when entries stay that are missing from the first complete content of the view's era, or were written in an earlier one.
     TimePoint eraGraceUntil() const
     {
         return eraSeenAt_ + ExpiryGrace;
@@ -319,6 +321,7 @@
     void updateNotices(const ServerDescription &description, StoreVersion version, TimePoint now);
     void recordLeaving(const ServerDescription &server, LeavingReason reason, StoreVersion version, TimePoint bindsFrom, TimePoint now);
     void decodeServer(const std::string &id, const Platform::StoreItem &item, TimePoint now);
+    void decodeMember(const std::string &name, const Platform::StoreItem &item);
     void decodeConfiguration(const Platform::StoreItem &item);
 
     ProblemHandler handler_;
@@ -339,7 +342,7 @@
     // `removals_` holds all removals after this version.
     StoreVersion removalHistoryStart_;
     TimePoint expiryGraceUntil_;
-    // Keys of servers, evacuations and members that are in use although their entries are missing, and until when.
+    // Keys of servers, evacuations and members that are in use although their entries are missing or of an earlier era, and until when.
     std::map<std::string, TimePoint> expired_;
     // The highest era that is known, and since when.
     StoreEra knownEra_ = 0;
--- a/Tests/LibGateway/TestStoreLink.cpp
+++ b/Tests/LibGateway/TestStoreLink.cpp
@@ -85,9 +85,11 @@
     CPPUNIT_TEST(renewalOfTheLeaseDoesNotConfirmTheView);
     CPPUNIT_TEST(higherEraLeadsToACompleteReadAndAnotherLease);
     CPPUNIT_TEST(viewOfAnEarlierEraIsNotCurrent);
+    CPPUNIT_TEST(memberEntryNamesTheEraOfItsLease);
     CPPUNIT_TEST(eraThatOnlyPeersKnowOfEndsTheWatch);
     CPPUNIT_TEST(eraThatTheStoreDoesNotStateIsNotReadWithoutPause);
     CPPUNIT_TEST(linesTellOfAnEraAndOfWhatIsWrittenAgain);
+    CPPUNIT_TEST(registrationsOfAllInstancesAreSpread);
     CPPUNIT_TEST(firstEraOfAProcessIsNoChange);
     CPPUNIT_TEST_SUITE_END();
 
@@ -237,6 +239,19 @@
         CPPUNIT_ASSERT(link.link_.isCurrent(bootNow()));
     }
 
+    void memberEntryNamesTheEraOfItsLease()
+    {
+        Link link;
+        link.standIn_.setEra(1);
+        link.link_.start();
+        CPPUNIT_ASSERT(link.awaitLease(1));
+        CPPUNIT_ASSERT(link.standIn_.get(memberKey("edge-1")).find("\"era\":1") != std::string::npos);
+        link.standIn_.takeCopy();
+        link.standIn_.restoreCopy();
+        CPPUNIT_ASSERT(link.awaitLease(2));
+        CPPUNIT_ASSERT(link.standIn_.get(memberKey("edge-1")).find("\"era\":2") != std::string::npos);
+    }
+
     // Guards against an instance whose connections to the store are silent, and that relies on its watch although others know better.
     void eraThatOnlyPeersKnowOfEndsTheWatch()
     {
@@ -303,6 +318,19 @@
         CPPUNIT_ASSERT(link.awaitLease(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), link.countLines("store-era-changed"));
     }
+
+    // Guards against writes of all instances at the same moment when all of them hear at once that their leases are lost. Each makes two.
+    void registrationsOfAllInstancesAreSpread()
+    {
+        for (const std::size_t count : {15, 63, 195, 1200}) {
+            const auto spread = registrationSpread(count);
+            CPPUNIT_ASSERT(spread <= Duration(500ms));
+            const auto writesPerSecond = 2 * static_cast<double>(count) / std::chrono::duration<double>(spread).count();
+            CPPUNIT_ASSERT(writesPerSecond <= 5001);
+        }
+        // Few instances do not wait.
+        CPPUNIT_ASSERT(registrationSpread(15) < Duration(10ms));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreLink);
--- a/Tests/LibGateway/TestStoreViewEras.cpp
+++ b/Tests/LibGateway/TestStoreViewEras.cpp
@@ -36,9 +36,9 @@
     return {{key, {}, version, {}}, true};
 }
 
-std::string memberText(const std::string &name)
+std::string memberText(const std::string &name, StoreEra era)
 {
-    return encodeMember({name, "7", "10.0.0.1:1", "north", 200});
+    return encodeMember({name, "7", "10.0.0.1:1", "north", 200, era});
 }
 
 } // namespace
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(serverThatTheCopyLacksIsBackWithItsEntry);
     CPPUNIT_TEST(olderRunDoesNotReplaceAYoungerOne);
     CPPUNIT_TEST(youngerRunThatDoesNotWriteAgainIsGoneAfterTheGrace);
+    CPPUNIT_TEST(membersOfAnEarlierEraCountForTheGraceOnly);
     CPPUNIT_TEST(eraIsKnownSinceItWasHeardOf);
     CPPUNIT_TEST_SUITE_END();
 
@@ -184,7 +185,7 @@
         begin(view_, {}, {After, 31}, at(10), false);
         view_.apply({put("servers/i-1", serverText("ready", 5, 11), {After, 32}),
                      put("op/evacuate/north", "{}", {After, 33}),
-                     put(memberKey("a"), memberText("a"), {After, 34})},
+                     put(memberKey("a"), memberText("a", After), {After, 34})},
                     {After, 34},
                     at(1500));
         view_.removeExpired(at(2210));
@@ -375,6 +376,29 @@
         CPPUNIT_ASSERT(notices_->isLeaving({"i-1", 7}, at(2210)));
     }
 
+    // Guards against instances that are gone and stay members by the copy, since nothing removes their entries.
+    void membersOfAnEarlierEraCountForTheGraceOnly()
+    {
+        read(view_,
+             {item(memberKey("a"), withoutEra(memberText("a", 0)), {After, 20}),
+              item(memberKey("b"), memberText("b", After), {After, 21}),
+              item(memberKey("c"), memberText("c", Before), {After, 22}),
+              item(memberKey("d"), memberText("d", Before), {After, 23})},
+             {After, 31},
+             at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), view_.members().size());
+        view_.apply({put(memberKey("d"), memberText("d", After), {After, 32})}, {After, 32}, at(500));
+        view_.removeExpired(at(2190));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), view_.members().size());
+        view_.removeExpired(at(2200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), view_.members().size());
+        CPPUNIT_ASSERT(view_.members().contains("b"));
+        CPPUNIT_ASSERT(view_.members().contains("d"));
+        // It registers late.
+        view_.apply({put(memberKey("a"), memberText("a", After), {After, 33})}, {After, 33}, at(5000));
+        CPPUNIT_ASSERT(view_.members().contains("a"));
+    }
+
     void eraIsKnownSinceItWasHeardOf()
     {
         read(view_, {item("servers/i-1", serverText("ready", 5, 10), {Before, 40})}, {Before, 50}, at(0));
@@ -395,6 +419,15 @@
         return [](const std::string &, const std::string &) {};
     }
 
+    // As an earlier version of the program writes the entry.
+    static std::string withoutEra(std::string text)
+    {
+        const std::string field = "\"era\":0,";
+        const auto position = text.find(field);
+        CPPUNIT_ASSERT(position != std::string::npos);
+        return text.erase(position, field.size());
+    }
+
     static void read(StoreView &view, const std::vector<StoreItem> &items, StoreVersion version, TimePoint now)
     {
         view.replace(items, version, now);
@@ -416,7 +449,7 @@
         read(view,
              {item("servers/i-1", serverText("ready", 5, 10), {version.era_, 10}),
               item("op/evacuate/north", "{}", {version.era_, 11}),
-              item(memberKey("a"), memberText("a"), {version.era_, 12})},
+              item(memberKey("a"), memberText("a", version.era_), {version.era_, 12})},
              version,
              now);
     }
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -425,7 +425,8 @@
         Side side({}, store.address());
         SilentInstances others(side.loop_, 8);
         store.put(Platform::ConfigurationKey, configurationText(1));
-        for (const auto &member : others.members()) {
+        for (auto member : others.members()) {
+            member.era_ = 1;
             store.put(memberKey(member.name_), encodeMember(member));
         }
         side.storeLink_.start();
--- a/Tests/Platform/TestStoreEras.cpp
+++ b/Tests/Platform/TestStoreEras.cpp
@@ -45,6 +45,8 @@
     CPPUNIT_TEST(responseWithADamagedEraHasFailed);
     CPPUNIT_TEST(responsesOfAllKindsStateTheEra);
     CPPUNIT_TEST(lateResponseOfAnEarlierEraIsDropped);
+    CPPUNIT_TEST(leaseNumberThatIsGivenOutAgainIsAnotherLease);
+    CPPUNIT_TEST(leaseOfAnEarlierEraIsNotAskedFor);
     CPPUNIT_TEST(watchThatIsAnsweredInALaterEraHasLostItsHistory);
     CPPUNIT_TEST_SUITE_END();
 
@@ -124,15 +126,45 @@
         ScriptedResponder responder({makePosition("Store-Era: 4\r\n", 7),
                                      makePosition(late, 900),
                                      makeResponse(late, R"({"revision":901})"),
+                                     makeResponse(late, R"({"ttlS_time":1.5})"),
                                      makeResponse(late, R"({"events":[],"at":902})")});
         store_.setAddress(responder.address());
         CPPUNIT_ASSERT(await(loop_, store_.readPosition()).outcome_ == StoreOutcome::Done);
         CPPUNIT_ASSERT(await(loop_, store_.readRange("", "")).outcome_ == StoreOutcome::OtherEra);
         CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("k", {4, 5}))).outcome_ == StoreOutcome::OtherEra);
+        CPPUNIT_ASSERT(await(loop_, store_.renewLease({4, 101})).outcome_ == StoreOutcome::LeaseEnded);
         CPPUNIT_ASSERT(await(loop_, store_.watch("", {4, 7}, 1s, nullptr)).outcome_ == StoreOutcome::HistoryCompacted);
         CPPUNIT_ASSERT_EQUAL(StoreEra(4), store_.era());
     }
 
+    void leaseNumberThatIsGivenOutAgainIsAnotherLease()
+    {
+        standIn_.setEra(1);
+        standIn_.takeCopy();
+        const auto mine = await(loop_, store_.grantLease(1s)).id_;
+        standIn_.restoreCopy();
+        PlatformStore other(loop_, standIn_.address(), memory_);
+        const auto theirs = await(loop_, other.grantLease(1s)).id_;
+        CPPUNIT_ASSERT_EQUAL(mine.number_, theirs.number_);
+        CPPUNIT_ASSERT(mine != theirs);
+        CPPUNIT_ASSERT(await(loop_, store_.renewLease(mine)).outcome_ == StoreOutcome::LeaseEnded);
+        CPPUNIT_ASSERT(await(loop_, other.renewLease(theirs)).outcome_ == StoreOutcome::Done);
+    }
+
+    void leaseOfAnEarlierEraIsNotAskedFor()
+    {
+        standIn_.setEra(1);
+        const auto lease = await(loop_, store_.grantLease(1s)).id_;
+        standIn_.takeCopy();
+        standIn_.restoreCopy();
+        CPPUNIT_ASSERT(await(loop_, store_.readPosition()).outcome_ == StoreOutcome::Done);
+        const auto calls = standIn_.callCount();
+        // The copy has the lease.
+        CPPUNIT_ASSERT(await(loop_, store_.renewLease(lease)).outcome_ == StoreOutcome::LeaseEnded);
+        CPPUNIT_ASSERT(await(loop_, store_.revokeLease(lease)) == StoreOutcome::NotFound);
+        CPPUNIT_ASSERT_EQUAL(calls, standIn_.callCount());
+    }
+
     void watchThatIsAnsweredInALaterEraHasLostItsHistory()
     {
         standIn_.setEra(1);
