platform: Make each conditional write one of the era of its conditions

Seen in tests: a write on the condition that an item has a revision met it by chance after a return of the store from an older copy, since the revision had been given out again, and replaced what another instance had written since; the same for a write with a lease of before. So an instance that had been cut off could take a service that another one held, or replace its assignment (OWNER).

Change: a write belongs to the era of its conditions and leases. It is not sent if another era is known, and 200 in another era does not mean that it is done: the outcome is `OtherEra`, and the stored value decides, as for a refused condition. "There is no such item" is a condition of an era too.

--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -186,7 +186,7 @@
     // The previous coordinator claims first: it already has the state that a successor would have to rebuild.
     const auto rank = placement_.isCoordinating(service) ? 0 : 1 + ownClaimRank(service);
     if (now - vacant->second >= RankDelay * static_cast<Duration::rep>(rank)) {
-        startClaim(service, {});
+        startClaim(service, view_.missingVersion());
     }
 }
 
--- a/Libraries/LibGateway/RepeatedWrite.h
+++ b/Libraries/LibGateway/RepeatedWrite.h
@@ -9,7 +9,7 @@
 enum class WriteState {
     // It has not been and will not be.
     NotApplied,
-    // It has been, or its condition holds no longer: the stored value decides.
+    // It has been, or its condition holds no longer, or it was meant for another era of the store: the stored value decides.
     Settled,
     // It may have been, or may still be while its condition holds.
     InDoubt,
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -132,7 +132,7 @@
     }
     coordinatorVersion_ = coordinator.version_;
     const auto *entry = view_.assignment(service_);
-    const auto version = entry == nullptr ? StoreVersion() : entry->version_;
+    const auto version = entry == nullptr ? view_.missingVersion() : entry->version_;
     // Only the instance that wrote the stored assignment can have granted since, with or without an entry in between.
     const bool isOwnAssignment = entry != nullptr && entry->assignment_.granter_.instance_ == instance_ && version == storedVersion_;
     if (!granter_ || !isOwnAssignment) {
@@ -279,7 +279,7 @@
         }
         const TimePoint now = bootNow();
         const auto item = std::ranges::find(page.items_, assignmentKey(service_), &Platform::StoreItem::key_);
-        const auto version = item == page.items_.end() ? StoreVersion() : item->version_;
+        const auto version = item == page.items_.end() ? StoreVersion(page.at_.era_, 0) : item->version_;
         isReloading_ = false;
         if (version == storedVersion_) {
             // Nobody else can have granted since, and the write has no effect yet.
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -152,6 +152,12 @@
     {
         return at_;
     }
+    // The version of a key that the store does not have, in the era of this view.
+    StoreVersion missingVersion() const
+    {
+        return {at_.era_, 0};
+    }
+
     // The last change of the era; nothing if the view has had only one.
     const std::optional<EraRead> &eraRead() const
     {
--- a/Tests/LibGateway/TestRepeatedWrite.cpp
+++ b/Tests/LibGateway/TestRepeatedWrite.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(TestRepeatedWrite);
     CPPUNIT_TEST(oneAttemptIsSettledByItsOutcome);
     CPPUNIT_TEST(attemptWithoutEffectSettlesNoEarlierOne);
+    CPPUNIT_TEST(laterEraSettlesAWriteInDoubt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -19,7 +20,7 @@
         for (const auto outcome : {StoreOutcome::Refused, StoreOutcome::Unreachable}) {
             CPPUNIT_ASSERT(RepeatedWrite().record(outcome) == WriteState::NotApplied);
         }
-        for (const auto outcome : {StoreOutcome::Done, StoreOutcome::Conflict, StoreOutcome::NotFound, StoreOutcome::LeaseEnded}) {
+        for (const auto outcome : {StoreOutcome::Done, StoreOutcome::Conflict, StoreOutcome::NotFound, StoreOutcome::LeaseEnded, StoreOutcome::OtherEra}) {
             CPPUNIT_ASSERT(RepeatedWrite().record(outcome) == WriteState::Settled);
         }
         CPPUNIT_ASSERT(RepeatedWrite().record(StoreOutcome::Unknown) == WriteState::InDoubt);
@@ -35,6 +36,14 @@
             CPPUNIT_ASSERT(write.record(StoreOutcome::Conflict) == WriteState::Settled);
         }
     }
+
+    // A write that was in doubt when the store came back from an older copy was meant for what is gone.
+    void laterEraSettlesAWriteInDoubt()
+    {
+        RepeatedWrite write;
+        write.record(StoreOutcome::Unknown);
+        CPPUNIT_ASSERT(write.record(StoreOutcome::OtherEra) == WriteState::Settled);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRepeatedWrite);
--- a/Tests/Platform/TestStoreEras.cpp
+++ b/Tests/Platform/TestStoreEras.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(lateResponseOfAnEarlierEraIsDropped);
     CPPUNIT_TEST(leaseNumberThatIsGivenOutAgainIsAnotherLease);
     CPPUNIT_TEST(leaseOfAnEarlierEraIsNotAskedFor);
+    CPPUNIT_TEST(writeMeantForAnEarlierEraIsNotSent);
+    CPPUNIT_TEST(writeThatMeetsItsConditionInALaterEraIsNotDone);
     CPPUNIT_TEST(watchThatIsAnsweredInALaterEraHasLostItsHistory);
     CPPUNIT_TEST_SUITE_END();
 
@@ -165,6 +167,34 @@
         CPPUNIT_ASSERT_EQUAL(calls, standIn_.callCount());
     }
 
+    void writeMeantForAnEarlierEraIsNotSent()
+    {
+        standIn_.setEra(1);
+        const auto lease = await(loop_, store_.grantLease(1s)).id_;
+        const auto before = await(loop_, store_.commit(makeWrite("k", {1, 0}, lease))).version_;
+        standIn_.takeCopy();
+        standIn_.restoreCopy();
+        CPPUNIT_ASSERT(await(loop_, store_.readPosition()).outcome_ == StoreOutcome::Done);
+        const auto calls = standIn_.callCount();
+        // All of it would be accepted: the copy has the item at that revision, and the lease.
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("k", before))).outcome_ == StoreOutcome::OtherEra);
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("k", {2, before.revision_}, lease))).outcome_ == StoreOutcome::OtherEra);
+        CPPUNIT_ASSERT_EQUAL(calls, standIn_.callCount());
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("k", {2, before.revision_}))).outcome_ == StoreOutcome::Done);
+    }
+
+    void writeThatMeetsItsConditionInALaterEraIsNotDone()
+    {
+        standIn_.setEra(1);
+        const auto revision = standIn_.put("other", "x");
+        CPPUNIT_ASSERT(await(loop_, store_.readPosition()).outcome_ == StoreOutcome::Done);
+        standIn_.takeCopy();
+        standIn_.restoreCopy();
+        CPPUNIT_ASSERT(await(loop_, store_.commit(makeWrite("other", {1, revision}))).outcome_ == StoreOutcome::OtherEra);
+        CPPUNIT_ASSERT_EQUAL(std::string("mine"), standIn_.get("other"));
+        CPPUNIT_ASSERT_EQUAL(StoreEra(2), store_.era());
+    }
+
     void watchThatIsAnsweredInALaterEraHasLostItsHistory()
     {
         standIn_.setEra(1);
