--- a/Libraries/LibGateway/CoordinationManager.cpp
+++ b/Libraries/LibGateway/CoordinationManager.cpp
@@ -9,6 +9,8 @@
 
 // Extra time that an instance waits for each instance ranked before it, before it claims a service.
 constexpr Duration RankDelay = 250ms;
+// How much later than others an instance claims a service of an earlier era if it may not know all earlier granters, so that it would wait for them longer.
+constexpr std::size_t NewcomerRanks = 4;
 // How long an instance must be much better suited than the coordinator before it takes over, so that an instance that has just started
 // is connected to its peers.
 constexpr Duration TakeoverDelay = 2s;
@@ -23,6 +25,7 @@
 CoordinationManager::CoordinationManager(asio::io_context &loop,
                                          MemberEntry self,
                                          GrantTimings grantTimings,
+                                         bool isFirstStart,
                                          const StoreView &view,
                                          Platform::PlatformStore &store,
                                          const StoreLink &storeLink,
@@ -33,6 +36,7 @@
     : loop_(loop)
     , self_(std::move(self))
     , grantTimings_(grantTimings)
+    , isFirstStart_(isFirstStart)
     , view_(view)
     , store_(store)
     , storeLink_(storeLink)
@@ -57,10 +61,9 @@
     const auto configuration = view_.configuration();
     if (configuration && !hasSteppedDown_) {
         for (const auto &service : configuration->services_) {
-            // A coordinator whose entry has expired continues to place requests until another one is known.
-            const auto *coordinator = view_.coordinator(service.name_);
-            const bool isVacant = coordinator == nullptr && placement_.isCoordinating(service.name_);
-            if (isVacant || (coordinator != nullptr && coordinator->member_ == self_)) {
+            // A coordinator whose entry has expired, or was lost, continues to place requests until another one is known.
+            const bool isContinuing = isVacant(service.name_) && placement_.isCoordinating(service.name_);
+            if (isContinuing || (!isVacant(service.name_) && isOwn(view_.coordinator(service.name_)))) {
                 coordinated.insert(service.name_);
             }
         }
@@ -76,23 +79,41 @@
         }
         log_.write(LogLine("coordination-ended").add("service", entry.first).add("storeVersion", view_.at()), LogImportance::State, now);
         entry.second->stop();
+        rightsUntil_.erase(entry.first);
         return true;
     });
     for (const auto &service : coordinated) {
         const auto *description = configuration->service(service);
         if (description->isSharded_ && !shards_.contains(service)) {
             shards_[service] = std::make_shared<ShardService>(
-                loop_, service, grantTimings_, view_, store_, shardCallClient_, placement_, announcements_, storeLink_, self_.name_, log_);
+                loop_, service, grantTimings_, isFirstStart_, view_, store_, shardCallClient_, placement_, announcements_, storeLink_, self_.name_, log_);
         }
     }
     placement_.setCoordinated(std::move(coordinated), now);
 }
 
+bool CoordinationManager::isOwn(const CoordinatorEntry *coordinator) const
+{
+    return coordinator != nullptr && coordinator->member_.name_ == self_.name_ && coordinator->member_.incarnation_ == self_.incarnation_;
+}
+
+bool CoordinationManager::isVacant(const std::string &service) const
+{
+    const auto *coordinator = view_.coordinator(service);
+    return coordinator == nullptr || !coordinator->isStored();
+}
+
 TimePoint CoordinationManager::grantsUntil(const std::string &service, const ShardService &shards, TimePoint now)
 {
     const auto *coordinator = view_.coordinator(service);
-    const bool isOther = coordinator != nullptr && (coordinator->member_ != self_ || coordinator->isYielding_);
     const auto renewal = renewals_.find(service);
+    const bool isOfEarlierEra = coordinator == nullptr ? renewal != renewals_.end() && renewal->second.lease_.era_ < view_.at().era_ : !coordinator->isStored();
+    auto &rightUntil = rightsUntil_[service];
+    if (isOfEarlierEra || storeLink_.isEraOutdated()) {
+        return rightUntil;
+    }
+    rightUntil = TimePoint();
+    const bool isOther = coordinator != nullptr && (!isOwn(coordinator) || coordinator->isYielding_);
     const auto *stored = view_.assignment(service);
     const bool isSucceeded = coordinator == nullptr && !isLastGranter(self_.name_, stored == nullptr ? nullptr : &stored->assignment_);
     if (isOther || isSucceeded || yielded_.contains(service) || (coordinator == nullptr && renewal == renewals_.end())) {
@@ -101,7 +122,8 @@
     // An entry that has ended, but was not replaced, gives the same time as before: a successor counts from a claim that comes later.
     const auto lease = coordinator == nullptr ? renewal->second.lease_ : coordinator->lease_;
     const TimePoint confirmedAt = std::max(entryRenewedAt(service, lease), storeLink_.readAt());
-    return grantsAllowedUntil(confirmedAt, claimsWithheldUntil(shards.standbys(), now));
+    rightUntil = grantsAllowedUntil(confirmedAt, claimsWithheldUntil(shards.standbys(), now));
+    return rightUntil;
 }
 
 TimePoint CoordinationManager::entryRenewedAt(const std::string &service, StoreLeaseId lease)
@@ -171,9 +193,10 @@
 
 void CoordinationManager::elect(const std::string &service, TimePoint now)
 {
-    if (const auto *coordinator = view_.coordinator(service)) {
+    const auto *coordinator = view_.coordinator(service);
+    if (!isVacant(service)) {
         vacantSince_.erase(service);
-        if (coordinator->member_ == self_ && isSharded(service)) {
+        if (isOwn(coordinator) && isSharded(service)) {
             considerYielding(service, *coordinator, now);
         } else {
             considerTakeover(service, *coordinator, now);
@@ -183,10 +206,8 @@
     betterSince_.erase(service);
     yielded_.erase(service);
     const auto [vacant, isNew] = vacantSince_.try_emplace(service, now);
-    // The previous coordinator claims first: it already has the state that a successor would have to rebuild.
-    const auto rank = placement_.isCoordinating(service) ? 0 : 1 + ownClaimRank(service);
-    if (now - vacant->second >= RankDelay * static_cast<Duration::rep>(rank)) {
-        startClaim(service, view_.missingVersion());
+    if (now - vacant->second >= RankDelay * static_cast<Duration::rep>(ownClaimRank(service))) {
+        startClaim(service, coordinator == nullptr ? view_.missingVersion() : coordinator->version_, false);
     }
 }
 
@@ -199,22 +220,27 @@
 
 std::size_t CoordinationManager::ownClaimRank(const std::string &service) const
 {
+    if (placement_.isCoordinating(service)) {
+        return 0;
+    }
     const auto *entry = view_.assignment(service);
     const auto standbys = entry == nullptr ? std::vector<std::string>() : entry->assignment_.granter_.standbys_;
-    return claimRank(service, self_.name_, standbys, instancesWithClaims());
+    const bool isOfEarlierEra = entry != nullptr && entry->assignment_.era_ < view_.at().era_;
+    const std::size_t newcomerRanks = isOfEarlierEra && !view_.knowsAllEraMembers() ? NewcomerRanks : 0;
+    return 1 + newcomerRanks + claimRank(service, self_.name_, standbys, instancesWithClaims());
 }
 
 void CoordinationManager::considerYielding(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now)
 {
     if (coordinator.isYielding_) {
         if (now - yieldedAt_.try_emplace(service, now).first->second >= TakeBackDelay) {
-            startClaim(service, coordinator.version_);
+            startClaim(service, coordinator.version_, true);
         }
         return;
     }
     yieldedAt_.erase(service);
     const auto yielded = yielded_.find(service);
-    if (yielded != yielded_.end() && yielded->second == coordinator.version_) {
+    if (yielded != yielded_.end() && yielded->second == coordinator.writtenAt_) {
         // The write that says so has not been seen yet.
         return;
     }
@@ -223,7 +249,7 @@
         betterSince_.erase(service);
     } else if (now - betterSince_.try_emplace(service, now).first->second >= TakeoverDelay) {
         betterSince_.erase(service);
-        startYielding(service, coordinator);
+        startYielding(service, coordinator, now);
     }
 }
 
@@ -233,11 +259,12 @@
     return isMuchBetterCoordinator(service, firstRankedInstance(service, instances), self_.name_, instances);
 }
 
-void CoordinationManager::startYielding(const std::string &service, const CoordinatorEntry &coordinator)
+void CoordinationManager::startYielding(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now)
 {
-    yielded_[service] = coordinator.version_;
+    yielded_[service] = coordinator.writtenAt_;
+    rightsUntil_.erase(service);
     if (const auto shards = shards_.find(service); shards != shards_.end()) {
-        shards->second->cancelCalls();
+        shards->second->endRight(now);
     }
     spawn(loop_, log_, "yield", [this, service, coordinator] {
         return yieldService(service, coordinator);
@@ -282,17 +309,17 @@
     }
     const auto better = betterSince_.try_emplace(service, now).first;
     if (coordinator.isYielding_ || now - better->second >= TakeoverDelay) {
-        startClaim(service, coordinator.version_);
+        startClaim(service, coordinator.version_, true);
     }
 }
 
-void CoordinationManager::startClaim(const std::string &service, StoreVersion expectedVersion)
+void CoordinationManager::startClaim(const std::string &service, StoreVersion expectedVersion, bool hasPredecessorYielded)
 {
     if (!claiming_.insert(service).second) {
         return;
     }
-    spawn(loop_, log_, "claim", [this, service, expectedVersion] {
-        return claim(service, expectedVersion);
+    spawn(loop_, log_, "claim", [this, service, expectedVersion, hasPredecessorYielded] {
+        return claim(service, expectedVersion, hasPredecessorYielded);
     });
 }
 
@@ -305,11 +332,13 @@
     co_return commit.outcome_;
 }
 
-Task<void> CoordinationManager::claim(std::string service, StoreVersion expectedVersion)
+Task<void> CoordinationManager::claim(std::string service, StoreVersion expectedVersion, bool hasPredecessorYielded)
 {
-    // An entry of a granter is replaced only once it is yielding.
-    const bool hasPredecessorYielded = expectedVersion.exists();
-    const CoordinatorEntry coordinator{self_, storeLink_.lease(), false, hasPredecessorYielded, {}};
+    CoordinatorEntry coordinator;
+    coordinator.member_ = self_;
+    coordinator.lease_ = storeLink_.lease();
+    coordinator.member_.era_ = coordinator.lease_.era_;
+    coordinator.hasPredecessorYielded_ = hasPredecessorYielded;
     const auto outcome = co_await commitCoordinator(service, expectedVersion, coordinator);
     log_.write(LogLine("coordination-claimed")
                    .add("service", service)
--- a/Libraries/LibGateway/CoordinationManager.h
+++ b/Libraries/LibGateway/CoordinationManager.h
@@ -10,9 +10,11 @@
 class CoordinationManager
 {
 public:
+    // `isFirstStart`: the whole system starts for the first time, so that nobody has granted keys before.
     CoordinationManager(asio::io_context &loop,
                         MemberEntry self,
                         GrantTimings grantTimings,
+                        bool isFirstStart,
                         const StoreView &view,
                         Platform::PlatformStore &store,
                         const StoreLink &storeLink,
@@ -36,9 +38,13 @@
         TimePoint renewedAt_;
     };
 
+    // Whether the entry, which may be null, is of this process.
+    bool isOwn(const CoordinatorEntry *coordinator) const;
+    // Whether the service has no coordinator that was elected in the store's present era.
+    bool isVacant(const std::string &service) const;
     // Runs the granter of a sharded service.
     void runGranter(const std::string &service, ShardService &shards, TimePoint now);
-    // Until when this instance may send grants of a service's keys; in the past if it may not.
+    // Until when this instance may send grants of a service's keys; in the past if it may not. The right by an entry of an earlier era stays as it was.
     TimePoint grantsUntil(const std::string &service, const ShardService &shards, TimePoint now);
     // When the last renewal of the lease was sent that this instance's entry for a service ends with.
     TimePoint entryRenewedAt(const std::string &service, StoreLeaseId lease);
@@ -46,7 +52,8 @@
     std::vector<TimePoint> claimsWithheldUntil(const std::vector<std::string> &instances, TimePoint now) const;
     bool isSharded(const std::string &service) const;
     void elect(const std::string &service, TimePoint now);
-    // The number of instances that claim a service without a coordinator before this one.
+    // The number of instances that claim a service without a coordinator before this one. The previous coordinator claims first: it has the state that a
+    // successor would have to rebuild.
     std::size_t ownClaimRank(const std::string &service) const;
     // Returns the profiles of all instances, with the claims in progress counted for this one.
     std::vector<InstanceProfile> instancesWithClaims() const;
@@ -55,11 +62,12 @@
     // As the granter: yields to a much more suitable instance, or takes the service back if none has taken over.
     void considerYielding(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now);
     bool hasMuchBetterInstance(const std::string &service) const;
-    void startYielding(const std::string &service, const CoordinatorEntry &coordinator);
+    void startYielding(const std::string &service, const CoordinatorEntry &coordinator, TimePoint now);
     Task<void> yieldService(std::string service, CoordinatorEntry coordinator);
-    // Claims a service if its coordinator entry still has the version; one that does not exist if there must be none.
-    void startClaim(const std::string &service, StoreVersion expectedVersion);
-    Task<void> claim(std::string service, StoreVersion expectedVersion);
+    // Claims a service if its coordinator entry still has the version; one that does not exist if there must be none. `hasPredecessorYielded`: the entry is
+    // of this era and yields.
+    void startClaim(const std::string &service, StoreVersion expectedVersion, bool hasPredecessorYielded);
+    Task<void> claim(std::string service, StoreVersion expectedVersion, bool hasPredecessorYielded);
     Task<Platform::StoreOutcome> commitCoordinator(std::string service, StoreVersion expectedVersion, CoordinatorEntry coordinator);
     void checkSuspects(TimePoint now);
     Task<void> checkHealth(std::string service, ServerDescription server, std::string path);
@@ -67,6 +75,7 @@
     asio::io_context &loop_;
     MemberEntry self_;
     GrantTimings grantTimings_;
+    bool isFirstStart_;
     const StoreView &view_;
     Platform::PlatformStore &store_;
     const StoreLink &storeLink_;
@@ -84,10 +93,12 @@
     // Since when this instance has been much better suited to each service than its coordinator.
     std::map<std::string, TimePoint> betterSince_;
     std::set<std::string> claiming_;
-    // Services whose keys this instance no longer grants, so that another one can take over; with the version of its coordinator entry.
+    // Services whose keys this instance no longer grants, so that another one can take over; with the claim that it gives up.
     std::map<std::string, StoreVersion> yielded_;
     std::map<std::string, TimePoint> yieldedAt_;
     std::map<std::string, EntryRenewal> renewals_;
+    // The rights to grant, as last computed while their entries were known to be of the present era.
+    std::map<std::string, TimePoint> rightsUntil_;
     std::map<std::string, TimePoint> healthCheckedAt_;
     bool hasSteppedDown_ = false;
 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -117,7 +117,17 @@
     , placement_(
           loop_, self_.name_, settings_.domain_, view_, network_, {settings_.retryRatio_, settings_.retryReserve_, settings_.retryWindow_}, notices_, log_)
     , client_(loop_)
-    , coordination_(loop_, self_, GrantTimings::within(settings_.maxHoldTime_), view_, store_, storeLink_, network_, placement_, announcements_, log_)
+    , coordination_(loop_,
+                    self_,
+                    GrantTimings::within(settings_.maxHoldTime_),
+                    settings_.isFirstStart_,
+                    view_,
+                    store_,
+                    storeLink_,
+                    network_,
+                    placement_,
+                    announcements_,
+                    log_)
     , flow_(loop_, view_, storeLink_, placement_, client_, announcements_, log_, metrics_)
     , front_(loop_, loopDelay_, view_, flow_, memory_, maxCallerConnections(), log_, metrics_)
     , readyServer_(loop_,
--- a/Libraries/LibGateway/ShardService.cpp
+++ b/Libraries/LibGateway/ShardService.cpp
@@ -52,6 +52,7 @@
 ShardService::ShardService(asio::io_context &loop,
                            std::string service,
                            GrantTimings timings,
+                           bool isFirstStart,
                            const StoreView &view,
                            Platform::PlatformStore &store,
                            HttpClient &client,
@@ -63,6 +64,7 @@
     : loop_(loop)
     , service_(std::move(service))
     , timings_(timings)
+    , isFirstStart_(isFirstStart)
     , view_(view)
     , store_(store)
     , client_(client)
@@ -83,9 +85,17 @@
     }
 }
 
+void ShardService::endRight(TimePoint now)
+{
+    rightUntil_ = TimePoint();
+    grantedUntil_ = std::min(grantedUntil_, now);
+    cancelCalls();
+}
+
 void ShardService::stop()
 {
     isStopped_ = true;
+    rightUntil_ = TimePoint();
     cancelCalls();
     if (auto *pool = placement_.pool(service_)) {
         pool->setPendingRanges({});
@@ -102,6 +112,51 @@
     return standbys;
 }
 
+bool ShardService::isAssignmentOfEra() const
+{
+    return granter_ && granter_->assignment().era_ == view_.at().era_;
+}
+
+void ShardService::updateGrantsUntil(TimePoint now)
+{
+    grantsUntil_ = isAssignmentOfEra() ? rightUntil_ : std::min(rightUntil_, grantedUntil_);
+    grantedUntil_ = grantsUntil_ > now ? grantsUntil_ : std::max(grantsUntil_, std::min(grantedUntil_, now));
+}
+
+EarlierEras ShardService::earlierEras() const
+{
+    EarlierEras earlier;
+    earlier.eraSeenAt_ = view_.eraSeenAt();
+    earlier.knowsAllOthers_ = view_.knowsAllEraMembers();
+    for (const auto &[name, member] : view_.eraMembers()) {
+        if (name != instance_) {
+            earlier.othersSeenAt_.push_back(member.seenAt_);
+        }
+    }
+    return earlier;
+}
+
+bool ShardService::isOwnAssignment(const AssignmentEntry *entry) const
+{
+    return entry != nullptr && entry->isStored_ && isLastGranter(instance_, &entry->assignment_) && entry->version_ == storedVersion_;
+}
+
+void ShardService::logStart(const char *knowledge, TimePoint now)
+{
+    const auto *coordinator = view_.coordinator(service_);
+    const auto *entry = view_.assignment(service_);
+    LogLine line("granter-started");
+    line.add("service", service_).add("knowledge", knowledge).add("coordinatorVersion", coordinatorVersion_).add("assignmentVersion", storedVersion_);
+    line.add("predecessor", entry == nullptr ? std::string() : entry->assignment_.granter_.instance_);
+    line.add("predecessorYielded", coordinator != nullptr && coordinator->hasPredecessorYielded_);
+    line.addDuration("earlierStopInMs", granter_->earlierGrantersStopAt() - now);
+    line.addDuration("holdersUnknownForMs", std::max(Duration::zero(), granter_->holdersUnknownUntil() - now));
+    if (isFirstOfEra_) {
+        line.add("instancesNotSeenInEra", earlierEras().unseenCount()).addDuration("eraSeenBeforeMs", now - view_.eraSeenAt());
+    }
+    log_.write(line, LogImportance::State, now);
+}
+
 void ShardService::create(const std::optional<ShardAssignment> &stored, TimePoint seenAt, TimePoint now)
 {
     const auto *coordinator = view_.coordinator(service_);
@@ -113,34 +168,100 @@
         stopAt = std::max(stopAt, granter_->earlierGrantersStopAt());
     }
     cancelCalls();
+    isFirstOfEra_ = false;
     granter_.emplace(timings_, stored, now, stopAt);
-    log_.write(LogLine("granter-started")
-                   .add("service", service_)
-                   .add("coordinatorVersion", coordinatorVersion_)
-                   .add("assignmentVersion", storedVersion_)
-                   .add("predecessor", predecessor.instance_)
-                   .add("predecessorYielded", hasYielded)
-                   .addDuration("earlierStopInMs", stopAt - now),
-               LogImportance::State,
-               now);
+    if (!stored) {
+        granter_->beginEra(coordinatorVersion_.era_, now);
+    }
+    if (predecessor.holdersUnknownWithin_ > Duration::zero()) {
+        granter_->forgetHolders(seenAt + predecessor.holdersUnknownWithin_ - timings_.longestLifetime());
+    }
+    logStart("stored", now);
+}
+
+void ShardService::takeOver(const AssignmentEntry *entry, TimePoint now)
+{
+    if (entry == nullptr) {
+        create(std::nullopt, now, now);
+    } else {
+        create(entry->assignment_, entry->seenAt_, now);
+    }
+}
+
+void ShardService::beginEra(const AssignmentEntry *entry, StoreEra era, Adoption adoption, TimePoint now)
+{
+    isFirstOfEra_ = true;
+    const TimePoint stopAt = earlierErasStopAt(earlierEras());
+    if (adoption == Adoption::Continue) {
+        granter_->beginEra(era, now);
+        granter_->setEarlierErasStopAt(stopAt);
+        logStart("own", now);
+        return;
+    }
+    cancelCalls();
+    grantedUntil_ = TimePoint();
+    granter_.emplace(timings_, entry == nullptr ? std::nullopt : std::make_optional(entry->assignment_), now);
+    granter_->beginEra(era, now);
+    granter_->forgetHolders(stopAt);
+    logStart("none", now);
 }
 
 void ShardService::adoptAssignment(const CoordinatorEntry &coordinator, TimePoint now)
 {
-    if (isWriting_ || isReloading_ || (granter_ && coordinator.version_ == coordinatorVersion_)) {
+    if (isWriting_ || isReloading_ || hasAdopted(&coordinator)) {
         return;
     }
-    coordinatorVersion_ = coordinator.version_;
     const auto *entry = view_.assignment(service_);
-    const auto version = entry == nullptr ? view_.missingVersion() : entry->version_;
-    // Only the instance that wrote the stored assignment can have granted since, with or without an entry in between.
-    const bool isOwnAssignment = entry != nullptr && entry->assignment_.granter_.instance_ == instance_ && version == storedVersion_;
-    if (!granter_ || !isOwnAssignment) {
-        storedVersion_ = version;
-        create(entry == nullptr ? std::nullopt : std::make_optional(entry->assignment_), entry == nullptr ? now : entry->seenAt_, now);
+    Adopter adopter;
+    adopter.era_ = coordinator.writtenAt_.era_;
+    adopter.assignmentEra_ = entry == nullptr ? std::nullopt : std::make_optional(entry->assignment_.era_);
+    adopter.isOwnAssignment_ = isOwnAssignment(entry);
+    adopter.hasGranter_ = granter_.has_value();
+    adopter.grantedUntil_ = grantedUntil_;
+    adopter.isFirstStart_ = isFirstStart_ && !view_.hasKnownEarlierEra();
+    const auto adoption = adoptionOf(adopter, timings_.longestLifetime(), earlierEras(), now);
+    if (adoption == Adoption::Undecided) {
+        return;
+    }
+    coordinatorVersion_ = coordinator.writtenAt_;
+    if (adoption == Adoption::Keep) {
+        return;
+    }
+    storedVersion_ = entry == nullptr ? view_.missingVersion() : entry->version_;
+    if (adoption == Adoption::TakeOver) {
+        takeOver(entry, now);
+    } else {
+        beginEra(entry, coordinator.writtenAt_.era_, adoption, now);
     }
 }
 
+void ShardService::repairAssignment()
+{
+    const auto *entry = view_.assignment(service_);
+    const bool isReplaced = entry != nullptr && !entry->isStored_ && entry->version_ > storedVersion_ && isAssignmentOfEra();
+    if (isReplaced) {
+        storedVersion_ = entry->version_;
+        granter_->writeAgain();
+    }
+}
+
+bool ShardService::hasAdopted(const CoordinatorEntry *coordinator) const
+{
+    return granter_ && coordinator != nullptr && coordinator->writtenAt_ == coordinatorVersion_;
+}
+
+bool ShardService::mayRenew(const CoordinatorEntry *coordinator) const
+{
+    if (!granter_) {
+        return false;
+    }
+    // Another instance may have granted since. While the outcome of a write or of a claim in a new era is unknown, the last assignment shows whether one has.
+    const auto *stored = view_.assignment(service_);
+    const bool isLast = isLastGranter(instance_, stored == nullptr ? nullptr : &stored->assignment_);
+    const bool isInDoubt = isWriting_ || isReloading_ || !isAssignmentOfEra();
+    return coordinator == nullptr || hasAdopted(coordinator) || (isInDoubt && isLast);
+}
+
 std::string ShardService::addressOf(const std::string &server)
 {
     if (const auto *description = view_.server(server)) {
@@ -149,31 +270,37 @@
     return addresses_[server];
 }
 
-void ShardService::run(TimePoint grantsUntil, bool mayMove, TimePoint now)
+void ShardService::run(TimePoint rightUntil, bool mayMove, TimePoint now)
 {
-    grantsUntil_ = isStopped_ ? TimePoint() : grantsUntil;
-    logGranting(now);
+    rightUntil_ = isStopped_ ? TimePoint() : rightUntil;
     const auto *coordinator = view_.coordinator(service_);
-    if (now >= grantsUntil_ || placement_.pool(service_) == nullptr) {
-        return;
-    }
-    if (coordinator != nullptr) {
+    const bool hasRight = now < rightUntil_ && placement_.pool(service_) != nullptr;
+    if (hasRight && coordinator != nullptr && coordinator->isStored()) {
         adoptAssignment(*coordinator, now);
     }
-    // Another instance may have granted since. While the outcome of a write is unknown, the stored assignment shows whether one has.
-    const auto *stored = view_.assignment(service_);
-    const bool isLast = isLastGranter(instance_, stored == nullptr ? nullptr : &stored->assignment_);
-    const bool isInDoubt = isWriting_ || isReloading_;
-    const bool isAdopted = coordinator == nullptr || coordinator->version_ == coordinatorVersion_ || (isInDoubt && isLast);
-    if (!granter_ || !isAdopted) {
+    updateGrantsUntil(now);
+    logGranting(now);
+    if (!hasRight || !mayRenew(coordinator)) {
         return;
     }
-    // `create` has ended all calls; those that start now may run until then again.
-    grantsUntil_ = grantsUntil;
+    const bool isStored = coordinator != nullptr && coordinator->isStored() && hasAdopted(coordinator);
+    if (isStored && isFirstOfEra_) {
+        granter_->setEarlierErasStopAt(earlierErasStopAt(earlierEras()));
+        isFirstOfEra_ = now < granter_->earlierGrantersStopAt() + timings_.longestLifetime();
+    }
     // While the outcome of a write is unknown, the previous assignment continues to be renewed; the new one is not yet in use.
-    if (mayMove && !isWriting_ && !isReloading_ && now - plannedAt_ >= PlanInterval) {
+    if (mayMove && isStored && !isWriting_ && !isReloading_ && now - plannedAt_ >= PlanInterval) {
+        repairAssignment();
         planAssignment(now);
     }
+    if (now < grantsUntil_) {
+        sendCalls(now);
+    }
+    publishAssignment(now);
+}
+
+void ShardService::sendCalls(TimePoint now)
+{
     for (auto &call : granter_->takeReleases(now)) {
         spawn(loop_, log_, "release", [self = shared_from_this(), call] {
             return self->sendRelease(call);
@@ -184,7 +311,6 @@
             return self->sendGrant(call);
         });
     }
-    publishAssignment(now);
 }
 
 void ShardService::logGranting(TimePoint now)
@@ -257,7 +383,7 @@
     storedVersion_ = version;
     unconfirmedStandbys_.clear();
     granter_->recordStored(std::move(assignment), now);
-    run(grantsUntil_, false, now);
+    run(rightUntil_, false, now);
 }
 
 Task<void> ShardService::reload(ShardAssignment written)
@@ -281,6 +407,10 @@
         const auto item = std::ranges::find(page.items_, assignmentKey(service_), &Platform::StoreItem::key_);
         const auto version = item == page.items_.end() ? StoreVersion(page.at_.era_, 0) : item->version_;
         isReloading_ = false;
+        if (version.era_ != storedVersion_.era_) {
+            // What was written in an earlier era is not granted by: the claim in this one decides.
+            co_return;
+        }
         if (version == storedVersion_) {
             // Nobody else can have granted since, and the write has no effect yet.
             co_return;
@@ -289,9 +419,16 @@
             recordWritten(std::move(written), version, now);
             co_return;
         }
+        const auto stored = item == page.items_.end() ? std::nullopt : decodeAssignment(item->value_);
         storedVersion_ = version;
         unconfirmedStandbys_.clear();
-        create(item == page.items_.end() ? std::nullopt : decodeAssignment(item->value_), now, now);
+        const bool isOfEra = version.era_ == 0 || (stored && stored->era_ == version.era_);
+        if (isOfEra) {
+            create(stored, now, now);
+        } else {
+            // A write of an earlier era was executed late. Nobody has granted by it.
+            granter_->writeAgain();
+        }
         co_return;
     }
 }
@@ -375,7 +512,7 @@
     log_.write(line, LogImportance::Kept, now);
     if (granter_ && !isStopped_) {
         granter_->recordReleaseResult(call, outcome, handover, now);
-        run(grantsUntil_, false, now);
+        run(rightUntil_, false, now);
     }
 }
 
--- a/Libraries/LibGateway/StoreView.cpp
+++ b/Libraries/LibGateway/StoreView.cpp
@@ -63,11 +63,14 @@
         if (!member) {
             return std::nullopt;
         }
-        // Earlier versions write only the member. They may coordinate, but this version never grants keys on such an entry.
-        CoordinatorEntry coordinator{*member, {}, false, false, version};
-        coordinator.lease_ = {version.era_, document.value("lease", coordinator.lease_.number_)};
+        CoordinatorEntry coordinator;
+        coordinator.member_ = *member;
+        // Earlier versions write no lease. They may coordinate, but this version never grants keys on such an entry.
+        coordinator.lease_ = {member->era_, document.value("lease", coordinator.lease_.number_)};
         coordinator.isYielding_ = document.value("yielding", false);
         coordinator.hasPredecessorYielded_ = document.value("predecessorYielded", false);
+        coordinator.version_ = version;
+        coordinator.writtenAt_ = {member->era_, version.revision_};
         return coordinator;
     } catch (const std::exception &) {
         return std::nullopt;
@@ -382,23 +385,23 @@
         evacuatedDomains_.insert(*domain);
         expired_.erase(item.key_);
     } else if (const auto name = withoutPrefix(item.key_, MemberPrefix)) {
-        decodeMember(*name, item);
+        decodeMember(*name, item, now);
     } else if (const auto service = withoutPrefix(item.key_, CoordinatorPrefix)) {
         if (const auto coordinator = decodeCoordinator(item.value_, item.version_)) {
-            coordinators_[*service] = *coordinator;
+            putCoordinator(*service, *coordinator);
         } else {
             handler_(item.key_, "cannot decode the coordinator's entry");
         }
     } else if (const auto sharded = withoutPrefix(item.key_, AssignmentPrefix)) {
         if (auto assignment = decodeAssignment(item.value_)) {
-            assignments_[*sharded] = {std::move(*assignment), item.version_, now};
+            putAssignment(*sharded, std::move(*assignment), item.version_, now);
         } else {
             handler_(item.key_, "invalid shard assignment");
         }
     }
 }
 
-void StoreView::decodeMember(const std::string &name, const StoreItem &item)
+void StoreView::decodeMember(const std::string &name, const StoreItem &item, TimePoint now)
 {
     const auto member = parseMember(item.value_);
     if (!member) {
@@ -406,8 +409,14 @@
         return;
     }
     members_[name] = *member;
+    const bool isOfThisEra = member->era_ == item.version_.era_;
+    auto &known = eraMembers_[name];
+    known.leftAt_.reset();
+    if (isOfThisEra && !known.seenAt_) {
+        known.seenAt_ = now;
+    }
     // Nothing removes an entry whose lease the store has lost.
-    if (member->era_ == item.version_.era_ || item.version_ > eraReadAt_) {
+    if (isOfThisEra || item.version_ > eraReadAt_) {
         expired_.erase(item.key_);
     } else {
         expired_[item.key_] = eraGraceUntil();
@@ -548,10 +557,10 @@
     } else if (const auto domain = withoutPrefix(key, Platform::EvacuationPrefix)) {
         evacuatedDomains_.erase(*domain);
     } else if (const auto name = withoutPrefix(key, MemberPrefix)) {
-        members_.erase(*name);
+        removeMember(*name, now);
         expired_.erase(key);
     } else if (const auto service = withoutPrefix(key, CoordinatorPrefix)) {
-        coordinators_.erase(*service);
+        removeCoordinator(*service, version);
     } else if (const auto sharded = withoutPrefix(key, AssignmentPrefix)) {
         assignments_.erase(*sharded);
     }
@@ -587,7 +596,7 @@
             ++expired;
             continue;
         }
-        removeKept(expired->first);
+        removeKept(expired->first, now);
         ++changeCount_;
         expired = expired_.erase(expired);
         isChanged = true;
@@ -595,14 +604,14 @@
     return isChanged;
 }
 
-void StoreView::removeKept(const std::string &key)
+void StoreView::removeKept(const std::string &key, TimePoint now)
 {
     if (const auto id = withoutPrefix(key, Platform::ServerPrefix)) {
         servers_.erase(*id);
     } else if (const auto domain = withoutPrefix(key, Platform::EvacuationPrefix)) {
         evacuatedDomains_.erase(*domain);
     } else if (const auto name = withoutPrefix(key, MemberPrefix)) {
-        members_.erase(*name);
+        removeMember(*name, now);
     }
 }
 
--- a/Libraries/LibGateway/StoreView.h
+++ b/Libraries/LibGateway/StoreView.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace Goldcrestwall::Gateway {
@@ -32,6 +33,17 @@
     auto operator<=>(const MemberEntry &) const = default;
 };
 
+// An instance that was a member when the present era of the store began, or has been one since.
+struct EraMember
+{
+    // When this instance first saw an entry that the other one had written in this era; nothing if it has not seen one.
+    std::optional<TimePoint> seenAt_;
+    // When its entry was removed; nothing while it has one.
+    std::optional<TimePoint> leftAt_;
+
+    auto operator<=>(const EraMember &) const = default;
+};
+
 // The store entry of the instance that coordinates a service.
 struct CoordinatorEntry
 {
@@ -42,18 +54,30 @@
     bool isYielding_ = false;
     // The entry replaced one that was yielding.
     bool hasPredecessorYielded_ = false;
+    // The version of the store's item, as a condition for replacing it; does not exist if the store has none.
     StoreVersion version_;
+    // When it was written, which identifies the claim.
+    StoreVersion writtenAt_;
 
     auto operator<=>(const CoordinatorEntry &) const = default;
+
+    // Whether the store has this entry, and it was written in the store's present era. Otherwise the service can be claimed, and nobody grants on the entry.
+    bool isStored() const
+    {
+        return version_ == writtenAt_;
+    }
 };
 
 // The store entry with the assignment of a sharded service.
 struct AssignmentEntry
 {
     ShardAssignment assignment_;
+    // The version of the store's item, as a condition for replacing it; does not exist if the store has none.
     StoreVersion version_;
     // When this instance got it.
     TimePoint seenAt_;
+    // Whether the store has this assignment. Otherwise it has an older one, or none.
+    bool isStored_ = true;
 
     auto operator<=>(const AssignmentEntry &) const = default;
 };
@@ -221,6 +245,17 @@
     {
         return knownEraAt_;
     }
+    // The instances that were members when the era of this view began, or have been since, by name; also those that left so shortly before that they may still
+    // grant keys without a lease.
+    const std::map<std::string, EraMember> &eraMembers() const
+    {
+        return eraMembers_;
+    }
+    // Whether this view had content for so long when its era began that none of those is missing.
+    bool knowsAllEraMembers() const
+    {
+        return knowsAllEraMembers_;
+    }
 
     // Null until a valid configuration has been read.
     std::shared_ptr<const RoutingConfiguration> configuration() const
@@ -258,8 +293,15 @@
     }
     // All members, with the number of services that each coordinates.
     std::vector<InstanceProfile> instances() const;
+    // The last coordinator that is known. Kept while the store's entry is missing or older since it came back from an older copy.
     const CoordinatorEntry *coordinator(const std::string &service) const;
+    // The last assignment that is known; kept in the same way.
     const AssignmentEntry *assignment(const std::string &service) const;
+    // Whether this view had content of an earlier era.
+    bool hasKnownEarlierEra() const
+    {
+        return hasKnownEarlierEra_;
+    }
     const std::set<std::string> &evacuatedDomains() const
     {
         return evacuatedDomains_;
@@ -302,9 +344,15 @@
     bool isValueKnownAt(StoreVersion version, const Platform::StoreItem &item) const;
     // Prepares the view for the first complete content of an era: forgets all items, and keeps what the content lacks for the grace period.
     void beginEra(const std::vector<Platform::StoreItem> &items, StoreVersion at, TimePoint now);
+    void beginEraMembers(TimePoint now);
     void recordEraRead(const std::set<std::string> &present, StoreVersion at);
     void keepForGrace(const std::set<std::string> &present, StoreVersion at, TimePoint now);
     void keepServersForGrace(const std::set<std::string> &present, StoreVersion at, TimePoint now);
+    // Keeps the coordinators and assignments that the first complete content of an era lacks.
+    void keepOwnEntries(const std::set<std::string> &present, StoreVersion at);
+    void putCoordinator(const std::string &service, const CoordinatorEntry &coordinator);
+    void putAssignment(const std::string &service, ShardAssignment assignment, StoreVersion version, TimePoint now);
+    void removeCoordinator(const std::string &service, StoreVersion version);
     // Until when entries stay that are missing from the first complete content of the view's era, or were written in an earlier one.
     TimePoint eraGraceUntil() const
     {
@@ -318,7 +366,8 @@
     bool isReplacedRun(const ServerDescription &description, StoreVersion version) const;
     // Keeps the younger run that is known for the grace period.
     void keepYoungerRun(const ServerDescription &older, StoreVersion version, TimePoint now);
-    void removeKept(const std::string &key);
+    void removeKept(const std::string &key, TimePoint now);
+    void removeMember(const std::string &name, TimePoint now);
     // What the last usable entry of the server said, if its entry was not removed since; null if there is none.
     const ServerDescription *lastDescription(const std::string &id) const;
     void removeServer(const std::string &id, StoreVersion version, TimePoint now);
@@ -327,7 +376,7 @@
     void updateNotices(const ServerDescription &description, StoreVersion version, TimePoint now);
     void recordLeaving(const ServerDescription &server, LeavingReason reason, StoreVersion version, TimePoint bindsFrom, TimePoint now);
     void decodeServer(const std::string &id, const Platform::StoreItem &item, TimePoint now);
-    void decodeMember(const std::string &name, const Platform::StoreItem &item);
+    void decodeMember(const std::string &name, const Platform::StoreItem &item, TimePoint now);
     void decodeConfiguration(const Platform::StoreItem &item);
 
     ProblemHandler handler_;
@@ -360,6 +409,11 @@
     // The content at the end of the era before, for a while, and that era.
     std::map<std::string, KnownItem> earlierItems_;
     StoreEra earlierEra_ = 0;
+    std::map<std::string, EraMember> eraMembers_;
+    // When the view got its first content.
+    TimePoint contentSince_;
+    bool knowsAllEraMembers_ = false;
+    bool hasKnownEarlierEra_ = false;
     std::shared_ptr<const RoutingConfiguration> configuration_;
     std::uint64_t newestConfigurationVersion_ = 0;
     StoreVersion expectedConfiguration_;
--- a/Libraries/LibGateway/StoreViewEras.cpp
+++ b/Libraries/LibGateway/StoreViewEras.cpp
@@ -1,8 +1,17 @@
 // What the view keeps when the store comes back from an older copy.
 #include "StoreView.h"
 
+#include <LibPlacement/Succession.h>
+
 namespace Goldcrestwall::Gateway {
 
+namespace {
+
+// An instance without a lease grants nothing any more after this time.
+constexpr Duration MaxGrantingTime = GrantingTimePerConfirmation + MaxGrantingWithoutLease;
+
+} // namespace
+
 void StoreView::recordEra(StoreEra era, TimePoint now)
 {
     if (era > knownEra_ || knownEraAt_ == TimePoint()) {
@@ -18,17 +27,18 @@
         present.insert(item.key_);
     }
     recordEra(at.era_, now);
+    beginEraMembers(now);
     eraSeenAt_ = knownEraAt_;
     eraReadAt_ = at;
     if (at_.exists()) {
         recordEraRead(present, at);
         setExpiryGrace(eraGraceUntil());
         keepForGrace(present, at, now);
+        hasKnownEarlierEra_ = true;
+        keepOwnEntries(present, at);
     }
     earlierItems_ = std::exchange(items_, {});
     earlierEra_ = at_.era_;
-    coordinators_.clear();
-    assignments_.clear();
     itemsAhead_.clear();
     removals_.clear();
     removedAt_.clear();
@@ -44,6 +54,25 @@
     eraRead_ = EraRead{at_, at, present.size(), static_cast<std::size_t>(missing), eraSeenAt_, eraGraceUntil(), source_};
 }
 
+void StoreView::beginEraMembers(TimePoint now)
+{
+    std::map<std::string, EraMember> members;
+    for (const auto &[name, member] : eraMembers_) {
+        if (!member.leftAt_ || now - *member.leftAt_ < MaxGrantingTime) {
+            members[name].leftAt_ = member.leftAt_;
+        }
+    }
+    eraMembers_ = std::move(members);
+    contentSince_ = at_.exists() ? contentSince_ : now;
+    knowsAllEraMembers_ = now - contentSince_ >= MaxGrantingTime;
+}
+
+void StoreView::removeMember(const std::string &name, TimePoint now)
+{
+    members_.erase(name);
+    eraMembers_[name].leftAt_ = now;
+}
+
 bool StoreView::isValueKnownAt(StoreVersion version, const Platform::StoreItem &item) const
 {
     if (!remembersEraOf(version)) {
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -235,7 +235,8 @@
     for (const auto &change : notices_->forgotten(now)) {
         pong.forgottenServers_.push_back(toForgottenServer(change));
     }
-    if (pingSentAt != 0) {
+    // A granter of an earlier era must not go on because of an instance that will claim in a later one.
+    if (pingSentAt != 0 && !storeLink_.isEraOutdated()) {
         pong.claimsWithheldFor_ = storeLink_.withholdClaims(now).count();
     }
     return pong;
--- a/Libraries/LibPlacement/ShardAssignment.cpp
+++ b/Libraries/LibPlacement/ShardAssignment.cpp
@@ -61,7 +61,8 @@
 {
     return Json{{"instance", granter.instance_},
                 {"standbys", granter.standbys_},
-                {"earlierStopWithinMs", std::chrono::ceil<std::chrono::milliseconds>(granter.earlierGrantersStopWithin_).count()}};
+                {"earlierStopWithinMs", std::chrono::ceil<std::chrono::milliseconds>(granter.earlierGrantersStopWithin_).count()},
+                {"holdersUnknownWithinMs", std::chrono::ceil<std::chrono::milliseconds>(granter.holdersUnknownWithin_).count()}};
 }
 
 GranterRecord decodeGranter(const Json &value)
@@ -70,6 +71,9 @@
     value.at("instance").get_to(granter.instance_);
     value.at("standbys").get_to(granter.standbys_);
     granter.earlierGrantersStopWithin_ = std::chrono::milliseconds(readNumber(value.at("earlierStopWithinMs"), MaxStopWithinMs));
+    if (const auto unknown = value.find("holdersUnknownWithinMs"); unknown != value.end()) {
+        granter.holdersUnknownWithin_ = std::chrono::milliseconds(readNumber(*unknown, MaxStopWithinMs));
+    }
     return granter;
 }
 
@@ -119,7 +123,8 @@
         }
         ranges.push_back(Json{{"first", range.first_}, {"last", range.last_}, {"holder", encodeHolder(range.holder_)}, {"previous", std::move(previous)}});
     }
-    return Json{{"nextToken", assignment.nextToken_}, {"granter", encodeGranter(assignment.granter_)}, {"ranges", std::move(ranges)}}.dump();
+    return Json{{"nextToken", assignment.nextToken_}, {"era", assignment.era_}, {"granter", encodeGranter(assignment.granter_)}, {"ranges", std::move(ranges)}}
+        .dump();
 }
 
 std::optional<ShardAssignment> decodeAssignment(const std::string &text)
@@ -128,7 +133,10 @@
         const auto document = Json::parse(text);
         ShardAssignment assignment;
         assignment.nextToken_ = readToken(document.at("nextToken"));
-        // Assignments of earlier versions name no granter. Their successors wait as for a granter without standbys.
+        // Assignments of earlier versions name no era, which is the lowest, and maybe no granter. Their successors wait as for a granter without standbys.
+        if (const auto era = document.find("era"); era != document.end()) {
+            assignment.era_ = readNumber(*era, std::numeric_limits<StoreEra>::max());
+        }
         if (const auto granter = document.find("granter"); granter != document.end()) {
             assignment.granter_ = decodeGranter(*granter);
         }
--- a/Libraries/LibPlacement/ShardAssignment.h
+++ b/Libraries/LibPlacement/ShardAssignment.h
@@ -1,6 +1,7 @@
 // Assignment of the keys of a service to its backend servers.
 #pragma once
 
+#include <LibBase/StoreVersion.h>
 #include <LibTopology/LibTopology.h>
 
 #include <cstdint>
@@ -65,6 +66,8 @@
     std::vector<std::string> standbys_;
     // Granters before this one send nothing later than this after the record was written.
     Duration earlierGrantersStopWithin_ = Duration::zero();
+    // Until this long after the record was written, servers that the assignment does not name may hold any of the keys.
+    Duration holdersUnknownWithin_ = Duration::zero();
 
     auto operator<=>(const GranterRecord &) const = default;
 };
@@ -74,6 +77,8 @@
 {
     // Higher than any fencing token ever issued.
     FencingToken nextToken_ = 1;
+    // The store's era in which it was written. In a later era it may be the content of an older copy, and was not granted by.
+    StoreEra era_ = 0;
     GranterRecord granter_;
     std::vector<ShardRange> ranges_;
 
@@ -99,6 +104,13 @@
     auto operator<=>(const ServerLoadView &) const = default;
 };
 
+// Returns the lowest token of an era. The tokens of an era lie above all of earlier eras, even if nobody knows the highest of these.
+constexpr FencingToken lowestToken(StoreEra era)
+{
+    constexpr unsigned TokenBitsPerEra = 32;
+    return era << TokenBitsPerEra;
+}
+
 std::string encodeAssignment(const ShardAssignment &assignment);
 std::optional<ShardAssignment> decodeAssignment(const std::string &text);
 
--- a/Libraries/LibPlacement/ShardGranter.cpp
+++ b/Libraries/LibPlacement/ShardGranter.cpp
@@ -23,11 +23,6 @@
 // Expected duration of the calls that take keys from one server and grant them to another.
 constexpr Duration HandoverTime = 150ms;
 
-Duration maxGrantLifetime(const GrantTimings &timings)
-{
-    return timings.holdTime_ + timings.holdTime_ / ClockDriftDivisor + DeliveryDelayMargin;
-}
-
 bool isSameProcess(const ShardHolder &holder, const ShardHolder &other)
 {
     return holder.server_ == other.server_ && holder.startTime_ == other.startTime_;
@@ -52,12 +47,47 @@
     return timings;
 }
 
+Duration GrantTimings::longestLifetime() const
+{
+    return holdTime_ + holdTime_ / ClockDriftDivisor + DeliveryDelayMargin;
+}
+
 ShardGranter::ShardGranter(GrantTimings timings, const std::optional<ShardAssignment> &stored, TimePoint now, TimePoint earlierGrantersStopAt)
     : timings_(timings)
     , assignment_(stored.value_or(ShardAssignment()))
+    , era_(assignment_.era_)
     , earlierGrantersStopAt_(stored ? std::max(now, earlierGrantersStopAt) : now)
-    , earlierGrantsExpireAt_(stored ? earlierGrantersStopAt_ + maxGrantLifetime(timings) : now)
+    , hasPredecessors_(stored.has_value())
+{
+}
+
+void ShardGranter::beginEra(StoreEra era, TimePoint now)
+{
+    era_ = era;
+    assignment_.nextToken_ = std::max(assignment_.nextToken_, lowestToken(era));
+    isTakenOver_ = false;
+    earlierGrantersStopAt_ = now;
+    // What is unanswered of this granter's own grants it knows itself.
+    hasPredecessors_ = false;
+}
+
+void ShardGranter::setEarlierErasStopAt(TimePoint stopAt)
+{
+    earlierErasStopAt_ = stopAt;
+    holdersUnknownUntil_ = std::min(holdersUnknownUntil_, stopAt + timings_.longestLifetime());
+}
+
+void ShardGranter::forgetHolders(TimePoint earlierErasStopAt)
 {
+    holdersUnknownUntil_ = TimePoint::max();
+    setEarlierErasStopAt(earlierErasStopAt);
+}
+
+TimePoint ShardGranter::earlierGrantsExpireAt() const
+{
+    const TimePoint ofThisEra = hasPredecessors_ ? earlierGrantersStopAt_ + timings_.longestLifetime() : TimePoint();
+    const TimePoint ofEarlierEras = earlierErasStopAt_ == TimePoint() ? TimePoint() : earlierErasStopAt_ + timings_.longestLifetime();
+    return std::max(ofThisEra, ofEarlierEras);
 }
 
 void ShardGranter::setGranter(std::string instance, std::vector<std::string> standbys)
@@ -70,11 +100,16 @@
 {
     auto next = planRanges(servers, load, now);
     const bool hasOtherStandbys = isTakenOver_ && assignment_.granter_.standbys_ != standbys_;
-    if (!next && hasOtherStandbys && now - storedAt_ >= CleanupInterval) {
+    const bool isCleanupDue = hasOtherStandbys && now - storedAt_ >= CleanupInterval;
+    if (!next && (isCleanupDue || (mustWrite_ && isTakenOver_))) {
         next = assignment_;
     }
     if (next) {
-        next->granter_ = {instance_, standbys_, std::max(Duration::zero(), earlierGrantersStopAt_ - now)};
+        next->era_ = era_;
+        next->granter_.instance_ = instance_;
+        next->granter_.standbys_ = standbys_;
+        next->granter_.earlierGrantersStopWithin_ = std::max(Duration::zero(), earlierGrantersStopAt() - now);
+        next->granter_.holdersUnknownWithin_ = std::max(Duration::zero(), holdersUnknownUntil_ - now);
     }
     return next;
 }
@@ -85,20 +120,19 @@
         if (!isServerSetStable(servers, now)) {
             return std::nullopt;
         }
-        auto first = planInitialAssignment(servers);
-        first.nextToken_ = std::max(first.nextToken_, assignment_.nextToken_);
+        auto first = planInitialAssignment(servers, assignment_.nextToken_);
         return first.ranges_.empty() ? std::nullopt : std::make_optional(std::move(first));
     }
     if (!isTakenOver_) {
-        return planEvictions(renewTokens(assignment_), servers, load, now);
+        return planEvictions(renewTokens(withoutFormerHolders(assignment_)), servers, load, now);
     }
-    const auto pruned = withoutFormerHolders(assignment_, now);
+    const auto pruned = withoutFormerHolders(assignment_);
     auto next = planEvictions(pruned, servers, load, now);
     const bool isEvicting = next != pruned;
     const bool isSettled = std::ranges::all_of(next.ranges_, [](const ShardRange &range) {
         return range.previous_.empty();
     });
-    if (isSettled && now >= earlierGrantsExpireAt_ && now - plannedAt_ >= BalanceInterval) {
+    if (isSettled && now >= earlierGrantsExpireAt() && now - plannedAt_ >= BalanceInterval) {
         plannedAt_ = now;
         next = planBalance(std::move(next), servers, load, now);
     }
@@ -119,19 +153,30 @@
     return now - serverCountSince_ >= InitialStabilityTime;
 }
 
-ShardAssignment ShardGranter::withoutFormerHolders(ShardAssignment assignment, TimePoint now) const
+ShardAssignment ShardGranter::withoutFormerHolders(ShardAssignment assignment) const
 {
     for (auto &range : assignment.ranges_) {
         const auto state = std::ranges::find_if(states_, [&range](const RangeState &each) {
             return each.range_.first_ == range.first_ && each.range_.holder_ == range.holder_;
         });
-        if (state != states_.end() && state->heldUntil_ > now) {
+        if (state != states_.end() && state->isAccepted_) {
             range.previous_.clear();
         }
     }
     return assignment;
 }
 
+TimePoint ShardGranter::heldUntil(const ShardRange &range) const
+{
+    TimePoint until = TimePoint::max();
+    for (const auto &state : states_) {
+        if (overlaps(state.range_.first_, state.range_.last_, range.first_, range.last_)) {
+            until = std::min(until, isSameProcess(state.range_.holder_, range.holder_) ? state.heldUntil_ : TimePoint());
+        }
+    }
+    return states_.empty() ? TimePoint() : until;
+}
+
 void ShardGranter::recordStored(ShardAssignment assignment, TimePoint now)
 {
     std::vector<RangeState> states;
@@ -149,6 +194,7 @@
             for (const auto &previous : range.previous_) {
                 state.previous_.push_back({previous, 0, false, false, now});
             }
+            state.heldUntil_ = heldUntil(range);
             state.nextGrantAt_ = now;
         }
         state.range_ = range;
@@ -161,11 +207,12 @@
     assignment_ = std::move(assignment);
     storedAt_ = now;
     isTakenOver_ = true;
+    mustWrite_ = false;
 }
 
 bool ShardGranter::hasGivenUpKeys(const RangeState &state, const PreviousHolderState &previous, TimePoint now) const
 {
-    if (now < earlierGrantsExpireAt_) {
+    if (now < earlierGrantsExpireAt()) {
         return false;
     }
     return std::ranges::none_of(sent_, [&](const SentGrant &sent) {
@@ -177,6 +224,9 @@
 
 bool ShardGranter::mayGrant(const RangeState &state, TimePoint now) const
 {
+    if (now < holdersUnknownUntil_) {
+        return false;
+    }
     return std::ranges::all_of(state.previous_, [&](const PreviousHolderState &previous) {
         // A server that gets back its own keys does not have to wait for its former grant.
         return isSameProcess(previous.holder_, state.range_.holder_) || hasGivenUpKeys(state, previous, now);
@@ -239,7 +289,7 @@
         sent->isInProgress_ = false;
         sent->isAnswered_ = outcome == ShardCallOutcome::Accepted;
         const bool hasArrived = outcome == ShardCallOutcome::Accepted || outcome == ShardCallOutcome::Unanswered;
-        sent->expiresAt_ = hasArrived ? now + maxGrantLifetime(timings_) : now;
+        sent->expiresAt_ = hasArrived ? now + timings_.longestLifetime() : now;
         effect.expiresAt_ = sent->expiresAt_;
     }
     auto *state = find(call.first_, call.holder_);
@@ -248,7 +298,8 @@
     }
     state->isGrantInProgress_ = false;
     if (outcome == ShardCallOutcome::Accepted) {
-        effect.isFirst_ = state->heldUntil_ == TimePoint();
+        effect.isFirst_ = !state->isAccepted_;
+        state->isAccepted_ = true;
         state->heldUntil_ = sentAt + timings_.holdTime_;
         state->nextGrantAt_ = sentAt + timings_.renewInterval_;
         state->handover_.clear();
@@ -299,12 +350,12 @@
 
 TimePoint ShardGranter::expectedGivenUpAt(const RangeState &state, const PreviousHolderState &previous, TimePoint now) const
 {
-    TimePoint expected = std::max(now, earlierGrantsExpireAt_);
+    TimePoint expected = std::max(now, earlierGrantsExpireAt());
     for (const auto &sent : sent_) {
         const bool isForSameKeys = isSameProcess(sent.holder_, previous.holder_) && overlaps(sent.first_, sent.last_, state.range_.first_, state.range_.last_);
         const bool endsWithRelease = previous.hasEnded(sent) || (sent.isAnswered_ && !previous.isReleased() && !previous.hasIgnoredRelease_);
         if (isForSameKeys && !endsWithRelease) {
-            expected = std::max(expected, sent.isInProgress_ ? now + maxGrantLifetime(timings_) : sent.expiresAt_);
+            expected = std::max(expected, sent.isInProgress_ ? now + timings_.longestLifetime() : sent.expiresAt_);
         }
     }
     return expected;
@@ -314,13 +365,13 @@
 {
     std::vector<PendingRange> pending;
     if (states_.empty()) {
-        pending.push_back({0, static_cast<ShardKey>(ShardKeyCount - 1), now + HandoverTime});
+        pending.push_back({0, static_cast<ShardKey>(ShardKeyCount - 1), std::max(now, holdersUnknownUntil_) + HandoverTime});
     }
     for (const auto &state : states_) {
         if (state.heldUntil_ > now) {
             continue;
         }
-        TimePoint expected = now;
+        TimePoint expected = std::max(now, holdersUnknownUntil_);
         for (const auto &previous : state.previous_) {
             if (!isSameProcess(previous.holder_, state.range_.holder_)) {
                 expected = std::max(expected, expectedGivenUpAt(state, previous, now));
--- a/Libraries/LibPlacement/ShardGranter.h
+++ b/Libraries/LibPlacement/ShardGranter.h
@@ -3,6 +3,7 @@
 
 #include <LibPlacement/ShardPlanner.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
 
     // Returns the default timings, scaled down in proportion if servers accept only a shorter hold time.
     static GrantTimings within(Duration maxHoldTime);
+    // The longest time from the end of a grant's call until the server certainly holds no keys by it.
+    Duration longestLifetime() const;
 
     auto operator<=>(const GrantTimings &) const = default;
 };
@@ -94,6 +97,25 @@
     // `stored` is the assignment in the store, if there is one. Earlier granters may send grants until `earlierGrantersStopAt`.
     ShardGranter(GrantTimings timings, const std::optional<ShardAssignment> &stored, TimePoint now, TimePoint earlierGrantersStopAt = TimePoint());
 
+    // Begins an era of the store: the next plan is written as the first assignment of the era, with new tokens for all ranges at the same holders. Until
+    // it is stored, only the grants of the earlier assignment are renewed.
+    void beginEra(StoreEra era, TimePoint now);
+    // Sets when granters of earlier eras, which the assignment does not name, have stopped. Keys move only after the last of their grants has expired. May
+    // be called again as more is known of them.
+    void setEarlierErasStopAt(TimePoint stopAt);
+    // The stored assignment has been replaced by one of an earlier era: the next plan is to be written even if it changes nothing.
+    void writeAgain()
+    {
+        mustWrite_ = true;
+    }
+    // Any server may hold any of the keys by grants of earlier eras that the assignment lacks: nothing is granted before these have expired.
+    void forgetHolders(TimePoint earlierErasStopAt);
+    // Until when nothing is granted because of that; in the past if the holders are known.
+    TimePoint holdersUnknownUntil() const
+    {
+        return holdersUnknownUntil_;
+    }
+
     // Sets what the assignments that are written from now on say about their granter.
     void setGranter(std::string instance, std::vector<std::string> standbys);
 
@@ -116,9 +138,10 @@
     {
         return assignment_;
     }
+    // When all earlier granters have stopped, of this era or of earlier ones.
     TimePoint earlierGrantersStopAt() const
     {
-        return earlierGrantersStopAt_;
+        return std::max(earlierGrantersStopAt_, earlierErasStopAt_);
     }
     // Returns whether a server refused a grant because of a higher fencing token, that is, whether another granter is active.
     bool isSuperseded() const
@@ -167,6 +190,8 @@
         TimePoint nextGrantAt_;
         bool isGrantInProgress_ = false;
         bool isRefused_ = false;
+        // The server has accepted these keys with this token, so that no former holder has any of them.
+        bool isAccepted_ = false;
         std::string handover_;
         std::vector<PreviousHolderState> previous_;
     };
@@ -177,7 +202,11 @@
     bool mayGrant(const RangeState &state, TimePoint now) const;
     // When the previous holder is expected to have given up its keys.
     TimePoint expectedGivenUpAt(const RangeState &state, const PreviousHolderState &previous, TimePoint now) const;
-    ShardAssignment withoutFormerHolders(ShardAssignment assignment, TimePoint now) const;
+    ShardAssignment withoutFormerHolders(ShardAssignment assignment) const;
+    // Until when the holder of a new range certainly holds all of its keys by earlier grants; the epoch if it may not.
+    TimePoint heldUntil(const ShardRange &range) const;
+    // Until then grants of an earlier granter may be valid.
+    TimePoint earlierGrantsExpireAt() const;
     RangeState *find(ShardKey first, const ShardHolder &holder);
 
     GrantTimings timings_;
@@ -186,9 +215,13 @@
     std::vector<std::string> standbys_;
     bool isTakenOver_ = false;
     bool isSuperseded_ = false;
+    StoreEra era_ = 0;
     TimePoint earlierGrantersStopAt_;
-    // Until then grants of an earlier granter may be valid.
-    TimePoint earlierGrantsExpireAt_;
+    TimePoint earlierErasStopAt_;
+    TimePoint holdersUnknownUntil_;
+    // Whether there was an assignment by which earlier granters of this era may have granted.
+    bool hasPredecessors_ = false;
+    bool mustWrite_ = false;
     TimePoint plannedAt_;
     TimePoint storedAt_;
     std::size_t observedServerCount_ = 0;
--- a/Libraries/LibPlacement/ShardPlanner.cpp
+++ b/Libraries/LibPlacement/ShardPlanner.cpp
@@ -176,9 +176,10 @@
     return renewed;
 }
 
-ShardAssignment planInitialAssignment(const std::vector<ServerLoadView> &servers)
+ShardAssignment planInitialAssignment(const std::vector<ServerLoadView> &servers, FencingToken firstToken)
 {
     ShardAssignment assignment;
+    assignment.nextToken_ = firstToken;
     double capacity = 0;
     std::vector<const ServerLoadView *> eligible;
     for (const auto &view : servers) {
--- a/Libraries/LibPlacement/ShardPlanner.h
+++ b/Libraries/LibPlacement/ShardPlanner.h
@@ -10,7 +10,7 @@
 ShardAssignment renewTokens(const ShardAssignment &assignment);
 
 // Returns the initial assignment, with keys in proportion to slots and speed. Empty if no server is eligible.
-ShardAssignment planInitialAssignment(const std::vector<ServerLoadView> &servers);
+ShardAssignment planInitialAssignment(const std::vector<ServerLoadView> &servers, FencingToken firstToken = 1);
 
 // Moves the ranges of servers that are no longer eligible to the least busy eligible servers.
 ShardAssignment planEvictions(ShardAssignment assignment, const std::vector<ServerLoadView> &servers, const KeyLoad &load, TimePoint now);
--- a/Libraries/LibPlacement/Succession.cpp
+++ b/Libraries/LibPlacement/Succession.cpp
@@ -34,6 +34,70 @@
     return std::max(stopsAt, successor.assignmentSeenAt_ + predecessor.earlierGrantersStopWithin_);
 }
 
+std::size_t EarlierEras::unseenCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(othersSeenAt_, [](const auto &seenAt) {
+        return !seenAt.has_value();
+    }));
+}
+
+std::optional<TimePoint> enoughSeenAt(const EarlierEras &earlier)
+{
+    const std::size_t allowed = earlier.knowsAllOthers_ ? StandbyCount : StandbyCount - 1;
+    const auto total = earlier.othersSeenAt_.size();
+    if (total <= allowed) {
+        return earlier.eraSeenAt_;
+    }
+    if (earlier.unseenCount() > allowed) {
+        return std::nullopt;
+    }
+    std::vector<TimePoint> seenAt;
+    for (const auto &seen : earlier.othersSeenAt_) {
+        if (seen) {
+            seenAt.push_back(*seen);
+        }
+    }
+    std::ranges::sort(seenAt);
+    return std::max(earlier.eraSeenAt_, seenAt[total - allowed - 1]);
+}
+
+TimePoint earlierErasStopAt(const EarlierEras &earlier)
+{
+    const TimePoint unconfirmedAt = earlier.eraSeenAt_ + GrantingTimePerConfirmation;
+    const auto enoughAt = enoughSeenAt(earlier);
+    return enoughAt ? std::max(unconfirmedAt, *enoughAt + ClaimWithholdTime) : unconfirmedAt + MaxGrantingWithoutLease;
+}
+
+Continuation continuationOf(TimePoint grantedUntil, Duration grantLifetime, const EarlierEras &earlier, TimePoint now)
+{
+    const TimePoint movesBegin = grantedUntil + grantLifetime;
+    if (earlierErasStopAt(earlier) <= movesBegin) {
+        return Continuation::Allowed;
+    }
+    const TimePoint earliestStop = std::max(earlier.eraSeenAt_ + GrantingTimePerConfirmation, now + ClaimWithholdTime);
+    return enoughSeenAt(earlier) || earliestStop > movesBegin ? Continuation::Excluded : Continuation::Undecided;
+}
+
+Adoption adoptionOf(const Adopter &adopter, Duration grantLifetime, const EarlierEras &earlier, TimePoint now)
+{
+    const bool isOfThisEra = adopter.era_ == 0 || adopter.assignmentEra_ == adopter.era_;
+    if (isOfThisEra) {
+        return adopter.hasGranter_ && adopter.isOwnAssignment_ ? Adoption::Keep : Adoption::TakeOver;
+    }
+    if (!adopter.hasGranter_) {
+        return adopter.isFirstStart_ && !adopter.assignmentEra_ ? Adoption::TakeOver : Adoption::Restart;
+    }
+    switch (continuationOf(adopter.grantedUntil_, grantLifetime, earlier, now)) {
+    case Continuation::Allowed:
+        return Adoption::Continue;
+    case Continuation::Undecided:
+        return Adoption::Undecided;
+    case Continuation::Excluded:
+        break;
+    }
+    return Adoption::Restart;
+}
+
 std::vector<std::string>
 chooseStandbys(const std::string &service, const std::string &granter, const std::vector<std::string> &present, const std::vector<InstanceProfile> &instances)
 {
--- a/Tests/LibGateway/TestChangePush.cpp
+++ b/Tests/LibGateway/TestChangePush.cpp
@@ -582,7 +582,7 @@
     void heldUpWatchBringsNoCoordinatorBack()
     {
         const MemberEntry member{"edge-9", "1", "10.0.0.9:1", "north", 200};
-        const StoreItem item{coordinatorKey("one"), encodeCoordinator({member, {0, 1}, false, false, {}}), atRevision(13), {}};
+        const StoreItem item{coordinatorKey("one"), encodeCoordinator({member, {0, 1}, false, false, {}, {}}), atRevision(13), {}};
         StoreItem gone = item;
         gone.version_ = atRevision(14);
         auto watcher = loadedView();
--- a/Tests/LibGateway/TestStoreViewEras.cpp
+++ b/Tests/LibGateway/TestStoreViewEras.cpp
@@ -66,6 +66,8 @@
     CPPUNIT_TEST(olderRunDoesNotReplaceAYoungerOne);
     CPPUNIT_TEST(youngerRunThatDoesNotWriteAgainIsGoneAfterTheGrace);
     CPPUNIT_TEST(membersOfAnEarlierEraCountForTheGraceOnly);
+    CPPUNIT_TEST(membersOfEarlierErasAreKnownUntilSeen);
+    CPPUNIT_TEST(membersThatLeftShortlyBeforeAreKnown);
     CPPUNIT_TEST(eraIsKnownSinceItWasHeardOf);
     CPPUNIT_TEST_SUITE_END();
 
@@ -399,6 +401,55 @@
         CPPUNIT_ASSERT(view_.members().contains("a"));
     }
 
+    void membersOfEarlierErasAreKnownUntilSeen()
+    {
+        read(view_,
+             {item(memberKey("a"), memberText("a", Before), {Before, 20}), item(memberKey("b"), memberText("b", Before), {Before, 21})},
+             {Before, 30},
+             at(0));
+        CPPUNIT_ASSERT(view_.eraMembers().at("a").seenAt_ == at(0));
+        begin(view_,
+              {item(memberKey("a"), memberText("a", Before), {After, 20}), item(memberKey("c"), memberText("c", Before), {After, 22})},
+              {After, 31},
+              at(100),
+              false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), view_.eraMembers().size());
+        for (const auto &[name, member] : view_.eraMembers()) {
+            CPPUNIT_ASSERT(!member.seenAt_);
+        }
+        view_.apply({put(memberKey("a"), memberText("a", After), {After, 32}), put(memberKey("d"), memberText("d", After), {After, 33})}, {After, 33}, at(400));
+        // A write of the earlier era that the store has executed late.
+        view_.apply({put(memberKey("b"), memberText("b", Before), {After, 34})}, {After, 34}, at(500));
+        CPPUNIT_ASSERT(view_.eraMembers().at("a").seenAt_ == at(400));
+        CPPUNIT_ASSERT(!view_.eraMembers().at("b").seenAt_);
+        CPPUNIT_ASSERT(!view_.eraMembers().at("c").seenAt_);
+        CPPUNIT_ASSERT(view_.eraMembers().at("d").seenAt_ == at(400));
+        // Each era is another one, also for those that have not been seen in the last.
+        view_.removeExpired(at(2900));
+        begin(view_, {}, {After + 1, 31}, at(3000), false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), view_.eraMembers().size());
+        CPPUNIT_ASSERT(!view_.eraMembers().at("a").seenAt_);
+    }
+
+    // Guards against a granter that goes on without a lease and is taken for stopped, since its entry was gone before the store came back.
+    void membersThatLeftShortlyBeforeAreKnown()
+    {
+        read(view_,
+             {item(memberKey("a"), memberText("a", Before), {Before, 20}), item(memberKey("b"), memberText("b", Before), {Before, 21})},
+             {Before, 30},
+             at(0));
+        view_.apply({removal(memberKey("a"), {Before, 31})}, {Before, 31}, at(1000));
+        view_.apply({removal(memberKey("b"), {Before, 32})}, {Before, 32}, at(2000));
+        StoreView later = view_;
+        begin(later, {}, {After, 31}, at(10500), false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), later.eraMembers().size());
+        CPPUNIT_ASSERT(later.eraMembers().contains("b"));
+        CPPUNIT_ASSERT(later.knowsAllEraMembers());
+        begin(view_, {}, {After, 31}, at(8000), false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), view_.eraMembers().size());
+        CPPUNIT_ASSERT(!view_.knowsAllEraMembers());
+    }
+
     void eraIsKnownSinceItWasHeardOf()
     {
         read(view_, {item("servers/i-1", serverText("ready", 5, 10), {Before, 40})}, {Before, 50}, at(0));
--- a/Tests/LibPlacement/TestShards.cpp
+++ b/Tests/LibPlacement/TestShards.cpp
@@ -92,6 +92,11 @@
     CPPUNIT_TEST(refusalOfAnOutdatedRenewalEndsNoGrants);
     CPPUNIT_TEST(randomLivesNeverHaveTwoHolders);
     CPPUNIT_TEST(grantsThatArriveSecondsLateNeverMakeTwoHolders);
+    CPPUNIT_TEST(tokensOfALaterEraAreAboveAllOfEarlierOnes);
+    CPPUNIT_TEST(granterThatGoesOnInALaterEraKeepsItsHolders);
+    CPPUNIT_TEST(movesWaitForGrantersOfEarlierEras);
+    CPPUNIT_TEST(keysOfUnknownHoldersWaitForAllEarlierGrants);
+    CPPUNIT_TEST(assignmentTellsSuccessorsThatHoldersAreUnknown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,6 +107,12 @@
         assignment.ranges_ = {{0, 99, {"s0", 1, 3}, {{"s1", 2, 1}}}, {100, 65535, {"s1", 2, 4}, {}}};
         CPPUNIT_ASSERT(decodeAssignment(encodeAssignment(assignment)) == assignment);
         CPPUNIT_ASSERT_EQUAL(std::string("s1"), assignment.rangeOf(100)->holder_.server_);
+        assignment.era_ = 3;
+        assignment.granter_ = {"a", {"b"}, 20ms, 30ms};
+        CPPUNIT_ASSERT(decodeAssignment(encodeAssignment(assignment)) == assignment);
+        // An assignment of an earlier version names no era.
+        const auto earlier = decodeAssignment(R"({"nextToken":2,"ranges":[{"first":0,"last":65535,"holder":["s0",1,1],"previous":[]}]})");
+        CPPUNIT_ASSERT(earlier && earlier->era_ == 0);
     }
 
     void malformedAssignmentsAreRejected()
@@ -529,6 +540,129 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), granter.takeGrants(at(2040)).size());
     }
 
+    // Guards against tokens that are given out twice, when the store lacks the last assignment and nobody remembers the highest token.
+    void tokensOfALaterEraAreAboveAllOfEarlierOnes()
+    {
+        KeyLoad load;
+        const auto servers = makeServers(2);
+        ShardGranter first(GrantTimings(), std::nullopt, at(0));
+        first.beginEra(3, at(0));
+        first.plan(servers, load, at(0));
+        const auto initial = first.plan(servers, load, at(1000));
+        CPPUNIT_ASSERT_EQUAL(StoreEra(3), initial->era_);
+        for (const auto &range : initial->ranges_) {
+            CPPUNIT_ASSERT(range.holder_.token_ >= lowestToken(3));
+            CPPUNIT_ASSERT(range.holder_.token_ < initial->nextToken_);
+        }
+        ShardGranter next(GrantTimings(), initial, at(2000));
+        next.beginEra(4, at(2000));
+        const auto renewed = next.plan(servers, load, at(2000));
+        CPPUNIT_ASSERT(std::ranges::all_of(renewed->ranges_, [](const ShardRange &range) {
+            return range.holder_.token_ >= lowestToken(4);
+        }));
+        CPPUNIT_ASSERT_EQUAL(StoreEra(4), renewed->era_);
+    }
+
+    // Guards against keys that lapse at the change of an era although their holder stays.
+    void granterThatGoesOnInALaterEraKeepsItsHolders()
+    {
+        KeyLoad load;
+        const auto servers = makeServers(3);
+        auto granter = makeGranterWithGrants(servers, load);
+        const auto before = granter.assignment();
+        granter.beginEra(1, at(1500));
+        granter.setEarlierErasStopAt(at(2500));
+        // Until the assignment of the era is stored, the grants of the earlier one are renewed.
+        const auto renewals = granter.takeGrants(at(1900));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), renewals.size());
+        CPPUNIT_ASSERT(std::ranges::all_of(renewals, [](const GrantCall &call) {
+            return call.holder_.token_ < lowestToken(1);
+        }));
+        const auto next = granter.plan(servers, load, at(1900));
+        granter.recordStored(*next, at(1950));
+        CPPUNIT_ASSERT(granter.pendingRanges(at(1960)).empty());
+        const auto grants = granter.takeGrants(at(1960));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), grants.size());
+        for (const auto &call : grants) {
+            CPPUNIT_ASSERT_EQUAL(before.rangeOf(call.first_)->holder_.server_, call.holder_.server_);
+            CPPUNIT_ASSERT(granter.recordGrantResult(call, at(1960), ShardCallOutcome::Accepted, at(1965)).isFirst_);
+        }
+        // The renewals that were in progress end, and change nothing.
+        for (const auto &call : renewals) {
+            granter.recordGrantResult(call, at(1900), ShardCallOutcome::Refused, at(1970));
+        }
+        CPPUNIT_ASSERT(!granter.isSuperseded());
+        CPPUNIT_ASSERT(granter.pendingRanges(at(1980)).empty());
+    }
+
+    // Guards against keys that are moved while a granter whose claim was lost may still renew them.
+    void movesWaitForGrantersOfEarlierEras()
+    {
+        KeyLoad load;
+        auto servers = makeServers(2);
+        auto granter = makeGranterWithGrants(servers, load);
+        granter.beginEra(1, at(1500));
+        granter.setEarlierErasStopAt(at(9000));
+        granter.recordStored(*granter.plan(servers, load, at(1500)), at(1500));
+        for (const auto &call : granter.takeGrants(at(1500))) {
+            granter.recordGrantResult(call, at(1500), ShardCallOutcome::Accepted, at(1505));
+        }
+        removeSecondServer(granter, servers, load, at(1600));
+        for (const auto &call : granter.takeReleases(at(1600))) {
+            granter.recordReleaseResult(call, ShardCallOutcome::Accepted, "", at(1650));
+        }
+        const auto isMoved = [&granter](TimePoint now) {
+            const auto grants = granter.takeGrants(now);
+            return std::ranges::any_of(grants, [](const GrantCall &call) {
+                return call.first_ > 0;
+            });
+        };
+        CPPUNIT_ASSERT(!isMoved(at(1700)));
+        // More instances have been seen in the era.
+        granter.setEarlierErasStopAt(at(2500));
+        const auto expireAt = at(2500) + GrantTimings().longestLifetime();
+        CPPUNIT_ASSERT(!isMoved(expireAt - 1ms));
+        CPPUNIT_ASSERT(isMoved(expireAt));
+    }
+
+    // Guards against a presumed holder that gets its keys while a server that the older copy does not name still holds them.
+    void keysOfUnknownHoldersWaitForAllEarlierGrants()
+    {
+        KeyLoad load;
+        const auto servers = makeServers(2);
+        const auto stored = makeGranterWithGrants(servers, load).assignment();
+        for (const auto &known : {std::make_optional(stored), std::optional<ShardAssignment>()}) {
+            ShardGranter granter(GrantTimings(), known, at(5000));
+            granter.beginEra(1, at(5000));
+            granter.forgetHolders(at(14000));
+            granter.plan(servers, load, at(5000));
+            granter.recordStored(*granter.plan(servers, load, at(6000)), at(6000));
+            granter.setEarlierErasStopAt(at(6500));
+            const auto expireAt = at(6500) + GrantTimings().longestLifetime();
+            CPPUNIT_ASSERT(granter.holdersUnknownUntil() == expireAt);
+            CPPUNIT_ASSERT(granter.takeGrants(expireAt - 1ms).empty());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), granter.pendingRanges(at(6100)).size());
+            CPPUNIT_ASSERT(granter.pendingRanges(at(6100)).front().availableAt_ >= expireAt);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), granter.takeGrants(expireAt).size());
+        }
+    }
+
+    // Guards against a successor within the era that takes what its predecessor presumed for known.
+    void assignmentTellsSuccessorsThatHoldersAreUnknown()
+    {
+        KeyLoad load;
+        const auto servers = makeServers(2);
+        ShardGranter granter(GrantTimings(), std::nullopt, at(0));
+        granter.beginEra(1, at(0));
+        granter.forgetHolders(at(2000));
+        granter.plan(servers, load, at(0));
+        const auto expireAt = at(2000) + GrantTimings().longestLifetime();
+        const auto early = granter.plan(servers, load, at(1000));
+        CPPUNIT_ASSERT(early->granter_.holdersUnknownWithin_ == expireAt - at(1000));
+        CPPUNIT_ASSERT(early->granter_.earlierGrantersStopWithin_ == 1s);
+        const auto late = granter.plan(servers, load, expireAt);
+        CPPUNIT_ASSERT(late->granter_.holdersUnknownWithin_ == Duration::zero());
+    }
     void randomLivesNeverHaveTwoHolders();
     void grantsThatArriveSecondsLateNeverMakeTwoHolders();
 
--- a/Tests/OnPlatform/TestKeysAfterStoreCopy.cpp
+++ b/Tests/OnPlatform/TestKeysAfterStoreCopy.cpp
@@ -7,6 +7,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
+#include <functional>
+
 using namespace Goldcrestwall;
 using namespace Goldcrestwall::OnPlatform;
 
@@ -31,17 +34,118 @@
 {
     CPPUNIT_TEST_SUITE(TestKeysAfterStoreCopy);
     CPPUNIT_TEST(keysGrantedSinceTheCopyAreHeldTwice);
+    CPPUNIT_TEST(keysAreHeldTwiceAfterTwoReturns);
+    CPPUNIT_TEST(keysAreHeldTwiceWhenTheGranterIsKilledBesideTheReturn);
+    CPPUNIT_TEST(keysAreHeldTwiceWhenTheGranterStartsAgainAfterTheReturn);
+    CPPUNIT_TEST(keysAreHeldTwiceWhenTheGranterIsPausedThroughTheReturn);
+    CPPUNIT_TEST(keysAreHeldTwiceWhenTheGranterReachesTheStoreLater);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     // Guards against two holders and against tokens that were used before: one server got keys after the copy was taken, another one gets
     // keys after the return.
     void keysGrantedSinceTheCopyAreHeldTwice()
+    {
+        checkKeysAround([](Deployment &deployment) {
+            comeBackFromCopy(deployment);
+        });
+    }
+
+    // Guards against the same where the second return undoes what the granter has written since the first.
+    void keysAreHeldTwiceAfterTwoReturns()
+    {
+        checkKeysAround([](Deployment &deployment) {
+            comeBackFromCopy(deployment);
+            std::this_thread::sleep_for(TroubleTime);
+            comeBackFromCopy(deployment);
+        });
+    }
+
+    // Guards against a successor that knows only the copy's assignment, and so neither the holders nor the tokens since.
+    void keysAreHeldTwiceWhenTheGranterIsKilledBesideTheReturn()
+    {
+        checkKeysAround([](Deployment &deployment) {
+            auto &granter = granterOf(deployment);
+            granter.signal(SIGKILL);
+            granter.wait(ExitBound);
+            comeBackFromCopy(deployment);
+        });
+    }
+
+    // Guards against the same at an instance that is the copy's granter by name and has granted nothing itself.
+    void keysAreHeldTwiceWhenTheGranterStartsAgainAfterTheReturn()
+    {
+        checkKeysAround([](Deployment &deployment) {
+            auto &granter = granterOf(deployment);
+            granter.signal(SIGKILL);
+            granter.wait(ExitBound);
+            comeBackFromCopy(deployment);
+            std::this_thread::sleep_for(300ms);
+            granter.start();
+        });
+    }
+
+    // Guards against a granter that goes on by what it knew, while another one has begun without knowing it.
+    void keysAreHeldTwiceWhenTheGranterIsPausedThroughTheReturn()
+    {
+        checkKeysAround([](Deployment &deployment) {
+            const auto &granter = granterOf(deployment);
+            granter.signal(SIGSTOP);
+            comeBackFromCopy(deployment);
+            std::this_thread::sleep_for(TroubleTime);
+            granter.signal(SIGCONT);
+        });
+    }
+
+    // Guards against a granter that only its peers tell of the return.
+    void keysAreHeldTwiceWhenTheGranterReachesTheStoreLater()
+    {
+        checkKeysAround([](Deployment &deployment) {
+            auto &proxy = deployment.storeProxy(indexOf(deployment, granterOf(deployment)));
+            proxy.setRefusing(true);
+            proxy.resetOpenConnections();
+            comeBackFromCopy(deployment);
+            std::this_thread::sleep_for(TroubleTime);
+            proxy.setRefusing(false);
+        });
+    }
+
+private:
+    static constexpr std::chrono::milliseconds TroubleTime{2000};
+    static constexpr Duration ExitBound = 5s;
+
+    static RouterProcess &granterOf(Deployment &deployment)
+    {
+        auto *granter = deployment.coordinator("sharded");
+        CPPUNIT_ASSERT(granter != nullptr);
+        return *granter;
+    }
+
+    static std::size_t indexOf(Deployment &deployment, const RouterProcess &instance)
+    {
+        std::size_t index = 0;
+        while (&deployment.instance(index) != &instance) {
+            ++index;
+        }
+        return index;
+    }
+
+    static void joinAndAwaitKeys(Deployment &deployment, std::size_t sharded)
+    {
+        deployment.sharded(sharded).registerEntry();
+        const bool hasKeys = Deployment::eventually([&] {
+            return holdsKeys(deployment, sharded);
+        });
+        CPPUNIT_ASSERT_MESSAGE("the server that joined got no keys", hasKeys);
+    }
+
+    // Lets a server get keys between the copy and the store's return, and another one after it.
+    static void checkKeysAround(const std::function<void(Deployment &)> &comeBack)
     {
         constexpr auto TimeSinceGrants = 4s;
         constexpr auto TimeAfterReturn = 4s;
         constexpr auto WatchTime = 8s;
-        Deployment deployment(3, DeploymentOptions{.storeEra_ = FirstEra, .registeredSharded_ = 2});
+        Deployment deployment(3, DeploymentOptions{.network_ = DeploymentNetwork::Proxies, .storeEra_ = FirstEra, .registeredSharded_ = 2});
         const Heartbeats heartbeats(deployment);
         CPPUNIT_ASSERT(deployment.awaitServing());
         OwnerWatch watch(deployment);
@@ -49,7 +153,7 @@
         deployment.store().takeCopy();
         joinAndAwaitKeys(deployment, 2);
         std::this_thread::sleep_for(TimeSinceGrants);
-        comeBackFromCopy(deployment);
+        comeBack(deployment);
         deployment.rewriteConfiguration();
         std::this_thread::sleep_for(TimeAfterReturn);
         joinAndAwaitKeys(deployment, 3);
@@ -57,6 +161,11 @@
         const bool isServedAgain = deployment.awaitServing();
         load.stop();
         watch.stop();
+        checkNone(deployment, findWrong(deployment, watch, load, isServedAgain));
+    }
+
+    static std::vector<std::string> findWrong(Deployment &deployment, const OwnerWatch &watch, const Load &load, bool isServedAgain)
+    {
         std::vector<std::string> findings;
         if (!isServedAgain) {
             findings.emplace_back("not all keys are served again");
@@ -66,17 +175,7 @@
         }
         append(findings, deployment.recorder().violations());
         append(findings, findWrongBookings(deployment, load.bookings()));
-        checkNone(deployment, findings);
-    }
-
-private:
-    static void joinAndAwaitKeys(Deployment &deployment, std::size_t sharded)
-    {
-        deployment.sharded(sharded).registerEntry();
-        const bool hasKeys = Deployment::eventually([&] {
-            return holdsKeys(deployment, sharded);
-        });
-        CPPUNIT_ASSERT_MESSAGE("the server that joined got no keys", hasKeys);
+        return findings;
     }
 };
 
--- a/Tests/Platform/TestDocuments.cpp
+++ b/Tests/Platform/TestDocuments.cpp
@@ -23,6 +23,7 @@
 zone = "north"
 ip = "10.0.0.1"
 heartbeatS = 0.87
+bootstrap = true
 seedNodes = ["10.0.0.1:8382", "10.0.0.2:8382"]
 unknown = { field = 1 }
 [listen]
@@ -292,6 +293,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:8382"), reading.settings_.peerAddress_);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), reading.settings_.seeds_.size());
         CPPUNIT_ASSERT(reading.settings_.heartbeat_ == 870ms);
+        CPPUNIT_ASSERT(reading.settings_.isFirstStart_);
+        CPPUNIT_ASSERT(!parseSettings(replaced(GoodSettings, "bootstrap = true\n", "")).settings_.isFirstStart_);
         CPPUNIT_ASSERT(reading.settings_.retryWindow_ == 12s);
         CPPUNIT_ASSERT_EQUAL(0.25, reading.settings_.retryRatio_);
     }
@@ -307,6 +310,7 @@
             {"platform.address", replaced(GoodSettings, "address = \"10.200.1.7:8384\"", "")},
             {"parameters.graceS", replaced(GoodSettings, "graceS = 6", "graceS = \"long\"")},
             {"parameters.budgetExtra", replaced(GoodSettings, "budgetExtra = 60", "budgetExtra = -1")},
+            {"bootstrap", replaced(GoodSettings, "bootstrap = true", "bootstrap = 1")},
             {"seedNodes", replaced(GoodSettings, "\"10.0.0.2:8382\"", "7")},
         };
         for (const auto &[name, text] : cases) {
